--- /dev/null
+++ b/internal/back/engine/dial.go
@@ -0,0 +1,14 @@
+package engine
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+var dialer = &net.Dialer{Timeout: dialTimeout}
+
+// refused tells whether no process listens at the address.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/daemon/admin/admin.go
@@ -0,0 +1,102 @@
+// Package admin serves health, readiness, metrics and status over HTTP. It only
+// reads.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Times of the server.
+const (
+	headerTimeout = 5 * time.Second
+	writeTimeout  = 10 * time.Second
+)
+
+// Status is what GET /status returns, for the operators' command line.
+type Status struct {
+	Name        string     `json:"name"`
+	Domain      string     `json:"domain"`
+	Incarnation uint64     `json:"incarnation"`
+	Ready       bool       `json:"ready"`
+	Drain       bool       `json:"drain"`
+	Version     uint64     `json:"version"`
+	Revision    uint64     `json:"revision"`
+	Started     time.Time  `json:"started"`
+	Members     []Member   `json:"members"`
+	Cells       []Cell     `json:"cells"`
+	Engines     []Engine   `json:"engines"`
+	Requests    []Request  `json:"requests"`
+	Problem     string     `json:"problem,omitempty"`
+	Memory      MemoryInfo `json:"memory"`
+}
+
+// MemoryInfo is the memory of the process in bytes.
+type MemoryInfo struct {
+	Heap uint64 `json:"heap"`
+	Sys  uint64 `json:"sys"`
+}
+
+// Member is a daemon as this one sees it.
+type Member struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	State       string `json:"state"`
+}
+
+// Cell is a cell with its owner as this daemon sees it.
+type Cell struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner"`
+}
+
+// Engine is an engine that this daemon accounts for.
+type Engine struct {
+	Name  string `json:"name"`
+	Cell  string `json:"cell"`
+	Role  string `json:"role"`
+	State string `json:"state"`
+	// Pieces and Free are in pieces of memory, Busy in requests.
+	Pieces uint32 `json:"pieces"`
+	Free   uint32 `json:"free"`
+	Busy   uint32 `json:"busy"`
+	// Queue is in prompt tokens.
+	Queue uint32 `json:"queue"`
+}
+
+// Request is a request in flight at this daemon.
+type Request struct {
+	ID      string        `json:"id"`
+	Tenant  string        `json:"tenant"`
+	Service string        `json:"service"`
+	Age     time.Duration `json:"age"`
+}
+
+// Source gives the admin server what it shows.
+type Source interface {
+	// Ready tells whether the balancer may send requests.
+	Ready() bool
+	Status() Status
+}
+
+// Server returns the HTTP server of the admin address.
+func Server(s Source, metrics http.Handler) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			http.Error(w, "not ready: no document yet, or stopping", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Status())
+	})
+	mux.Handle("GET /metrics", metrics)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout}
+}
--- /dev/null
+++ b/internal/daemon/edge/edge.go
@@ -0,0 +1,310 @@
+// Package edge ends callers' connections.
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/daemon/exec"
+	"citronrock.example/citronrock/internal/wire/caller"
+	"citronrock.example/citronrock/internal/wire/engine"
+)
+
+// Limits of requests.
+const (
+	maxPrompt       = 1 << 20
+	maxOpen         = 8192
+	defaultDeadline = time.Minute
+	maxDeadline     = 15 * time.Minute
+	// bytesPerToken relates the length of a prompt to its tokens.
+	bytesPerToken = 4
+	pieceBytes    = policy.PieceTokens * bytesPerToken
+	// answerGrace is how long after its deadline a request is ended here, should
+	// the core have failed to answer it.
+	answerGrace = time.Second
+	drainAfter  = time.Second
+)
+
+// Calls serves calls to plain services.
+type Calls interface {
+	Call(ctx context.Context, r *caller.CallRequest) (*caller.CallReply, error)
+	Token(ctx context.Context, r *caller.TokenRequest) (*caller.TokenReply, error)
+}
+
+// Meter records the figures of requests.
+type Meter interface {
+	First(service, tenant string, d time.Duration)
+	Gaps(service, tenant string, gaps []time.Duration)
+	Answer(service, tenant, outcome, reason string, took time.Duration)
+}
+
+// Edge implements the Router service of the caller protocol.
+type Edge struct {
+	prefix string
+	number atomic.Uint64
+	post   func(event.Event)
+	exec   *exec.Exec
+	calls  Calls
+	meter  Meter
+	doc    atomic.Pointer[policy.Document]
+	drain  atomic.Bool
+	active atomic.Int64
+}
+
+// New returns an edge of the daemon with that name and incarnation.
+func New(name string, incarnation uint64, post func(event.Event), x *exec.Exec, calls Calls, m Meter) *Edge {
+	return &Edge{
+		prefix: fmt.Sprintf("%s-%x-", name, incarnation),
+		post:   post, exec: x, calls: calls, meter: m,
+	}
+}
+
+// Publish replaces the document.
+func (e *Edge) Publish(d *policy.Document) { e.doc.Store(d) }
+
+// Drain makes the edge refuse new requests.
+func (e *Edge) Drain() { e.drain.Store(true) }
+
+// Active returns the number of requests in flight.
+func (e *Edge) Active() int64 { return e.active.Load() }
+
+// Generate streams the tokens of one answer.
+func (e *Edge) Generate(ctx context.Context, req *connect.Request[caller.GenerateRequest], out *connect.ServerStream[caller.GenerateChunk]) error {
+	begin := time.Now()
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	arrive, err := e.admit(req.Msg, begin)
+	if err != nil {
+		return e.refuse(req.Msg.GetHead(), "", begin, err)
+	}
+	out.ResponseHeader().Set("Citronrock-Request", arrive.Request)
+	r := exec.NewRequest(ctx, arrive.Request, arrive.Max)
+	r.Tenant, r.Service, r.Prompt = arrive.Tenant, arrive.Service, req.Msg.Prompt
+	r.Pieces, r.Started, r.Deadline = arrive.Pieces, begin, arrive.Deadline
+	e.exec.Open(r)
+	defer e.exec.Shut(r)
+	e.post(arrive)
+	s := &stream{edge: e, request: r, out: out, next: arrive.From, begin: begin, last: begin}
+	if err := s.run(ctx); err != nil {
+		// The answer did not end by the core's word: free what it holds.
+		e.post(event.Gone{Request: r.ID})
+		return e.refuse(req.Msg.Head, r.ID, begin, err)
+	}
+	if s.failure != nil {
+		return e.refuse(req.Msg.Head, r.ID, begin, s.failure)
+	}
+	e.meter.Gaps(r.Service, r.Tenant, s.gaps)
+	e.meter.Answer(r.Service, r.Tenant, "ok", "", time.Since(begin))
+	return nil
+}
+
+// Call sends a request to a plain service.
+func (e *Edge) Call(ctx context.Context, req *connect.Request[caller.CallRequest]) (*connect.Response[caller.CallReply], error) {
+	begin := time.Now()
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	if e.drain.Load() {
+		return nil, e.refuse(req.Msg.GetHead(), "", begin, drainError())
+	}
+	reply, err := e.calls.Call(ctx, req.Msg)
+	if err != nil {
+		return nil, e.refuse(req.Msg.GetHead(), "", begin, err)
+	}
+	head := req.Msg.GetHead()
+	e.meter.Answer(head.GetService(), head.GetTenant(), "ok", "", time.Since(begin))
+	return connect.NewResponse(reply), nil
+}
+
+// Token issues execution tokens.
+func (e *Edge) Token(ctx context.Context, req *connect.Request[caller.TokenRequest]) (*connect.Response[caller.TokenReply], error) {
+	if e.drain.Load() {
+		return nil, connectError(drainError(), "")
+	}
+	reply, err := e.calls.Token(ctx, req.Msg)
+	if err != nil {
+		return nil, connectError(err, "")
+	}
+	return connect.NewResponse(reply), nil
+}
+
+func drainError() error {
+	return &citronrock.Error{
+		Kind: citronrock.NotRun, Reason: citronrock.ReasonDrain, After: drainAfter,
+		Remedy: "this daemon is stopping; send the request again, the balancer picks another",
+	}
+}
+
+// admit checks a request and turns it into an event for the core.
+func (e *Edge) admit(m *caller.GenerateRequest, now time.Time) (event.Arrive, error) {
+	var none event.Arrive
+	head := m.GetHead()
+	doc := e.doc.Load()
+	if err := e.check(doc, head, m); err != nil {
+		return none, err
+	}
+	service := doc.FindService(head.Service)
+	deadline := defaultDeadline
+	if head.Deadline != nil {
+		deadline = head.Deadline.AsDuration()
+	}
+	if deadline <= 0 || deadline > maxDeadline {
+		return none, invalid("deadline %v is out of range; give the time left for the answer, up to %v", deadline, maxDeadline)
+	}
+	print, pieces := hashes(head.Service, m.Prompt)
+	return event.Arrive{
+		Request: fmt.Sprintf("%s%d", e.prefix, e.number.Add(1)),
+		Tenant:  head.Tenant, Service: head.Service,
+		// A caller may be less urgent than its service, never more.
+		Priority: max(service.Priority, head.Priority),
+		Tokens:   uint32((len(m.Prompt) + bytesPerToken - 1) / bytesPerToken),
+		Max:      m.Max, From: m.From, Pieces: pieces, Print: print,
+		Deadline: now.Add(deadline),
+	}, nil
+}
+
+func (e *Edge) check(doc *policy.Document, head *caller.Head, m *caller.GenerateRequest) error {
+	switch {
+	case e.drain.Load():
+		return drainError()
+	case doc == nil:
+		return &citronrock.Error{
+			Kind: citronrock.NotRun, Reason: citronrock.ReasonConfig, After: drainAfter,
+			Remedy: "this daemon has no document yet; send the request again soon",
+		}
+	case head == nil:
+		return invalid("head is missing; give tenant and service")
+	case doc.FindTenant(head.Tenant) == nil:
+		return invalid("tenant %.80q is not in the document; use a published tenant", head.Tenant)
+	case m.Prompt == "":
+		return invalid("prompt is empty; give a text")
+	case len(m.Prompt) > maxPrompt:
+		return invalid("prompt has %d bytes; send at most %d", len(m.Prompt), maxPrompt)
+	case m.Max == 0 || m.Max > exec.MaxOutput:
+		return invalid("max is %d; ask for 1 to %d tokens", m.Max, exec.MaxOutput)
+	case m.From >= m.Max:
+		return invalid("from is %d; it must be below max, %d", m.From, m.Max)
+	case e.exec.Count() >= maxOpen:
+		return &citronrock.Error{
+			Kind: citronrock.NotRun, Reason: citronrock.ReasonOverload, After: drainAfter,
+			Remedy: fmt.Sprintf("this daemon has %d open requests, its limit; send the request again later", maxOpen),
+		}
+	}
+	s := doc.FindService(head.Service)
+	if s == nil || s.Kind != policy.KindModel {
+		return invalid("service %.80q is not a published service of kind model; use Call for plain services", head.Service)
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return &citronrock.Error{
+		Kind: citronrock.NotRun, Reason: citronrock.ReasonInvalid,
+		Remedy: fmt.Sprintf(format, args...),
+	}
+}
+
+// hashes returns the fingerprint of a request's content and the hashes of its
+// whole pieces, each covering all bytes before it.
+func hashes(service, prompt string) (uint64, []uint64) {
+	var pieces []uint64
+	d := xxhash.New()
+	for rest := prompt; len(rest) >= pieceBytes; rest = rest[pieceBytes:] {
+		_, _ = d.WriteString(rest[:pieceBytes])
+		pieces = append(pieces, d.Sum64())
+	}
+	d.Reset()
+	_, _ = d.WriteString(service)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(prompt)
+	return d.Sum64(), pieces
+}
+
+// stream passes the tokens of one answer to its caller.
+type stream struct {
+	edge    *Edge
+	request *exec.Request
+	out     *connect.ServerStream[caller.GenerateChunk]
+	next    uint32
+	begin   time.Time
+	last    time.Time
+	gaps    []time.Duration
+	started bool
+	ended   bool
+	failure error
+}
+
+// run returns an error when the answer can't go on here; the core does not know
+// that yet. When the core has failed the request, failure is set instead.
+func (s *stream) run(ctx context.Context) error {
+	grace := time.NewTimer(time.Until(s.request.Deadline) + answerGrace)
+	defer grace.Stop()
+	for {
+		select {
+		case c := <-s.request.Tokens():
+			if err := s.pass(c); err != nil {
+				return err
+			}
+		case a := <-s.request.Answer():
+			return s.finish(a)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-grace.C:
+			return &citronrock.Error{
+				Kind: citronrock.Failed, Reason: citronrock.ReasonDeadline,
+				Remedy: "the deadline passed; allow more time",
+			}
+		}
+	}
+}
+
+// finish passes the tokens that wait and checks that the answer is whole.
+func (s *stream) finish(a event.Answer) error {
+	if a.Kind != 0 {
+		s.failure = &citronrock.Error{
+			Kind: citronrock.Kind(a.Kind), Reason: citronrock.Reason(a.Reason), After: a.After,
+			Remedy: remedy(citronrock.Reason(a.Reason)),
+		}
+		return nil
+	}
+	for len(s.request.Tokens()) > 0 {
+		if err := s.pass(<-s.request.Tokens()); err != nil {
+			return err
+		}
+	}
+	if !s.ended {
+		return &citronrock.Error{
+			Kind: citronrock.Failed, Reason: citronrock.ReasonBackend,
+			Remedy: fmt.Sprintf("the answer broke off; resume with from = %d", s.next),
+		}
+	}
+	return nil
+}
+
+// pass sends a token if it is the next one; repeated ones are dropped.
+func (s *stream) pass(c *engine.DecodeChunk) error {
+	if c.Index != s.next || s.ended {
+		return nil
+	}
+	now := time.Now()
+	if s.started {
+		s.gaps = append(s.gaps, now.Sub(s.last))
+	} else {
+		s.edge.meter.First(s.request.Service, s.request.Tenant, now.Sub(s.begin))
+	}
+	chunk := &caller.GenerateChunk{Index: c.Index, Text: c.Text, Finish: c.Finish}
+	if !s.started {
+		chunk.Request = s.request.ID
+	}
+	s.started, s.last = true, now
+	s.next++
+	s.ended = c.Finish != ""
+	return s.out.Send(chunk)
+}
--- /dev/null
+++ b/internal/daemon/exec/request.go
@@ -0,0 +1,87 @@
+package exec
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/wire/engine"
+)
+
+// MaxOutput is the largest number of output tokens of one request.
+const MaxOutput = 8192
+
+var errFull = errors.New("more tokens than the request allows")
+
+// Request is the traffic side of one generate request.
+type Request struct {
+	ID      string
+	Tenant  string
+	Service string
+	Prompt  string
+	Pieces  []uint64
+	Started time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+
+	ctx    context.Context
+	end    context.CancelFunc
+	tokens chan *engine.DecodeChunk
+	answer chan event.Answer
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+// NewRequest returns a request whose attempts end with ctx. It buffers up to limit
+// tokens, so that a slow caller does not look like a stalled engine.
+func NewRequest(ctx context.Context, id string, limit uint32) *Request {
+	ctx, end := context.WithCancel(ctx)
+	return &Request{
+		ID: id, ctx: ctx, end: end,
+		// A resumed stream may repeat tokens that wait here.
+		tokens: make(chan *engine.DecodeChunk, 2*limit+1),
+		answer: make(chan event.Answer, 1),
+	}
+}
+
+// Tokens returns the tokens in the order of their arrival; indices may repeat
+// after a resumed stream.
+func (r *Request) Tokens() <-chan *engine.DecodeChunk { return r.tokens }
+
+// Answer returns the one final answer.
+func (r *Request) Answer() <-chan event.Answer { return r.answer }
+
+// finish delivers the final answer; later ones are dropped.
+func (r *Request) finish(a event.Answer) {
+	select {
+	case r.answer <- a:
+	default:
+	}
+}
+
+// push queues a token. A full queue means that the engine sends more than was
+// asked for.
+func (r *Request) push(c *engine.DecodeChunk) error {
+	select {
+	case r.tokens <- c:
+		return nil
+	default:
+		return errFull
+	}
+}
+
+// stream returns the context of a new decode stream and ends the one before, so
+// that its late tokens are not read any more.
+func (r *Request) stream() context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.cancel = cancel
+	return ctx
+}
--- /dev/null
+++ b/internal/daemon/meter/meter.go
@@ -0,0 +1,156 @@
+// Package meter records the figures of a daemon by OpenTelemetry.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// maxTenants bounds the tenants with series of their own; the rest share the
+// name "other". With 11,000 tenants, a series for each of them, service and
+// bucket would not fit the 32 MB that a daemon may use for control.
+const maxTenants = 40
+
+// Meter holds the instruments. It is safe for concurrent use.
+type Meter struct {
+	provider *sdk.MeterProvider
+	registry *prometheus.Registry
+	first    metric.Float64Histogram
+	gap      metric.Float64Histogram
+	took     metric.Float64Histogram
+	answers  metric.Int64Counter
+	tokens   metric.Int64Counter
+	waste    metric.Int64Counter
+	pauses   metric.Int64Counter
+	meter    metric.Meter
+
+	mu      sync.Mutex
+	tenants map[string]struct{}
+}
+
+// Bucket limits in seconds, denser around the targets of 0.45 s and 32 ms.
+var (
+	firstBuckets = []float64{.01, .025, .05, .1, .2, .3, .4, .45, .5, .6, .8, 1, 2, 5, 10, 30}
+	gapBuckets   = []float64{.005, .01, .015, .02, .025, .03, .032, .035, .04, .05, .08, .15, .3, 1}
+	tookBuckets  = []float64{.002, .005, .01, .02, .05, .1, .2, .3, .5, 1, 2, 5, 10, 30, 60}
+)
+
+// New returns a meter with a registry of its own.
+func New() (*Meter, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	m := &Meter{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
+		registry: registry,
+		tenants:  map[string]struct{}{},
+	}
+	m.meter = m.provider.Meter("citronrock")
+	return m, m.instruments()
+}
+
+func (m *Meter) instruments() error {
+	var errs [7]error
+	histogram := func(name, text string, bounds []float64, err *error) metric.Float64Histogram {
+		var h metric.Float64Histogram
+		h, *err = m.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(text),
+			metric.WithExplicitBucketBoundaries(bounds...))
+		return h
+	}
+	counter := func(name, text string, err *error) metric.Int64Counter {
+		var c metric.Int64Counter
+		c, *err = m.meter.Int64Counter(name, metric.WithDescription(text))
+		return c
+	}
+	m.first = histogram("first", "time from receipt to the first token", firstBuckets, &errs[0])
+	m.gap = histogram("gap", "time between tokens", gapBuckets, &errs[1])
+	m.took = histogram("took", "time from receipt to the answer", tookBuckets, &errs[2])
+	m.answers = counter("answers", "answers by outcome", &errs[3])
+	m.tokens = counter("tokens", "tokens passed to callers", &errs[4])
+	m.waste = counter("waste", "prefill tokens whose result was not used", &errs[5])
+	m.pauses = counter("pauses", "times that the process was not run", &errs[6])
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Gauge adds a figure that f reads when metrics are scraped.
+func (m *Meter) Gauge(name, text string, f func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(text),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(f())
+			return nil
+		}))
+	return err
+}
+
+// Handler serves the metrics for scraping.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close ends the provider.
+func (m *Meter) Close() error { return m.provider.Shutdown(context.Background()) }
+
+// class returns the attributes of a service and a tenant, with the number of
+// tenants bounded.
+func (m *Meter) class(service, tenant string) []attribute.KeyValue {
+	m.mu.Lock()
+	if _, ok := m.tenants[tenant]; !ok {
+		if len(m.tenants) < maxTenants {
+			m.tenants[tenant] = struct{}{}
+		} else {
+			tenant = "other"
+		}
+	}
+	m.mu.Unlock()
+	return []attribute.KeyValue{attribute.String("service", service), attribute.String("tenant", tenant)}
+}
+
+// First records the time from receipt to the first token.
+func (m *Meter) First(service, tenant string, d time.Duration) {
+	m.first.Record(context.Background(), d.Seconds(), metric.WithAttributes(m.class(service, tenant)...))
+}
+
+// Gaps records the times between the tokens of one answer.
+func (m *Meter) Gaps(service, tenant string, gaps []time.Duration) {
+	if len(gaps) == 0 {
+		return
+	}
+	set := metric.WithAttributeSet(attribute.NewSet(m.class(service, tenant)...))
+	for _, d := range gaps {
+		m.gap.Record(context.Background(), d.Seconds(), set)
+	}
+	m.tokens.Add(context.Background(), int64(len(gaps)+1), set)
+}
+
+// Answer records the end of a request. Outcome is "ok" or a kind of failure,
+// reason its reason.
+func (m *Meter) Answer(service, tenant, outcome, reason string, took time.Duration) {
+	set := m.class(service, tenant)
+	m.took.Record(context.Background(), took.Seconds(), metric.WithAttributes(set...))
+	set = append(set, attribute.String("outcome", outcome), attribute.String("reason", reason))
+	m.answers.Add(context.Background(), 1, metric.WithAttributes(set...))
+}
+
+// Waste records prefill tokens whose result was not used.
+func (m *Meter) Waste(service string, tokens int64) {
+	m.waste.Add(context.Background(), tokens, metric.WithAttributes(attribute.String("service", service)))
+}
+
+// Pause records that the process was not run for a while.
+func (m *Meter) Pause() { m.pauses.Add(context.Background(), 1) }
