--- /dev/null
+++ b/internal/peer/link/stall_test.go
@@ -0,0 +1,96 @@
+package link
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/wire/peer"
+)
+
+// relay passes connections on to a Link until stall is set; from then on those
+// that exist pass nothing and stay open, while new ones work.
+type relay struct {
+	l     net.Listener
+	to    string
+	epoch atomic.Int64
+}
+
+func newRelay(t *testing.T, to netip.AddrPort) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{l: l, to: to.String()}
+	go r.serve()
+	t.Cleanup(func() { l.Close() })
+	return r
+}
+
+func (r *relay) serve() {
+	for {
+		in, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.to)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		epoch := r.epoch.Load()
+		go r.pass(in, out, epoch)
+		go r.pass(out, in, epoch)
+	}
+}
+
+func (r *relay) pass(dst, src net.Conn, epoch int64) {
+	defer src.Close()
+	defer dst.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		if r.epoch.Load() != epoch {
+			_, _ = io.Copy(io.Discard, src)
+			return
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against frames that go into a connection that has stalled for ever,
+// while a new connection would work.
+func TestStalledLinkIsReplaced(t *testing.T) {
+	got := make(chan *peer.Frame, 1000)
+	a := start(t, "a", Calls{}, WithSilence(200*time.Millisecond))
+	b := start(t, "b", Calls{Frame: func(_ string, _ uint64, f *peer.Frame) { got <- f }})
+	r := newRelay(t, b.Addr())
+	a.SetPeers(map[string]netip.AddrPort{"b": r.l.Addr().(*net.TCPAddr).AddrPort()})
+	a.Send("b", &peer.Frame{Version: 1})
+	wait(t, got)
+	r.epoch.Add(1)
+	resend := time.NewTicker(20 * time.Millisecond)
+	defer resend.Stop()
+	deadline := time.After(8 * time.Second) // below the 10 s of grpc's own keepalive
+	for {
+		select {
+		case f := <-got:
+			if f.Version == 2 {
+				return
+			}
+		case <-resend.C:
+			a.Send("b", &peer.Frame{Version: 2})
+		case <-deadline:
+			t.Fatal("no frame came through after the stall")
+		}
+	}
+}
