Add the life cycle of generate requests and their admission

The edge needs a decision core that drives a request from admission to its release without I/O, so that the daemon can be built on it.

--- /dev/null
+++ b/internal/core/admit/gate.go
@@ -0,0 +1,243 @@
+// Package admit decides which generate requests run, wait or are refused at
+// once. It has no clock and no I/O; the caller passes the time.
+package admit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/conf/policy"
+)
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	ID, Tenant, Service   string
+	Priority, Tokens, Max uint32
+	// Piece is the hash of the prompt's first piece, zero when it has none.
+	Piece    uint64
+	Deadline time.Time
+
+	tenant  *tenant
+	service *service
+	// seq orders requests of equal deadline.
+	seq uint64
+	// latest is the last moment at which a start still meets the deadline.
+	latest  time.Time
+	waiting bool
+}
+
+// State is the outcome of admission.
+type State int
+
+// Outcomes of Arrive.
+const (
+	// Run means that the request may be placed now.
+	Run State = iota
+	// Wait means that the request is queued until Next returns it.
+	Wait
+	// Refuse means that the request gets its final answer at once.
+	Refuse
+)
+
+// Verdict is the answer to Arrive and the fate of a request that is shed.
+type Verdict struct {
+	State  State
+	Reason citronrock.Reason
+	// After is the time to wait before a repeat, zero when none can help.
+	After time.Duration
+}
+
+// Gate admits the generate requests of one edge.
+type Gate struct {
+	rnd      *rand.Rand
+	alive    int
+	loaded   bool
+	tenants  map[string]*tenant
+	services map[string]*service
+	// order lists the services as in the document, for a fixed order of Next.
+	order []*service
+	cells map[string]*cell
+	seq   uint64
+	shed  []*Request
+}
+
+// New returns a gate that draws from rnd.
+func New(rnd *rand.Rand) *Gate {
+	return &Gate{
+		rnd:      rnd,
+		alive:    1,
+		tenants:  map[string]*tenant{},
+		services: map[string]*service{},
+		cells:    map[string]*cell{},
+	}
+}
+
+// Publish applies a document. Queued requests and figures are kept.
+func (g *Gate) Publish(now time.Time, d *policy.Document) {
+	g.loaded = true
+	g.publishTenants(now, d)
+	g.publishServices(d)
+	g.publishCells(d)
+}
+
+// Members tells how many daemons are alive. Each enforces its share of the
+// tenants' limits, since the platform's load balancer spreads the callers.
+func (g *Gate) Members(alive int) { g.alive = max(alive, 1) }
+
+// Arrive decides about a new request. Every request that is not refused needs
+// one later call of Leave.
+func (g *Gate) Arrive(now time.Time, r *Request) Verdict {
+	if v := g.check(now, r); v.State == Refuse {
+		return v
+	}
+	g.seq++
+	r.seq = g.seq
+	v := g.place(now, r)
+	if v.State != Refuse {
+		r.tenant.open++
+	}
+	return v
+}
+
+// Leave ends a request that was admitted or queued.
+func (g *Gate) Leave(r *Request) {
+	if r.waiting {
+		r.service.remove(r)
+	}
+	r.tenant.open--
+}
+
+func (g *Gate) check(now time.Time, r *Request) Verdict {
+	if !g.loaded {
+		return Verdict{Refuse, citronrock.ReasonConfig, g.jitter(time.Second)}
+	}
+	r.tenant, r.service = g.tenants[r.Tenant], g.services[r.Service]
+	if r.tenant == nil || r.service == nil {
+		return Verdict{Refuse, citronrock.ReasonInvalid, 0}
+	}
+	if !now.Before(r.Deadline) {
+		return Verdict{Refuse, citronrock.ReasonDeadline, 0}
+	}
+	if after := r.tenant.admit(now, g.alive); after > 0 {
+		return Verdict{Refuse, citronrock.ReasonLimit, after + g.jitter(after)}
+	}
+	return Verdict{State: Run}
+}
+
+// place decides between running, waiting and refusing by the predicted time of
+// the first token.
+func (g *Gate) place(now time.Time, r *Request) Verdict {
+	over := g.over(now, r)
+	if over <= 0 && !r.service.holdsUpTo(r.Priority) {
+		return Verdict{State: Run}
+	}
+	if !r.service.deferrable {
+		return Verdict{Refuse, citronrock.ReasonOverload, g.After(over)}
+	}
+	r.latest = r.Deadline.Add(-g.work(r))
+	if !now.Add(over).Before(r.latest) {
+		return Verdict{Refuse, citronrock.ReasonOverload, g.After(over)}
+	}
+	victim := r.service.add(r)
+	if victim == r {
+		return Verdict{Refuse, citronrock.ReasonOverload, g.After(over)}
+	}
+	if victim != nil {
+		g.shed = append(g.shed, victim)
+	}
+	return Verdict{State: Wait}
+}
+
+// Return queues a request again that the owner of its cell has refused. It
+// reports false when the request can't wait.
+func (g *Gate) Return(now time.Time, r *Request, after time.Duration) bool {
+	if !r.service.deferrable {
+		return false
+	}
+	r.latest = r.Deadline.Add(-g.work(r))
+	if !now.Add(after).Before(r.latest) {
+		return false
+	}
+	victim := r.service.add(r)
+	if victim == r {
+		return false
+	}
+	if victim != nil {
+		g.shed = append(g.shed, victim)
+	}
+	return true
+}
+
+// Next removes the next queued request that may run now.
+func (g *Gate) Next(now time.Time) (*Request, bool) {
+	for _, s := range g.order {
+		head := s.head()
+		if head == nil || g.over(now, head) > 0 {
+			continue
+		}
+		s.take(head)
+		return head, true
+	}
+	return nil, false
+}
+
+// Shed removes a queued request that lost its place to a more urgent one or
+// can't meet its deadline any more. The caller answers it and calls Leave.
+func (g *Gate) Shed(now time.Time) (*Request, Verdict, bool) {
+	if n := len(g.shed); n > 0 {
+		r := g.shed[n-1]
+		g.shed = g.shed[:n-1]
+		return r, Verdict{Refuse, citronrock.ReasonOverload, g.After(g.over(now, r))}, true
+	}
+	for _, s := range g.order {
+		if r := s.expired(now); r != nil {
+			return r, Verdict{Refuse, citronrock.ReasonOverload, g.After(g.over(now, r))}, true
+		}
+	}
+	return nil, Verdict{}, false
+}
+
+// poll is how often the queue is examined while requests wait; figures of the
+// cells age without events.
+const poll = 20 * time.Millisecond
+
+// Wake returns when Next and Shed are to be called again, zero when nothing
+// waits.
+func (g *Gate) Wake(now time.Time) time.Time {
+	for _, s := range g.order {
+		if s.count > 0 {
+			return now.Add(poll)
+		}
+	}
+	return time.Time{}
+}
+
+// Waiting returns the number of queued requests.
+func (g *Gate) Waiting() int {
+	n := 0
+	for _, s := range g.order {
+		n += s.count
+	}
+	return n
+}
+
+// Bounds of the time to come back. The lower one keeps a refused caller from
+// returning before the figures have changed; the upper one keeps callers from
+// staying away long after a short overload.
+const (
+	afterLeast = 100 * time.Millisecond
+	afterMost  = 10 * time.Second
+)
+
+// After returns the time to come back for a request that would start over late.
+// The jitter of half to one and a half times spreads the callers that were
+// refused together.
+func (g *Gate) After(over time.Duration) time.Duration {
+	d := min(max(over, afterLeast), afterMost)
+	return d/2 + g.jitter(d)
+}
+
+func (g *Gate) jitter(d time.Duration) time.Duration {
+	return time.Duration(g.rnd.Int64N(int64(max(d, 1))))
+}
