Add calls to plain services without keys

Cause: the daemon needs a working Router.Call before keys and tokens.

A call is validated, counted against its tenant, sent to the server with the fewest open calls and repeated by retry.Decide. Leaving servers get no new attempts.

--- /dev/null
+++ b/internal/daemon/call/state.go
@@ -0,0 +1,139 @@
+package call
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/retry"
+)
+
+// state is owned by the control goroutine.
+type state struct {
+	doc      *policy.Document
+	services map[string]*service
+	tenants  Tenants
+	rnd      *rand.Rand
+	drained  bool
+	count    uint64
+	listed   event.Listed
+}
+
+// service is a plain service with its servers.
+type service struct {
+	conf    policy.Service
+	budget  *retry.Budget
+	servers []*server
+}
+
+// server is one backend server.
+type server struct {
+	conf  policy.Server
+	plain citronrock.Plain
+	open  int
+	// seen is true once the platform has listed the server; gone when it is
+	// leaving or is no longer listed.
+	seen, gone bool
+}
+
+// Limits of a service's retry budget, and of open calls to a server.
+const (
+	budgetLimit = 10
+	shareLimit  = 0.1
+	openLimit   = 64
+)
+
+func (s *state) publish(doc *policy.Document, dial Dialer) {
+	if s.doc != nil && doc.Version <= s.doc.Version {
+		return
+	}
+	s.doc = doc
+	s.tenants.Publish(doc.Tenants)
+	old := s.services
+	s.services = map[string]*service{}
+	for _, conf := range doc.Service {
+		if conf.Kind == policy.KindPlain {
+			s.services[conf.Name] = s.merge(old[conf.Name], conf, doc.Servers, dial)
+		}
+	}
+	s.list(s.listed)
+}
+
+// merge keeps the budget and the servers that have not changed.
+func (s *state) merge(old *service, conf policy.Service, servers []policy.Server, dial Dialer) *service {
+	share := conf.Retry
+	if share == 0 {
+		share = shareLimit
+	}
+	v := &service{conf: conf, budget: retry.NewBudget(share, budgetLimit)}
+	known := map[policy.Server]*server{}
+	if old != nil {
+		if old.conf.Retry == conf.Retry {
+			v.budget = old.budget
+		}
+		for _, b := range old.servers {
+			known[b.conf] = b
+		}
+	}
+	for _, b := range servers {
+		if b.Service != conf.Name {
+			continue
+		}
+		if known[b] == nil {
+			known[b] = &server{conf: b, plain: dial(conf, b)}
+		}
+		v.servers = append(v.servers, known[b])
+	}
+	return v
+}
+
+// list takes leaving servers out of use. A server that the platform has never
+// listed is used, since the list lags behind the document.
+func (s *state) list(l event.Listed) {
+	s.listed = l
+	states := map[string]string{}
+	for _, i := range l.Instances {
+		if i.GetKind() == policy.KindPlain {
+			states[i.GetName()] = i.GetState()
+		}
+	}
+	for _, svc := range s.services {
+		for _, b := range svc.servers {
+			state, ok := states[b.conf.Name]
+			b.seen = b.seen || ok
+			b.gone = b.seen && state != "live"
+		}
+	}
+}
+
+// identity returns a new identity for a request.
+func (s *state) identity(name string, incarnation uint64) string {
+	s.count++
+	return name + "-" + strconv.FormatUint(incarnation, 36) + "-" + strconv.FormatUint(s.count, 36)
+}
+
+// pick returns the server with the fewest open calls that tried does not hold.
+// Ties are broken at random.
+func (s *state) pick(_ time.Time, name string, tried map[*server]bool) *server {
+	svc := s.services[name]
+	if svc == nil {
+		return nil
+	}
+	var best *server
+	for _, i := range s.rnd.Perm(len(svc.servers)) {
+		b := svc.servers[i]
+		if b.gone || b.open >= openLimit || tried[b] && len(tried) < len(svc.servers) {
+			continue
+		}
+		if best == nil || b.open < best.open {
+			best = b
+		}
+	}
+	if best != nil {
+		best.open++
+	}
+	return best
+}
