Add the stand-in for model engines

Cause: the router is developed against simulated engines, since no real engine runs here; their faults must be switchable during a run.

Change: internal/stand/engine serves the engine protocol over HTTP/1 and unencrypted HTTP/2 with simulated prefill, prefix cache, transfers, reservations, continuous batching, preemption and fencing. POST /fault switches faults, GET /held reports memory and prefill accounting. internal/stand/serve holds the server whose open connections can be silenced. Answers depend on the prompt and the token index only.

Ruled out: tests on real time, as their verdicts would depend on the machine's load; all but three use testing/synctest. Conclusion: clients of the engine protocol can be tested against it.

--- /dev/null
+++ b/internal/stand/engine/fault_test.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	wire "citronrock.example/citronrock/internal/wire/engine"
+)
+
+// Guards against orders of a paused owner that take effect late.
+func TestFence(t *testing.T) {
+	cases := map[string]struct {
+		checks, accepted bool
+	}{
+		"checked": {true, false},
+		"ignored": {false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, e *Engine) {
+				order := func(fence uint64) *wire.OrderReply {
+					r, err := e.order(t.Context(), &wire.OrderRequest{Origin: &wire.Origin{Fence: fence}, Role: "decode"})
+					if err != nil {
+						t.Fatal(err)
+					}
+					return r
+				}
+				if r := order(7); !r.Accepted || r.Fence != 7 {
+					t.Fatalf("first order %+v", r)
+				}
+				if r := order(6); r.Accepted != c.accepted || r.Fence != 7 {
+					t.Fatalf("old order %+v", r)
+				}
+				_, err := e.reserve(t.Context(), &wire.ReserveRequest{Request: "a", Origin: &wire.Origin{Fence: 6}, Pieces: 1})
+				if (err == nil) != c.accepted {
+					t.Fatalf("old reservation: %v", err)
+				}
+			}, func(s *Settings) { s.Checks = c.checks })
+		})
+	}
+}
+
+// Guards against a poisonous prompt that does not crash each engine that runs it.
+func TestPoison(t *testing.T) {
+	crashes := 0
+	bubble(t, func(t *testing.T, e *Engine) {
+		_, err := e.prefill(t.Context(), &wire.PrefillRequest{Request: "a", Prompt: "some venom here"})
+		if crashes != 1 || err == nil {
+			t.Fatalf("%d crashes, error %v", crashes, err)
+		}
+	}, func(s *Settings) {
+		s.Poison = "venom"
+		s.Crash = func() { crashes++ }
+	})
+}
+
+// Guards against reports that are fresher or older than they claim.
+func TestWatchLag(t *testing.T) {
+	bubble(t, func(t *testing.T, e *Engine) {
+		enough := errors.New("enough")
+		start := time.Now()
+		_ = hold(t, e, "a", 3, 95*time.Millisecond)
+		seen := map[time.Duration]uint32{}
+		err := e.watch(t.Context(), &wire.WatchRequest{Every: durationpb.New(20 * time.Millisecond)}, func(r *wire.Report) error {
+			at := time.Since(start)
+			seen[at] = r.Free
+			if r.Lag.AsDuration() != 60*time.Millisecond {
+				t.Errorf("lag %s at %s", r.Lag.AsDuration(), at)
+			}
+			if at >= 180*time.Millisecond {
+				return enough
+			}
+			return nil
+		})
+		if !errors.Is(err, enough) {
+			t.Fatal(err)
+		}
+		// The reservation ends at 95 ms, which reports show from 160 ms on.
+		if seen[60*time.Millisecond] != 7 || seen[140*time.Millisecond] != 7 || seen[160*time.Millisecond] != 10 {
+			t.Fatalf("free pieces by time: %v", seen)
+		}
+	}, func(s *Settings) { s.Lag = 60 * time.Millisecond })
+}
+
+// Guards against cache events that are early, and gaps that can't be seen.
+func TestEvents(t *testing.T) {
+	bubble(t, func(t *testing.T, e *Engine) {
+		e.Set(Fault{Gap: 2, Delay: 30})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		got := make(chan *wire.CacheEvent, 8)
+		go func() {
+			_ = e.events(ctx, func(c *wire.CacheEvent) error {
+				got <- c
+				return nil
+			})
+		}()
+		synctest.Wait()
+		for _, id := range []string{"a", "b", "c"} {
+			fill(t, e, id, text(2000, id))
+		}
+		synctest.Wait()
+		if len(got) != 1 {
+			t.Fatalf("%d events before the delay of the last", len(got))
+		}
+		time.Sleep(31 * time.Millisecond)
+		synctest.Wait()
+		first, second := <-got, <-got
+		if first.Sequence != 1 || second.Sequence != 3 || len(first.Stored) != 1 {
+			t.Fatalf("events %+v and %+v", first, second)
+		}
+	})
+}
+
+// Guards against a frozen engine that still answers or generates.
+func TestFreeze(t *testing.T) {
+	bubble(t, func(t *testing.T, e *Engine) {
+		hold(t, e, "a", 1, time.Minute)
+		fill(t, e, "a", text(10, "a"))
+		tokens := 0
+		ended := make(chan error, 1)
+		go func() {
+			ended <- e.decode(t.Context(), &wire.DecodeRequest{Request: "a", Max: 16},
+				func(*wire.DecodeChunk) error { tokens++; return nil })
+		}()
+		time.Sleep(35 * time.Millisecond)
+		e.Set(Fault{Freeze: true})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if tokens != 3 {
+			t.Fatalf("%d tokens, want the 3 from before the freeze", tokens)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := e.cancel(ctx, &wire.CancelRequest{Request: "x"}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("a frozen engine answered: %v", err)
+		}
+		e.Set(Fault{})
+		if err := <-ended; err != nil || tokens != 16 {
+			t.Fatalf("%d tokens after the thaw, %v", tokens, err)
+		}
+	})
+}
+
+// Guards against the refusal switch letting work in.
+func TestRefuse(t *testing.T) {
+	bubble(t, func(t *testing.T, e *Engine) {
+		e.Set(Fault{Refuse: true})
+		_, err := e.reserve(t.Context(), &wire.ReserveRequest{Request: "a", Pieces: 1})
+		if connect.CodeOf(err) != connect.CodeResourceExhausted {
+			t.Fatalf("reserve: %v", err)
+		}
+		_, err = e.prefill(t.Context(), &wire.PrefillRequest{Request: "a", Prompt: "p"})
+		if connect.CodeOf(err) != connect.CodeResourceExhausted {
+			t.Fatalf("prefill: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/stand/engine/http_test.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"citronrock.example/citronrock/internal/stand/serve"
+	wire "citronrock.example/citronrock/internal/wire/engine"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T) *Engine {
+	t.Helper()
+	e := New(func(s *Settings) { s.Gap, s.Speed = time.Millisecond, 1000000 })
+	t.Cleanup(func() { _ = e.Close() })
+	if err := e.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func dial(t *testing.T, e *Engine) wire.EngineClient {
+	t.Helper()
+	c, idle := serve.Client()
+	t.Cleanup(idle)
+	return wire.NewEngineClient(c, "http://"+e.Addr().String())
+}
+
+// Guards against a protocol that only works inside the process.
+func TestOverHTTP(t *testing.T) {
+	from, to := listen(t), listen(t)
+	ctx, p, d := t.Context(), dial(t, from), dial(t, to)
+	prompt := text(5000, "net")
+	if r, err := d.Reserve(ctx, connect.NewRequest(&wire.ReserveRequest{
+		Request: "a", Pieces: 4, Term: durationpb.New(time.Minute),
+	})); err != nil || !r.Msg.Granted {
+		t.Fatalf("reserve %+v, %v", r, err)
+	}
+	f, err := p.Prefill(ctx, connect.NewRequest(&wire.PrefillRequest{Request: "a", Prompt: prompt}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.Import(ctx, connect.NewRequest(&wire.ImportRequest{
+		Request: "a", Handle: f.Msg.Handle, Source: from.Addr().String(),
+	})); err != nil {
+		t.Fatal(err)
+	}
+	s, err := d.Decode(ctx, connect.NewRequest(&wire.DecodeRequest{Request: "a", Max: 30}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	for s.Receive() {
+		b.WriteString(s.Msg().Text)
+	}
+	_ = s.Close()
+	if want, _ := Answer(prompt, 30); s.Err() != nil || b.String() != want {
+		t.Fatalf("%q, %v, want %q", b.String(), s.Err(), want)
+	}
+	resp, err := http.Get("http://" + to.Addr().String() + "/held")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	http.DefaultClient.CloseIdleConnections()
+	var h Held
+	if err := json.NewDecoder(resp.Body).Decode(&h); err != nil || h.Used != 5000 || h.Requests != 0 {
+		t.Fatalf("held %+v, %v", h, err)
+	}
+}
+
+// Guards against silence that also stops new connections, and against silence
+// that lets open ones go on.
+func TestSilent(t *testing.T) {
+	e := listen(t)
+	old := dial(t, e)
+	cancel := connect.NewRequest(&wire.CancelRequest{Request: "none"})
+	if _, err := old.Cancel(t.Context(), cancel); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+e.Addr().String()+"/fault", "application/json", strings.NewReader(`{"silent":true}`))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("fault: %v %v", resp, err)
+	}
+	_ = resp.Body.Close()
+	http.DefaultClient.CloseIdleConnections()
+	ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	if _, err := old.Cancel(ctx, cancel); connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+		t.Fatalf("a silent connection answered: %v", err)
+	}
+	if _, err := dial(t, e).Cancel(t.Context(), cancel); err != nil {
+		t.Fatalf("a new connection: %v", err)
+	}
+}
+
+// Guards against misspelt faults that pass unnoticed.
+func TestUnknownFault(t *testing.T) {
+	e := listen(t)
+	resp, err := http.Post("http://"+e.Addr().String()+"/fault", "application/json", strings.NewReader(`{"frozen":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	http.DefaultClient.CloseIdleConnections()
+	if resp.StatusCode != http.StatusBadRequest {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/stand/serve/json.go
@@ -0,0 +1,24 @@
+package serve
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Decode reads a JSON body of at most a megabyte into v. On an error it answers
+// 400 and returns false.
+func Decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, "the body is not valid JSON for this path: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Reply answers with v as JSON.
+func Reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
