Add the stand-in for the platform

Cause: daemons read the document and the list of instances from a configuration service that lags, goes stale and limits its readers.

Change: internal/stand/platfm serves the platform protocol with long polls, a lagging list, a read limit of 2,000 a second and counts of reads (GET /reads); PUT /document and PUT /instances publish; the switches are down, stale, lag and silent.

Conclusion: the daemon's platform client can be tested against it.

--- /dev/null
+++ b/internal/stand/platfm/platfm_test.go
@@ -0,0 +1,163 @@
+package platfm
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"citronrock.example/citronrock/internal/stand/serve"
+	wire "citronrock.example/citronrock/internal/wire/platfm"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func bubble(t *testing.T, f func(t *testing.T, p *Platform)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(func(s *Settings) { s.Latency, s.Rate = 0, 100 })
+		defer func() { _ = p.Close() }()
+		f(t, p)
+	})
+}
+
+func document(t *testing.T, p *Platform, after uint64, wait time.Duration) (*wire.DocumentReply, error) {
+	t.Helper()
+	r, err := service{p}.Document(t.Context(), connect.NewRequest(&wire.DocumentRequest{
+		After: after, Wait: durationpb.New(wait),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+func revision(t *testing.T, p *Platform) uint64 {
+	t.Helper()
+	r, err := service{p}.Instances(t.Context(), connect.NewRequest(&wire.InstancesRequest{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Msg.Revision
+}
+
+// Guards against watches that miss a version, answer early or never end.
+func TestWatch(t *testing.T) {
+	bubble(t, func(t *testing.T, p *Platform) {
+		start := time.Now()
+		if r, err := document(t, p, 0, 3*time.Second); err != nil || r.Version != 0 || time.Since(start) != 3*time.Second {
+			t.Fatalf("%v, %v after %s", r, err, time.Since(start))
+		}
+		time.AfterFunc(time.Second, func() { p.Document(4, []byte("x")) })
+		start = time.Now()
+		if r, err := document(t, p, 3, time.Minute); err != nil || r.Version != 4 || time.Since(start) != time.Second {
+			t.Fatalf("%v, %v after %s", r, err, time.Since(start))
+		}
+	})
+}
+
+// Guards against a list that is visible before its lag.
+func TestLag(t *testing.T) {
+	bubble(t, func(t *testing.T, p *Platform) {
+		p.Instances([]*wire.Instance{{Name: "d1", State: "live"}})
+		if n := revision(t, p); n != 0 {
+			t.Fatalf("revision %d at once", n)
+		}
+		time.Sleep(201 * time.Millisecond)
+		if n := revision(t, p); n != 1 {
+			t.Fatalf("revision %d after the lag", n)
+		}
+	})
+}
+
+// Guards against faults that don't reach readers, or that lose what was
+// published meanwhile.
+func TestFaults(t *testing.T) {
+	bubble(t, func(t *testing.T, p *Platform) {
+		p.Document(1, nil)
+		p.Set(Fault{Stale: true})
+		p.Document(2, nil)
+		if r, err := document(t, p, 0, 0); err != nil || r.Version != 1 {
+			t.Fatalf("stale: %v, %v", r, err)
+		}
+		p.Set(Fault{})
+		if r, err := document(t, p, 0, 0); err != nil || r.Version != 2 {
+			t.Fatalf("after stale: %v, %v", r, err)
+		}
+		time.AfterFunc(time.Second, func() { p.Set(Fault{Down: true}) })
+		if _, err := document(t, p, 2, time.Minute); connect.CodeOf(err) != connect.CodeUnavailable {
+			t.Fatalf("down: %v", err)
+		}
+		if r := p.Reads(); r.Document != 3 || r.Refused != 1 || r.Pending != 0 {
+			t.Fatalf("reads %+v", r)
+		}
+	})
+}
+
+// Guards against readers that exceed the platform's rate unnoticed.
+func TestRate(t *testing.T) {
+	bubble(t, func(t *testing.T, p *Platform) {
+		for range 100 {
+			if _, err := document(t, p, 0, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := document(t, p, 0, 0); connect.CodeOf(err) != connect.CodeResourceExhausted {
+			t.Fatalf("read 101: %v", err)
+		}
+	})
+}
+
+// Guards against a version that differs from the published document's.
+func TestPut(t *testing.T) {
+	cases := map[string]struct {
+		url, body string
+		code      int
+		version   uint64
+	}{
+		"from the document": {"/document", "version = 7\n", http.StatusOK, 7},
+		"from the query":    {"/document?version=9", "not = [toml", http.StatusOK, 9},
+		"none":              {"/document", "name = 1\n", http.StatusBadRequest, 0},
+		"too large":         {"/document?version=9", strings.Repeat("#", largest+1), http.StatusRequestEntityTooLarge, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := New()
+			defer func() { _ = p.Close() }()
+			w := httptest.NewRecorder()
+			p.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPut, c.url, strings.NewReader(c.body)))
+			if w.Code != c.code || p.seen.document.Version != c.version {
+				t.Fatalf("status %d, version %d", w.Code, p.seen.document.Version)
+			}
+		})
+	}
+}
+
+// Guards against a protocol that only works inside the process.
+func TestOverHTTP(t *testing.T) {
+	p := New(func(s *Settings) { s.Lag = 0 })
+	defer func() { _ = p.Close() }()
+	if err := p.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	c, idle := serve.Client()
+	defer idle()
+	base := "http://" + p.Addr().String()
+	r, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, base+"/instances",
+		strings.NewReader(`{"instances":[{"name":"d1","kind":"daemon","state":"live"}]}`))
+	resp, err := c.Do(r)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	_ = resp.Body.Close()
+	list, err := wire.NewPlatformClient(c, base).Instances(t.Context(), connect.NewRequest(&wire.InstancesRequest{}))
+	if err != nil || len(list.Msg.Instances) != 1 || list.Msg.Instances[0].Name != "d1" {
+		t.Fatalf("%v, %v", list, err)
+	}
+}
