--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -102,8 +102,8 @@
 	return r.do(event.Finished{From: "edge", Done: &peer.Done{Request: request, Cell: "c", Outcome: outcome, Output: 100, Engine: engine}})
 }
 
-func run(request string, pieces uint32) *engine.Running {
-	return &engine.Running{Request: request, Instance: "me", Incarnation: 7, Pieces: pieces, State: stateDecode}
+func run(pieces uint32) *engine.Running {
+	return &engine.Running{Request: "a", Instance: "me", Incarnation: 7, Pieces: pieces, State: stateDecode}
 }
 
 // Guards against an Ask that is sent again holding memory twice.
@@ -127,7 +127,7 @@
 		"expiry":  func(r *rig, _ *peer.Grant) { r.sleep(term); r.do(event.Tick{}) },
 		"restart": func(r *rig, g *peer.Grant) { r.report(g.Decode, func(e *engine.Report) { e.Incarnation = 2 }) },
 		"report": func(r *rig, g *peer.Grant) {
-			r.report(g.Decode, func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run("a", 3)} })
+			r.report(g.Decode, func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run(3)} })
 			r.report(g.Decode, nil)
 		},
 	}
@@ -154,7 +154,7 @@
 func TestUsedGrantDoesNotExpire(t *testing.T) {
 	r := ready(1, 1)
 	r.ask(ask("a", 5000))
-	r.report("d0", func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run("a", 3)} })
+	r.report("d0", func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run(3)} })
 	r.sleep(2 * term)
 	r.do(event.Tick{})
 	if n := r.m.Status().Cells[0].Grants; n != 1 {
@@ -171,7 +171,7 @@
 	if free := r.m.units["d0"].free(); free != 37 {
 		t.Errorf("%d free before the run is listed, want 37", free)
 	}
-	r.report("d0", func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run("a", 3)} })
+	r.report("d0", func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run(3)} })
 	if free := r.m.units["d0"].free(); free != 37 {
 		t.Errorf("%d free once the run is listed, want 37", free)
 	}
@@ -179,7 +179,7 @@
 	if free := r.m.units["d0"].free(); free != 40 {
 		t.Errorf("%d free after the end, want 40", free)
 	}
-	r.report("d0", func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run("a", 3)} })
+	r.report("d0", func(e *engine.Report) { e.Free, e.Running = 37, []*engine.Running{run(3)} })
 	if free := r.m.units["d0"].free(); free != 40 {
 		t.Errorf("%d free after a late report, want 40", free)
 	}
--- a/internal/core/cell/grant.go
+++ b/internal/core/cell/grant.go
@@ -209,7 +209,7 @@
 	if struck += again.doubt; struck >= strike.Limit {
 		return m.refuse(e, citronrock.ReasonOverload, doubtAfter)
 	}
-	g.settledNow(at)
+	g.check(at)
 	need := m.need(g.service, a)
 	p, why := m.place(at, g, a, need, struck, again)
 	if why != "" {
--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -261,14 +261,13 @@
 	}
 }
 
-// settledNow reports whether each engine of the cell that can report has done
-// so since the takeover.
-func (g *group) settledNow(at time.Duration) bool {
+// check ends the takeover once each engine of the cell that can report has done
+// so since then.
+func (g *group) check(at time.Duration) {
 	if g.settled {
-		return true
+		return
 	}
 	g.settled = at-g.since >= settle || !slices.ContainsFunc(g.units, func(u *unit) bool {
 		return !u.leaving && !u.lost && (!u.reported || u.asof < g.since)
 	})
-	return g.settled
 }
--- a/internal/core/cell/report.go
+++ b/internal/core/cell/report.go
@@ -33,7 +33,7 @@
 	u.figures(at, r)
 	m.reconcile(at, u, r)
 	u.backlog(at, r)
-	u.group.settledNow(at)
+	u.group.check(at)
 	m.findOrphans(at, u, r)
 	return m.cancelOrphans(at, u, out)
 }
