--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -52,7 +52,13 @@
 // Option changes one or more settings.
 type Option func(*Settings)
 
-func defaults() Settings {
+// With replaces all settings.
+func With(set Settings) Option {
+	return func(s *Settings) { *s = set }
+}
+
+// Defaults returns the settings that options change.
+func Defaults() Settings {
 	return Settings{
 		Name: "engine", Model: "stand", Role: policy.RoleBoth,
 		Pieces: 100, Slots: 20,
@@ -105,7 +111,7 @@
 
 // New starts an engine without a network address. Close ends it.
 func New(options ...Option) *Engine {
-	set := defaults()
+	set := Defaults()
 	for _, o := range options {
 		o(&set)
 	}
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -37,6 +37,18 @@
 // Option changes one or more settings.
 type Option func(*Settings)
 
+// With replaces all settings.
+func With(set Settings) Option {
+	return func(s *Settings) { *s = set }
+}
+
+// Defaults returns the settings that options change.
+func Defaults() Settings {
+	return Settings{
+		Name: "plain", Latency: 20 * time.Millisecond, Growth: 1, Places: 16, Crash: func() {},
+	}
+}
+
 // Server is one simulated backend server.
 type Server struct {
 	set    Settings
@@ -55,9 +67,7 @@
 
 // New returns a server without a network address. Close ends it.
 func New(options ...Option) *Server {
-	set := Settings{
-		Name: "plain", Latency: 20 * time.Millisecond, Growth: 1, Places: 16, Crash: func() {},
-	}
+	set := Defaults()
 	for _, o := range options {
 		o(&set)
 	}
--- a/internal/stand/platfm/platfm.go
+++ b/internal/stand/platfm/platfm.go
@@ -31,6 +31,16 @@
 // Option changes one or more settings.
 type Option func(*Settings)
 
+// With replaces all settings.
+func With(set Settings) Option {
+	return func(s *Settings) { *s = set }
+}
+
+// Defaults returns the settings that options change.
+func Defaults() Settings {
+	return Settings{Lag: 200 * time.Millisecond, Latency: 2 * time.Millisecond, Rate: 2000}
+}
+
 // Platform is the simulated platform.
 type Platform struct {
 	set    Settings
@@ -67,7 +77,7 @@
 
 // New returns a platform without a network address. Close ends it.
 func New(options ...Option) *Platform {
-	set := Settings{Lag: 200 * time.Millisecond, Latency: 2 * time.Millisecond, Rate: 2000}
+	set := Defaults()
 	for _, o := range options {
 		o(&set)
 	}
