Add the load generator and a direct router for its tests

Cause: goodput, wasted prefill and the rule that each answer is whole, in order and the caller's own are measured from the callers' side.

Change: internal/bench/load sends seeded open-loop load of the two workloads and checks each chunk and body against the stand-ins' output functions; it counts outcomes, goodput under both targets by tenth of the run, and quantiles by class. internal/bench/direct serves the caller protocol by plain round robin. Stand-ins compress messages from a megabyte on only.

Ruled out: compression of token streams: the connect handler resets a compressor for each stream, 0.46 s of 1.34 s CPU in direct's test (go test -count=1 -cpuprofile). Conclusion: the daemon's handlers should set the same option.

--- /dev/null
+++ b/internal/bench/load/class.go
@@ -0,0 +1,103 @@
+// Package load sends an open-loop load to daemons and checks the answers.
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Spread is a log-normal distribution with bounds.
+type Spread struct {
+	Median float64
+	// Sigma is the standard deviation of the logarithm.
+	Sigma    float64
+	Min, Max float64
+}
+
+func (s Spread) draw(r *rand.Rand) uint32 {
+	v := s.Median * math.Exp(s.Sigma*r.NormFloat64())
+	return uint32(min(max(v, s.Min), s.Max))
+}
+
+// Class is one kind of request in a workload.
+type Class struct {
+	Name, Tenant, Service string
+	// Weight is the share of this class in all arrivals, relative to the sum.
+	Weight float64
+	// First and Gap are the latency targets that goodput is counted by. Gap is
+	// zero for plain services.
+	First, Gap time.Duration
+	// Deadline is the time that callers wait.
+	Deadline time.Duration
+
+	// Path makes the class a call to a plain service, with a body of Body bytes.
+	Path string
+	Body int
+	// Once marks calls that may not be repeated; they carry an execution token.
+	Once bool
+
+	// Prompt and Output are lengths in tokens.
+	Prompt, Output Spread
+	// Heads is the number of different beginnings that prompts share, of
+	// which the first are the most frequent; Shared is their share of a prompt.
+	Heads  uint64
+	Shared float64
+}
+
+func (c *Class) plain() bool { return c.Path != "" }
+
+// Agentschap is the workload of the lace wholesaler: drafts and replies by
+// taalpost, stock checks and orders by bestelbalie.
+func Agentschap() []Class {
+	return []Class{
+		{
+			Name: "draft", Tenant: "agentschap", Service: "taalpost", Weight: 0.15,
+			First: 3 * time.Second, Gap: 40 * time.Millisecond, Deadline: 40 * time.Second,
+			Prompt: Spread{9000, 0.5, 3000, 24000}, Output: Spread{160, 0.5, 40, 400},
+			Heads: 12, Shared: 0.7,
+		},
+		{
+			Name: "reply", Tenant: "agentschap", Service: "taalpost", Weight: 0.2,
+			First: 1500 * time.Millisecond, Gap: 40 * time.Millisecond, Deadline: 30 * time.Second,
+			Prompt: Spread{1500, 0.6, 200, 6000}, Output: Spread{90, 0.5, 20, 250},
+			Heads: 12, Shared: 0.4,
+		},
+		{
+			Name: "stock", Tenant: "agentschap", Service: "bestelbalie", Weight: 0.45,
+			First: 150 * time.Millisecond, Deadline: 5 * time.Second, Path: "/stock", Body: 120,
+		},
+		{
+			Name: "order", Tenant: "agentschap", Service: "bestelbalie", Weight: 0.2,
+			First: 500 * time.Millisecond, Deadline: 10 * time.Second, Path: "/order", Body: 600, Once: true,
+		},
+	}
+}
+
+// XeNho is the workload of the balance bike lender: assessments from rental
+// histories and renewal letters by letter-llm, checkouts and stock lookups by
+// counter-app.
+func XeNho() []Class {
+	return []Class{
+		{
+			Name: "history", Tenant: "xenho", Service: "letter-llm", Weight: 0.12,
+			First: 4 * time.Second, Gap: 40 * time.Millisecond, Deadline: 60 * time.Second,
+			Prompt: Spread{14000, 0.4, 5000, 32000}, Output: Spread{120, 0.5, 30, 300},
+			Heads: 40, Shared: 0.8,
+		},
+		{
+			Name: "letter", Tenant: "xenho", Service: "letter-llm", Weight: 0.18,
+			First: 2 * time.Second, Gap: 40 * time.Millisecond, Deadline: 40 * time.Second,
+			Prompt: Spread{2500, 0.6, 400, 8000}, Output: Spread{140, 0.5, 40, 350},
+			Heads: 8, Shared: 0.5,
+		},
+		{
+			Name: "checkout", Tenant: "xenho", Service: "counter-app", Weight: 0.25,
+			First: 500 * time.Millisecond, Deadline: 10 * time.Second, Path: "/checkout", Body: 400, Once: true,
+		},
+		{
+			Name: "lookup", Tenant: "xenho", Service: "counter-app", Weight: 0.45,
+			First: 120 * time.Millisecond, Deadline: 5 * time.Second, Path: "/lookup", Body: 80,
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/load/plan_test.go
@@ -0,0 +1,156 @@
+package load
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"citronrock.example/citronrock/internal/stand/engine"
+	"citronrock.example/citronrock/internal/wire/caller"
+)
+
+// Guards against runs that differ for the same seed, and against requests that
+// can't be told apart.
+func TestPlan(t *testing.T) {
+	for name, classes := range map[string][]Class{"agentschap": Agentschap(), "xenho": XeNho()} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newPlan(7, classes, 50), newPlan(7, classes, 50)
+			seen := map[string]bool{}
+			count := map[string]int{}
+			const n = 2000
+			var last arrival
+			for range n {
+				x, y := a.next(), b.next()
+				if x.at != y.at || x.prompt != y.prompt || string(x.body) != string(y.body) || x.output != y.output {
+					t.Fatalf("arrival %d differs", x.number)
+				}
+				content := x.prompt + string(x.body)
+				if seen[content] {
+					t.Fatalf("arrival %d repeats content", x.number)
+				}
+				seen[content] = true
+				count[x.class.Name]++
+				if c := x.class; !c.plain() && (x.output < uint32(c.Output.Min) || engine.Tokens(x.prompt) > uint32(c.Prompt.Max)+20) {
+					t.Fatalf("arrival %d: %d tokens for %d", x.number, engine.Tokens(x.prompt), x.output)
+				}
+				last = x
+			}
+			if got := float64(n) / last.at.Seconds(); got < 45 || got > 55 {
+				t.Errorf("rate %.1f, want about 50", got)
+			}
+			for _, c := range classes {
+				if share := float64(count[c.Name]) / n; share < c.Weight-0.04 || share > c.Weight+0.04 {
+					t.Errorf("%s has a share of %.2f, want %.2f", c.Name, share, c.Weight)
+				}
+			}
+		})
+	}
+}
+
+// Guards against broken answers that pass as answered.
+func TestTake(t *testing.T) {
+	prompt := "some prompt"
+	text := engine.NewText(prompt)
+	chunk := func(i uint32, token, finish string) *caller.GenerateChunk {
+		return &caller.GenerateChunk{Index: i, Text: token, Finish: finish}
+	}
+	cases := map[string]struct {
+		chunks []*caller.GenerateChunk
+		ok     bool
+	}{
+		"whole":       {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(1), "length")}, true},
+		"end apart":   {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(1), ""), chunk(2, "", "length")}, true},
+		"lost token":  {[]*caller.GenerateChunk{chunk(1, text.Token(1), "length")}, false},
+		"repeated":    {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(0, text.Token(0), "")}, false},
+		"other's":     {[]*caller.GenerateChunk{chunk(0, engine.NewText("x").Token(0), "")}, false},
+		"early end":   {[]*caller.GenerateChunk{chunk(0, text.Token(0), "length")}, false},
+		"wrong end":   {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(1), "stop")}, false},
+		"beyond end":  {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(1), ""), chunk(2, "x", "")}, false},
+		"not at last": {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(0), "length")}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &request{arrival: &arrival{output: 2}, text: text, start: time.Now()}
+			var err error
+			last := false
+			for _, m := range c.chunks {
+				if last, err = r.take(m); err != nil {
+					break
+				}
+			}
+			if (err == nil && last) != c.ok || err != nil && !errors.Is(err, errWrong) {
+				t.Fatalf("last %v, error %v", last, err)
+			}
+		})
+	}
+}
+
+// Guards against a request that may have run and is counted as not run.
+func TestJudge(t *testing.T) {
+	refuse := connect.NewError(connect.CodeUnavailable, errors.New("full"))
+	detail, err := connect.NewErrorDetail(&caller.Failure{Kind: caller.Failure_NOTRUN, After: durationpb.New(time.Second)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refuse.AddDetail(detail)
+	broken := connect.NewError(connect.CodeUnavailable, errors.New("connection reset"))
+	cases := map[string]struct {
+		errs []error
+		want Outcome
+	}{
+		"refused":             {[]error{refuse}, NotRun},
+		"broken":              {[]error{broken}, Unknown},
+		"broken, refused":     {[]error{broken, refuse}, Unknown},
+		"refused, broken":     {[]error{refuse, broken}, Unknown},
+		"broken, answered":    {[]error{broken, nil}, Answered},
+		"wrong":               {[]error{wrong("x")}, Wrong},
+		"no token":            {[]error{&unsent{broken}}, NotRun},
+		"broken, no token":    {[]error{broken, &unsent{broken}}, Unknown},
+		"status of a backend": {[]error{errors.New("status 500")}, Failed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &request{}
+			for _, err := range c.errs {
+				r.judge(err)
+			}
+			if r.outcome != c.want {
+				t.Fatalf("%s, want %s", r.outcome, c.want)
+			}
+		})
+	}
+	if retryAfter(refuse) != time.Second || retryAfter(broken) != pause {
+		t.Error("the retry-after time is not that of the failure")
+	}
+}
+
+// Guards against a worst tenth that hides an outage, and against goodput that
+// counts late answers.
+func TestGoodput(t *testing.T) {
+	classes := []Class{{Name: "c", First: time.Second, Gap: 10 * time.Millisecond}}
+	r := newResult(1, 10*time.Second, classes)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for i := range 1000 {
+		e := &ended{class: &classes[0], at: time.Duration(i) * 10 * time.Millisecond, outcome: Answered,
+			first: 500 * time.Millisecond, gap: 5 * time.Millisecond}
+		switch {
+		case i >= 300 && i < 400:
+			e.outcome = NotRun
+		case i >= 400 && i < 450:
+			e.first += time.Second
+		case i >= 500 && i < 550:
+			e.gap += time.Duration(10+rnd.IntN(9)) * time.Millisecond
+		}
+		r.add(e)
+	}
+	if mean, worst := r.Goodput(); mean != 80 || worst != 0 {
+		t.Fatalf("goodput %g, worst %g", mean, worst)
+	}
+	if n, answered := r.All(Answered); n != 1000 || answered != 900 {
+		t.Fatalf("%d of %d answered", answered, n)
+	}
+}
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/stand/serve"
 	wire "citronrock.example/citronrock/internal/wire/engine"
@@ -151,7 +153,7 @@
 
 // Handler serves the engine protocol and the paths /fault and /held.
 func (e *Engine) Handler() http.Handler {
-	path, h := wire.NewEngineHandler(service{e})
+	path, h := wire.NewEngineHandler(service{e}, connect.WithCompressMinBytes(serve.Compress))
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
 	mux.HandleFunc("POST /fault", e.serveFault)
