--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,22 +28,24 @@
 func main() {
 	log := hclog.New(&hclog.LoggerOptions{Name: "standin", JSONFormat: true, Output: os.Stderr})
 	addr := netip.MustParseAddrPort("127.0.0.1:0")
-	flaggy.SetName("standin")
-	flaggy.SetDescription("simulated backend servers and platform")
-	flaggy.DefaultParser.ShowHelpOnUnexpected = true
+	parser := flaggy.NewParser("standin")
+	parser.Description = "simulated backend servers and platform"
 	makers := map[*flaggy.Subcommand]func() stand{}
 	for _, add := range []func(*netip.AddrPort) (*flaggy.Subcommand, func() stand){addEngine, addPlain, addPlatform} {
 		sub, build := add(&addr)
-		flaggy.AttachSubcommand(sub, 1)
+		parser.AttachSubcommand(sub, 1)
 		makers[sub] = build
 	}
-	flaggy.Parse()
+	if err := parser.Parse(); err != nil {
+		log.Error("wrong arguments; see standin --help", "error", err.Error())
+		os.Exit(2)
+	}
 	for sub, build := range makers {
 		if sub.Used {
 			os.Exit(run(log, build(), addr))
 		}
 	}
-	flaggy.ShowHelp("name one of the subcommands engine, plain and platform")
+	parser.ShowHelpWithMessage("name one of the subcommands engine, plain and platform")
 	os.Exit(2)
 }
 
--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,202 @@
+// Package demo runs the Agentschap's fleet under mixed traffic and checks that
+// every request was answered once and whole.
+package demo
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronrock.example/citronrock/internal/bench/fleet"
+	"citronrock.example/citronrock/internal/bench/load"
+	"citronrock.example/citronrock/internal/stand/engine"
+)
+
+// settling bounds the time in which engines must be free after the last answer.
+const settling = 10 * time.Second
+
+// Settings are the properties of a demo.
+type Settings struct {
+	Bin, Work string
+	Seed      uint64
+	Rate      float64
+	Time      time.Duration
+	// Direct replaces the daemons by a round robin router.
+	Direct bool
+	// Keep leaves the processes running.
+	Keep bool
+}
+
+// Defaults returns the settings of script/demo.
+func Defaults() Settings {
+	return Settings{Bin: "bin", Work: "out/demo", Seed: 1, Rate: 20, Time: 15 * time.Second}
+}
+
+// Run starts the fleet, sends the load, prints a table to w and stops the fleet.
+// It returns an error unless every request was answered once and whole, no
+// memory stays held and all processes stop gracefully.
+func Run(ctx context.Context, set Settings, w io.Writer) error {
+	if set.Keep && set.Direct {
+		return eris.New("the direct router ends with this process; leave out --keep or --direct")
+	}
+	plan := fleet.Agentschap()
+	fmt.Fprintf(w, "starting the platform, %d daemons, %d engines and %d servers\n",
+		plan.Daemons, len(plan.Document.Engines), len(plan.Document.Servers))
+	f, err := fleet.Start(ctx, func(s *fleet.Settings) {
+		s.Bin, s.Work, s.Direct, s.Plan = set.Bin, set.Work, set.Direct, plan
+	})
+	if f == nil {
+		return err
+	}
+	if err == nil {
+		err = measure(ctx, f, set, w)
+	}
+	if set.Keep {
+		usage(f, w)
+		return err
+	}
+	fmt.Fprintln(w, "stopping all processes")
+	if stop := f.Close(); stop != nil {
+		if err == nil {
+			return stop
+		}
+		fmt.Fprintln(w, stop)
+	}
+	return err
+}
+
+func measure(ctx context.Context, f *fleet.Fleet, set Settings, w io.Writer) error {
+	fmt.Fprintf(w, "sending %g requests a second for %s, seed %d\n", set.Rate, set.Time, set.Seed)
+	result, err := load.Run(ctx, f.Callers(), func(s *load.Settings) {
+		s.Seed, s.Rate, s.Time, s.Classes, s.Repeats = set.Seed, set.Rate, set.Time, load.Agentschap(), 5
+	})
+	if err != nil {
+		return err
+	}
+	if err := result.Print(w); err != nil {
+		return err
+	}
+	for _, line := range result.Wrongs {
+		fmt.Fprintln(w, "  "+line)
+	}
+	held, err := Settle(ctx, f, settling)
+	waste(w, held)
+	if err != nil {
+		return err
+	}
+	if n, answered := result.All(load.Answered); answered != n || result.Unsent > 0 {
+		return eris.Errorf("%d of %d requests answered, %d not sent", answered, n, result.Unsent)
+	}
+	return once(ctx, f, result)
+}
+
+// Settle waits until no engine holds memory, and returns what they hold then
+// or after limit, with an error.
+func Settle(ctx context.Context, f *fleet.Fleet, limit time.Duration) (map[string]engine.Held, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		held, err := f.Held(context.WithoutCancel(ctx))
+		if err != nil {
+			return held, err
+		}
+		var pieces uint32
+		requests := 0
+		for _, h := range held {
+			pieces += h.Pieces
+			requests += h.Requests
+		}
+		if pieces == 0 && requests == 0 {
+			return held, nil
+		}
+		select {
+		case <-ctx.Done():
+			return held, eris.Errorf("%d requests still hold %d pieces after %s", requests, pieces, limit)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// once checks the runs of all calls that may not be repeated.
+func once(ctx context.Context, f *fleet.Fleet, result *load.Result) error {
+	for path, calls := range result.Once {
+		runs, err := f.Runs(ctx, path)
+		if err != nil {
+			return err
+		}
+		if err := Match(calls, runs); err != nil {
+			return eris.Wrapf(err, "path %s", path)
+		}
+	}
+	return nil
+}
+
+// Match checks the runs of calls that may not be repeated against what their
+// callers were told. Both are by the hash of path and body.
+func Match(calls map[string]load.Outcome, runs map[string]int) error {
+	for sum, outcome := range calls {
+		n := runs[sum]
+		if n > 1 || n == 0 && outcome == load.Answered || n > 0 && outcome == load.NotRun {
+			return eris.Errorf("call %s ran %d times and was reported as %s", sum, n, outcome)
+		}
+	}
+	return nil
+}
+
+func waste(w io.Writer, held map[string]engine.Held) {
+	var sum engine.Held
+	for _, h := range held {
+		sum.Computed += h.Computed
+		sum.Used += h.Used
+		sum.Wasted += h.Wasted
+		sum.Double += h.Double
+		sum.Preempted += h.Preempted
+	}
+	share := 0.0
+	if sum.Computed > 0 {
+		share = 100 * float64(sum.Wasted) / float64(sum.Computed)
+	}
+	fmt.Fprintf(w, "prefill: %d tokens computed, %d used, %d wasted (%.2f%%); %d double runs, %d preemptions\n",
+		sum.Computed, sum.Used, sum.Wasted, share, sum.Double, sum.Preempted)
+}
+
+// usage prints how to call the fleet and how to stop it.
+func usage(f *fleet.Fleet, w io.Writer) {
+	callers := f.Callers()
+	if len(callers) == 0 {
+		fmt.Fprintln(w, "no daemon runs")
+		return
+	}
+	base := "http://" + callers[0] + "/citronrock.caller.Router/"
+	call := fmt.Sprintf(`{"head":{"tenant":"agentschap","service":"bestelbalie","deadline":"5s"},"path":"/stock","body":%q}`,
+		base64.StdEncoding.EncodeToString([]byte("veter 120 cm")))
+	fmt.Fprintf(w, "a call to a plain service:\n  curl -H 'Content-Type: application/json' -d '%s' %sCall\n", call, base)
+	generate, _ := json.Marshal(map[string]any{
+		"head":   map[string]string{"tenant": "agentschap", "service": "taalpost", "deadline": "30s"},
+		"prompt": "Beste dealer", "max": 16,
+	})
+	n := len(generate)
+	// A streaming call frames each message: a zero byte and four bytes of length.
+	fmt.Fprintf(w, "a generate request:\n  printf '\\000\\000\\000\\%03o\\%03o%%s' '%s' | curl -sN -H 'Content-Type: application/connect+json' --data-binary @- %sGenerate\n",
+		n>>8, n&255, generate, base)
+	for _, d := range f.Daemons() {
+		fmt.Fprintf(w, "%s: callers %s, status http://%s/\n", d.Name, d.Caller, d.Admin)
+	}
+	pids := f.Pids()
+	names := make([]string, 0, len(pids))
+	for name := range pids {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprint(w, "to stop all:\n  kill")
+	for _, name := range names {
+		fmt.Fprintf(w, " %d", pids[name])
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,297 @@
+// Package fleet starts the platform stand-in, daemons and backend stand-ins as
+// processes on loopback ports, disturbs them, and reads what they hold.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+
+	"citronrock.example/citronrock/internal/bench/direct"
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/stand/platfm"
+)
+
+const (
+	// starting bounds the start of one process, until it answers.
+	starting = 30 * time.Second
+	// leaving bounds the graceful stop of one process. Daemons wait for their
+	// streams, up to the latest deadline of the load's classes.
+	leaving = 90 * time.Second
+)
+
+// Settings are the properties of a fleet.
+type Settings struct {
+	// Bin holds the programs, Work takes settings and logs.
+	Bin, Work string
+	Plan      Plan
+	// Direct replaces the daemons by a round robin router in this process.
+	Direct bool
+}
+
+// Option changes one or more settings.
+type Option func(*Settings)
+
+// Daemon is one daemon of the fleet.
+type Daemon struct {
+	Name, Domain        string
+	Caller, Peer, Admin netip.AddrPort
+	state               string
+}
+
+// Fleet is a set of running processes.
+type Fleet struct {
+	set      Settings
+	platform netip.AddrPort
+	client   *http.Client
+	router   *direct.Router
+
+	mu      sync.Mutex
+	doc     policy.Document
+	daemons []*Daemon
+	procs   map[string]*proc
+	ports   ports
+}
+
+// Start starts all processes and waits until the daemons are ready. Close must
+// be called also after an error, if the fleet is not nil.
+func Start(ctx context.Context, options ...Option) (*Fleet, error) {
+	set := Settings{Bin: "bin", Work: "out/fleet", Plan: Agentschap()}
+	for _, o := range options {
+		o(&set)
+	}
+	if err := os.MkdirAll(set.Work, 0o755); err != nil {
+		return nil, eris.Wrapf(err, "can't make the directory %s", set.Work)
+	}
+	f := &Fleet{
+		set: set, doc: set.Plan.Document, procs: map[string]*proc{},
+		ports:  ports{given: map[uint16]bool{}},
+		client: &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
+	}
+	f.doc.Engines = append([]policy.Engine(nil), f.doc.Engines...)
+	f.doc.Servers = append([]policy.Server(nil), f.doc.Servers...)
+	for _, step := range []func(context.Context) error{f.startPlatform, f.startBackends, f.startDaemons} {
+		if err := step(ctx); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// run starts a program and waits until url answers 200.
+func (f *Fleet) run(ctx context.Context, name, url, program string, args ...string) error {
+	p := newProc(f.set.Work, name, filepath.Join(f.set.Bin, program), args...)
+	f.mu.Lock()
+	f.procs[name] = p
+	f.mu.Unlock()
+	if err := p.start(); err != nil {
+		return err
+	}
+	return f.await(ctx, p, url)
+}
+
+// await polls url until it answers 200 or the process ends.
+func (f *Fleet) await(ctx context.Context, p *proc, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, starting)
+	defer cancel()
+	for {
+		err := f.get(ctx, url, nil)
+		if err == nil {
+			return nil
+		}
+		if code, over := p.wait(20 * time.Millisecond); over {
+			return eris.Errorf("%s ended with exit code %d: %s", p.name, code, p.tail())
+		}
+		if ctx.Err() != nil {
+			return eris.Errorf("%s was not ready within %s (%v): %s", p.name, starting, err, p.tail())
+		}
+	}
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	a, err := f.ports.next()
+	if err != nil {
+		return err
+	}
+	f.platform = a
+	args := append([]string{"platform", "--address", a.String()}, f.set.Plan.Platform...)
+	return f.run(ctx, "platform", "http://"+a.String()+"/reads", "standin", args...)
+}
+
+func (f *Fleet) startBackends(ctx context.Context) error {
+	for i := range f.doc.Engines {
+		e := &f.doc.Engines[i]
+		a, err := f.ports.next()
+		if err != nil {
+			return err
+		}
+		e.Address = a
+		args := []string{"engine", "--address", a.String(), "--name", e.Name, "--role", e.Role}
+		if e.Checks {
+			args = append(args, "--checks")
+		}
+		args = append(args, f.set.Plan.Engine...)
+		if err := f.run(ctx, e.Name, "http://"+a.String()+"/held", "standin", args...); err != nil {
+			return err
+		}
+	}
+	for i := range f.doc.Servers {
+		s := &f.doc.Servers[i]
+		a, err := f.ports.next()
+		if err != nil {
+			return err
+		}
+		s.Address = a
+		args := append([]string{"plain", "--address", a.String(), "--name", s.Name}, f.set.Plan.Server...)
+		if err := f.run(ctx, s.Name, "http://"+a.String()+"/runs", "standin", args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settings is the settings file of a daemon.
+type settings struct {
+	Name     string `toml:"name"`
+	Domain   string `toml:"domain"`
+	Caller   string `toml:"caller"`
+	Peer     string `toml:"peer"`
+	Admin    string `toml:"admin"`
+	Platform string `toml:"platform"`
+}
+
+func (f *Fleet) startDaemons(ctx context.Context) error {
+	if f.set.Direct {
+		if err := errors.Join(f.Publish(ctx, f.doc), f.publishList(ctx)); err != nil {
+			return err
+		}
+		var err error
+		f.router, err = direct.New(&f.doc)
+		return err
+	}
+	for i := range f.set.Plan.Daemons {
+		d := &Daemon{Name: fmt.Sprintf("d%d", i+1), Domain: f.set.Plan.Domains[i%len(f.set.Plan.Domains)], state: "live"}
+		for _, a := range []*netip.AddrPort{&d.Caller, &d.Peer, &d.Admin} {
+			var err error
+			if *a, err = f.ports.next(); err != nil {
+				return err
+			}
+		}
+		f.daemons = append(f.daemons, d)
+	}
+	if err := errors.Join(f.Publish(ctx, f.doc), f.publishList(ctx)); err != nil {
+		return err
+	}
+	for _, d := range f.daemons {
+		file, err := f.write(d)
+		if err != nil {
+			return err
+		}
+		p := newProc(f.set.Work, d.Name, filepath.Join(f.set.Bin, "citronrockd"), "--settings", file)
+		f.mu.Lock()
+		f.procs[d.Name] = p
+		f.mu.Unlock()
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.daemons {
+		if err := f.await(ctx, f.procs[d.Name], d.ready()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) ready() string { return "http://" + d.Admin.String() + "/ready" }
+
+func (f *Fleet) write(d *Daemon) (string, error) {
+	b, err := toml.Marshal(settings{
+		Name: d.Name, Domain: d.Domain, Caller: d.Caller.String(), Peer: d.Peer.String(),
+		Admin: d.Admin.String(), Platform: f.platform.String(),
+	})
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(f.set.Work, d.Name+".toml")
+	return file, os.WriteFile(file, b, 0o644)
+}
+
+// Callers returns the addresses of the daemons for callers.
+func (f *Fleet) Callers() []string {
+	if f.router != nil {
+		return []string{f.router.Addr().String()}
+	}
+	var out []string
+	for _, d := range f.daemons {
+		out = append(out, d.Caller.String())
+	}
+	return out
+}
+
+// Daemons returns the daemons.
+func (f *Fleet) Daemons() []*Daemon { return f.daemons }
+
+// Document returns the document that was published last.
+func (f *Fleet) Document() policy.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.doc
+}
+
+// Pids returns the process identities by name, of those that run.
+func (f *Fleet) Pids() map[string]int {
+	out := map[string]int{}
+	for name, p := range f.all() {
+		if id := p.pid(); id != 0 {
+			out[name] = id
+		}
+	}
+	return out
+}
+
+func (f *Fleet) all() map[string]*proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]*proc, len(f.procs))
+	for n, p := range f.procs {
+		out[n] = p
+	}
+	return out
+}
+
+// list returns the platform's list of all instances.
+func (f *Fleet) list() platfm.List {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l platfm.List
+	for _, d := range f.daemons {
+		if d.state == "" {
+			continue
+		}
+		l.Instances = append(l.Instances, platfm.Instance{
+			Name: d.Name, Kind: "daemon", Address: d.Caller.String(), Peer: d.Peer.String(),
+			Domain: d.Domain, State: d.state,
+		})
+	}
+	for _, e := range f.doc.Engines {
+		l.Instances = append(l.Instances, platfm.Instance{
+			Name: e.Name, Kind: "engine", Address: e.Address.String(), Domain: e.Domain, State: "live",
+		})
+	}
+	for _, s := range f.doc.Servers {
+		l.Instances = append(l.Instances, platfm.Instance{
+			Name: s.Name, Kind: "plain", Address: s.Address.String(), Domain: s.Domain, State: "live",
+		})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/bench/fleet/plan.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronrock.example/citronrock/internal/conf/policy"
+)
+
+// Plan is what a fleet consists of. Addresses are filled in by Start.
+type Plan struct {
+	// Domains are given to the daemons in turn.
+	Domains  []string
+	Daemons  int
+	Document policy.Document
+	// Engine and Server are further arguments of the stand-ins.
+	Engine, Server []string
+	// Platform are further arguments of the platform stand-in.
+	Platform []string
+}
+
+// ms returns a duration of the document.
+func ms(n int) policy.Duration { return policy.Duration(time.Duration(n) * time.Millisecond) }
+
+// Agentschap is the fleet of the lace wholesaler: 7 daemons, a cell of 4
+// prefill and 6 decode engines of taalpost, 3 servers of bestelbalie.
+func Agentschap() Plan {
+	p := Plan{Domains: []string{"gent", "mechelen", "hasselt"}, Daemons: 7}
+	p.Document = policy.Document{
+		Version: 1,
+		Tenants: []policy.Tenant{{Name: "agentschap", Rate: 1000, Burst: 2000, Open: 4000, Weight: 1}},
+		Service: []policy.Service{
+			{
+				Name: "taalpost", Kind: policy.KindModel, Model: "taal", First: ms(3000), Gap: ms(40),
+				Priority: 5, Idempotent: true, Deferrable: true, Queue: 500, Waste: 0.3, Retry: 0.1,
+			},
+			{
+				Name: "bestelbalie", Kind: policy.KindPlain, First: ms(500),
+				Priority: 1, Window: ms(600000), Retry: 0.1,
+			},
+		},
+	}
+	p.engines("taalpost", "gent-1", 4, 6)
+	p.servers("bestelbalie", 3)
+	return p
+}
+
+// XeNho is the fleet of the balance bike lender: 6 daemons, a cell of 3 prefill
+// and 4 decode engines of letter-llm, 3 servers of counter-app.
+func XeNho() Plan {
+	p := Plan{Domains: []string{"thuduc", "binhthanh", "dian"}, Daemons: 6}
+	p.Document = policy.Document{
+		Version: 1,
+		Tenants: []policy.Tenant{{Name: "xenho", Rate: 1000, Burst: 2000, Open: 4000, Weight: 1}},
+		Service: []policy.Service{
+			{
+				Name: "letter-llm", Kind: policy.KindModel, Model: "letter", First: ms(4000), Gap: ms(40),
+				Priority: 5, Idempotent: true, Deferrable: true, Queue: 500, Waste: 0.8, Retry: 0.1,
+			},
+			{
+				Name: "counter-app", Kind: policy.KindPlain, First: ms(500),
+				Priority: 1, Window: ms(600000), Retry: 0.1,
+			},
+		},
+	}
+	p.engines("letter-llm", "thuduc-1", 3, 4)
+	p.servers("counter-app", 3)
+	return p
+}
+
+func (p *Plan) engines(service, cell string, prefill, decode int) {
+	for i := range prefill + decode {
+		e := policy.Engine{
+			Name: fmt.Sprintf("e%d", i+1), Service: service, Cell: cell, Role: policy.RolePrefill,
+			Domain: p.Domains[i%len(p.Domains)], Checks: true,
+		}
+		if i >= prefill {
+			e.Role = policy.RoleDecode
+		}
+		p.Document.Engines = append(p.Document.Engines, e)
+	}
+}
+
+func (p *Plan) servers(service string, n int) {
+	for i := range n {
+		p.Document.Servers = append(p.Document.Servers, policy.Server{
+			Name: fmt.Sprintf("s%d", i+1), Service: service, Domain: p.Domains[i%len(p.Domains)],
+		})
+	}
+}
+
+// ports hands out loopback addresses that are free for TCP and UDP. Another
+// process may take one before it is used; the start fails then.
+type ports struct{ given map[uint16]bool }
+
+func (p *ports) next() (netip.AddrPort, error) {
+	for range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, eris.Wrap(err, "no free port")
+		}
+		a := l.Addr().(*net.TCPAddr).AddrPort()
+		u, err := net.ListenPacket("udp", a.String())
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		if !p.given[a.Port()] {
+			p.given[a.Port()] = true
+			return a, nil
+		}
+	}
+	return netip.AddrPort{}, eris.New("no port is free for both TCP and UDP")
+}
--- a/internal/bench/load/send.go
+++ b/internal/bench/load/send.go
@@ -43,10 +43,14 @@
 	defer cancel()
 	r := &request{arrival: a, start: time.Now()}
 	r.ended.class, r.ended.at = a.class, a.at
-	r.head = &caller.Head{Tenant: a.class.Tenant, Service: a.class.Service, Key: newKey()}
+	r.head = &caller.Head{Tenant: a.class.Tenant, Service: a.class.Service}
 	r.text = engine.NewText(a.prompt)
 	if a.class.plain() {
 		r.sum = plain.Sum(a.class.Path, a.body)
+	} else {
+		// Calls that may be repeated carry no key, as a key ties a call to one
+		// daemon; those that may not carry a token.
+		r.head.Key = newKey()
 	}
 	for {
 		r.head.Attempt++
@@ -79,8 +83,7 @@
 		if err != nil || len(t.Msg.Tokens) == 0 {
 			return &unsent{fmt.Errorf("no execution token: %w", err)}
 		}
-		// The token replaces the key.
-		r.head.Token, r.head.Key = t.Msg.Tokens[0], ""
+		r.head.Token = t.Msg.Tokens[0]
 	}
 	return r.call(ctx, c)
 }
--- a/internal/bench/load/tally.go
+++ b/internal/bench/load/tally.go
@@ -76,18 +76,20 @@
 	// the hash of path and body that stand-ins count runs by.
 	Once map[string]map[string]Outcome `json:"-"`
 
-	mu    sync.Mutex
-	order []string
+	mu       sync.Mutex
+	order    []string
+	services map[string]string
 }
 
 func newResult(seed uint64, span time.Duration, classes []Class) *Result {
-	r := &Result{Seed: seed, Time: span, Classes: map[string]*Figures{}, Once: map[string]map[string]Outcome{}}
+	r := &Result{Seed: seed, Time: span, Classes: map[string]*Figures{}, Once: map[string]map[string]Outcome{}, services: map[string]string{}}
 	for _, c := range classes {
 		f := &Figures{Outcomes: map[Outcome]int{}}
 		f.first, _ = ddsketch.NewDefaultDDSketch(0.01)
 		f.gap, _ = ddsketch.NewDefaultDDSketch(0.01)
 		r.Classes[c.Name] = f
 		r.order = append(r.order, c.Name)
+		r.services[c.Name] = c.Service
 	}
 	return r
 }
@@ -171,12 +173,12 @@
 // Print writes a table with a line for each class.
 func (r *Result) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "class\trequests\tanswered\tnotrun\tunknown\tfailed\twrong\trepeats\tgood\tgood/s\tworst/s\tfirst p50\tp99 ms\tgap p50\tp99 ms\t")
+	fmt.Fprintln(t, "service\tclass\trequests\tanswered\tnotrun\tunknown\tfailed\twrong\trepeats\tgood\tgood/s\tworst/s\tfirst p50\tp99 ms\tgap p50\tp99 ms\t")
 	for _, name := range r.order {
 		f := r.Classes[name]
 		mean, worst := r.Goodput(name)
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.1f\t%.1f\t\n",
-			name, f.Requests, f.Outcomes[Answered], f.Outcomes[NotRun], f.Outcomes[Unknown], f.Outcomes[Failed],
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.1f\t%.1f\t\n",
+			r.services[name], name, f.Requests, f.Outcomes[Answered], f.Outcomes[NotRun], f.Outcomes[Unknown], f.Outcomes[Failed],
 			f.Outcomes[Wrong], f.Repeats, f.Good, mean, worst, f.First[0], f.First[2], f.Gap[0], f.Gap[2])
 	}
 	return t.Flush()
