--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/stand/serve"
 	wire "citronrock.example/citronrock/internal/wire/engine"
@@ -52,7 +54,13 @@
 // Option changes one or more settings.
 type Option func(*Settings)
 
-func defaults() Settings {
+// With replaces all settings.
+func With(set Settings) Option {
+	return func(s *Settings) { *s = set }
+}
+
+// Defaults returns the settings that options change.
+func Defaults() Settings {
 	return Settings{
 		Name: "engine", Model: "stand", Role: policy.RoleBoth,
 		Pieces: 100, Slots: 20,
@@ -105,7 +113,7 @@
 
 // New starts an engine without a network address. Close ends it.
 func New(options ...Option) *Engine {
-	set := defaults()
+	set := Defaults()
 	for _, o := range options {
 		o(&set)
 	}
@@ -145,7 +153,7 @@
 
 // Handler serves the engine protocol and the paths /fault and /held.
 func (e *Engine) Handler() http.Handler {
-	path, h := wire.NewEngineHandler(service{e})
+	path, h := wire.NewEngineHandler(service{e}, connect.WithCompressMinBytes(serve.Compress))
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
 	mux.HandleFunc("POST /fault", e.serveFault)
