--- a/internal/core/admit/cells.go
+++ b/internal/core/admit/cells.go
@@ -21,8 +21,13 @@
 	at   time.Time
 	// pace is the prefill time for one prompt token, averaged.
 	pace float64
-	// asked is the number of prompt tokens in asks without an answer.
-	asked int
+	// asked is the number of prompt tokens in asks without an answer, open the
+	// number of these asks.
+	asked, open int
+	// window bounds open for queued requests. It falls with each refusal and
+	// grows with each grant, so that the end of an overload doesn't release the
+	// whole queue at once.
+	window float64
 	// quiet is set until when the owner counts as lost.
 	quiet time.Time
 	// shut is until when the owner wants no requests like the one it refused:
@@ -46,7 +51,7 @@
 		if c == nil {
 			c = g.cells[e.Cell]
 			if c == nil {
-				c = &cell{name: e.Cell}
+				c = &cell{name: e.Cell, window: windowMost}
 			}
 			c.service, c.prefill = e.Service, 0
 			next[e.Cell] = c
@@ -87,12 +92,10 @@
 	target := r.service.target(r.Priority)
 	best := time.Duration(-1)
 	for _, c := range r.service.cells {
-		over := c.closed(now, r)
-		if r.service.deferrable || c.asked > 0 || c.wait > 0 {
-			// The prefill of the request itself takes as long on an idle cell, so
-			// only the wait counts against a request that no cell could serve.
-			over = max(over, c.predict(now, r.Tokens)-max(target, 2*c.own(r)))
-		}
+		// A prompt whose own prefill takes longer than the target misses it on an
+		// idle cell as well, and a repeat wouldn't help.
+		allowed := max(target, 2*c.own(r))
+		over := max(c.closed(now, r), c.predict(now, r.Tokens)-allowed)
 		if best < 0 || over < best {
 			best = max(over, 0)
 		}
@@ -207,6 +210,7 @@
 func (g *Gate) Sent(cell string, r *Request) {
 	if c := g.cells[cell]; c != nil {
 		c.asked += int(r.Tokens)
+		c.open++
 	}
 }
 
@@ -214,6 +218,7 @@
 func (g *Gate) Settled(cell string, r *Request) {
 	if c := g.cells[cell]; c != nil {
 		c.asked = max(0, c.asked-int(r.Tokens))
+		c.open = max(0, c.open-1)
 	}
 }
 
@@ -229,6 +234,19 @@
 	}
 }
 
+// windowMost bounds the open asks of queued requests to one cell.
+const windowMost = 64
+
+// room reports whether some cell of s takes another queued request.
+func (s *service) room() bool {
+	for _, c := range s.cells {
+		if float64(c.open) < c.window {
+			return true
+		}
+	}
+	return false
+}
+
 // paceShare is the weight of the newest prefill in the average pace.
 const paceShare = 0.1
 
@@ -244,8 +262,10 @@
 		c.wait = millis(a.GetQueue()) / time.Duration(max(c.prefill, 1))
 		c.shut = now.Add(millis(a.GetAfter()))
 		c.shutPriority, c.shutTokens = r.Priority, r.Tokens
+		c.window = max(1, c.window/2)
 		return
 	}
+	c.window = min(windowMost, c.window+1)
 	run := millis(a.GetFirst()) - millis(a.GetStart())
 	c.wait = millis(a.GetStart()) + max(run, 0)/time.Duration(max(c.prefill, 1))
 	if run <= 0 || r.Tokens == 0 {
--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -173,7 +173,7 @@
 func (g *Gate) Next(now time.Time) (*Request, bool) {
 	for _, s := range g.order {
 		head := s.head()
-		if head == nil || g.over(now, head) > 0 {
+		if head == nil || !s.room() || g.over(now, head) > 0 {
 			continue
 		}
 		s.take(head)
@@ -205,12 +205,10 @@
 // Wake returns when Next and Shed are to be called again, zero when nothing
 // waits.
 func (g *Gate) Wake(now time.Time) time.Time {
-	for _, s := range g.order {
-		if s.count > 0 {
-			return now.Add(poll)
-		}
+	if len(g.shed) == 0 && g.Waiting() == 0 {
+		return time.Time{}
 	}
-	return time.Time{}
+	return now.Add(poll)
 }
 
 // Waiting returns the number of queued requests.
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -88,18 +88,21 @@
 // add queues r. When the queue is full, the least urgent request leaves it and
 // is returned; that may be r itself.
 func (s *service) add(r *Request) *Request {
-	l := s.level(r.Priority)
-	n := l.lane(r)
-	if n.bytes+int(r.Tokens)*tokenBytes > laneBytes {
-		return r
-	}
 	var victim *Request
 	if s.count >= s.limit {
 		victim = s.tail()
 		if victim == nil || victim.Priority <= r.Priority {
 			return r
 		}
-		s.remove(victim)
+	}
+	l := s.level(r.Priority)
+	n := l.lane(r)
+	if n.bytes+int(r.Tokens)*tokenBytes > laneBytes {
+		s.prune()
+		return r
+	}
+	if victim != nil {
+		defer s.remove(victim)
 	}
 	at, _ := slices.BinarySearchFunc(n.items, r, earlier)
 	if len(n.items) == 0 {
@@ -189,9 +192,9 @@
 func (s *service) take(r *Request) {
 	l := s.level(r.Priority)
 	n := l.lane(r)
-	s.remove(r)
 	l.served = n.served
 	n.served += float64(r.Tokens+r.Max) / n.tenant.weight
+	s.remove(r)
 }
 
 func (s *service) remove(r *Request) {
@@ -204,6 +207,23 @@
 	n.bytes -= int(r.Tokens) * tokenBytes
 	s.count--
 	r.waiting = false
+	s.prune()
+}
+
+// prune drops empty levels, since callers choose the priorities.
+func (s *service) prune() {
+	s.levels = slices.DeleteFunc(s.levels, (*level).empty)
+}
+
+// empty reports whether nothing waits in l. What its tenants were served counts
+// only while some of them compete.
+func (l *level) empty() bool {
+	for _, n := range l.lanes {
+		if len(n.items) > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // holdsUpTo reports whether a request of this priority or a more urgent one
--- a/internal/core/flow/ask.go
+++ b/internal/core/flow/ask.go
@@ -189,6 +189,7 @@
 
 // again asks once more after wait, as long as attempts remain.
 func (m *Machine) again(r *request, wait time.Duration) {
+	r.phase = resting
 	r.tries++
 	if r.tries > maxTries {
 		m.fail(r, citronrock.ReasonBackend, m.gate.After(time.Second))
@@ -198,6 +199,10 @@
 		m.fail(r, citronrock.ReasonSuspect, suspectAfter)
 		return
 	}
+	if r.hopeless(m.at) {
+		m.fail(r, citronrock.ReasonBackend, 0)
+		return
+	}
 	if wait == 0 {
 		m.ask(r)
 		return
@@ -249,14 +254,7 @@
 // the kept cache, or with another prefill when it may run twice.
 func (m *Machine) restAgain(r *request, wait time.Duration) bool {
 	wait += time.Duration(m.rnd.Int64N(int64(wait / 4)))
-	end := r.deadline
-	if !r.service.idempotent {
-		end = min(end, r.kept)
-		if r.handle == "" {
-			return false
-		}
-	}
-	if m.at+wait >= end {
+	if m.at+wait >= r.deadline || r.hopeless(m.at+wait) {
 		return false
 	}
 	m.rest(r, wait)
--- a/internal/core/flow/machine.go
+++ b/internal/core/flow/machine.go
@@ -111,7 +111,6 @@
 	m.now, m.at = now, max(m.at, now.Sub(m.base))
 	m.out = out
 	m.apply(e)
-	m.drain()
 	out, m.out = m.out, nil
 	return out
 }
@@ -120,20 +119,29 @@
 	switch e := e.(type) {
 	case event.Progress:
 		m.progress(e)
-	case event.Arrive:
-		m.arrive(e)
-	case event.Granted:
-		m.granted(e.Grant)
 	case event.Held:
 		m.held(e)
 	case event.Prefilled:
 		m.prefilled(e)
 	case event.Moved:
 		m.moved(e)
-	case event.Ended:
-		m.ended(e)
 	case event.Cancelled:
 		m.cancelled(e)
+	default:
+		m.applyRest(e)
+		m.drain()
+	}
+}
+
+// applyRest applies the events after which a queued request may run.
+func (m *Machine) applyRest(e event.Event) {
+	switch e := e.(type) {
+	case event.Arrive:
+		m.arrive(e)
+	case event.Granted:
+		m.granted(e.Grant)
+	case event.Ended:
+		m.ended(e)
 	case event.Gone:
 		m.gone(e)
 	case event.Tick:
@@ -205,6 +213,12 @@
 	}
 }
 
+// Open returns the number of live requests and of background entries that free
+// what engines hold of requests.
+func (m *Machine) Open() (requests, releases int) {
+	return len(m.requests), len(m.releases)
+}
+
 func (m *Machine) emit(a event.Action) { m.out = append(m.out, a) }
 
 // Limits of the retry budget of a service: the share used when the document
--- a/internal/core/flow/release.go
+++ b/internal/core/flow/release.go
@@ -15,11 +15,18 @@
 type release struct {
 	timer
 	place
-	// open is the number of Cancels without an answer. The next stale answers
-	// don't count, since the engine may have given them before a late success.
-	open, stale int
+	// open is the number of Cancels without an answer.
+	open int
+	// again is set after a late success, at the time late: answers don't count
+	// until all of those that may be older than the success are in. They come in
+	// any order.
+	again bool
+	late  time.Duration
 	// sent is the number of Cancels, silent those in a row without an answer.
 	sent, silent int
+	// free is true once the engine has confirmed. The entry stays while answers
+	// are open, so that they aren't taken for those of later Cancels.
+	free bool
 	// resting is true between an answer and the next Cancel.
 	resting    bool
 	prev, next *release
@@ -35,6 +42,8 @@
 	// forgetAfter is the number of silent Cancels after which an engine that is
 	// in no document any more is given up. With backoff that is about a minute.
 	forgetAfter = 60
+	// answerMost is when a Cancel's answer is no longer expected.
+	answerMost = 5 * time.Second
 )
 
 // release starts to free a request on an engine.
@@ -60,7 +69,8 @@
 		m.release(id, engine)
 		return
 	}
-	l.stale = l.open
+	l.free = false
+	l.again, l.late = true, m.at
 	m.cancel(l)
 }
 
@@ -78,6 +88,13 @@
 // repeat handles the timer of a release: the end of a backoff or a Cancel that
 // was not answered in time.
 func (m *Machine) repeat(l *release) {
+	if l.free {
+		m.forget(l)
+		return
+	}
+	if l.again && m.at-l.late >= answerMost {
+		l.again, l.open = false, 0
+	}
 	if l.resting {
 		m.cancel(l)
 		return
@@ -106,6 +123,15 @@
 		return
 	}
 	l.open = max(0, l.open-1)
+	if l.free {
+		m.confirm(l)
+		return
+	}
+	if l.again && l.open == 0 {
+		l.again = false
+		m.cancel(l)
+		return
+	}
 	if e.Fault != event.FaultNone {
 		if !l.resting {
 			m.unheard(l)
@@ -113,10 +139,8 @@
 		return
 	}
 	l.silent = 0
-	if l.stale > 0 {
-		l.stale--
-	} else if !e.Held {
-		m.forget(l)
+	if !l.again && !e.Held {
+		m.confirm(l)
 		return
 	}
 	if !l.resting && l.open == 0 {
@@ -124,6 +148,18 @@
 	}
 }
 
+// confirm ends a release that the engine has confirmed.
+func (m *Machine) confirm(l *release) {
+	if l.open == 0 {
+		m.forget(l)
+		return
+	}
+	if !l.free {
+		l.free = true
+		m.timers.set(&l.timer, m.at+answerMost)
+	}
+}
+
 func (m *Machine) forget(l *release) {
 	m.timers.stop(&l.timer)
 	m.oldest.remove(l)
--- a/internal/core/flow/request.go
+++ b/internal/core/flow/request.go
@@ -67,6 +67,8 @@
 
 	// ran is the number of prefills sent and not known to be refused.
 	ran int
+	// reused is true when the prefill engine ran an earlier prefill of r.
+	reused bool
 	// paid is true when the retry budget was charged for the next prefill.
 	paid bool
 	// tries counts attempts after a failed one, asks the Asks without an answer,
@@ -217,7 +219,26 @@
 // arm sets the deadline of the current step, bounded by that of the request.
 func (m *Machine) arm(r *request, d time.Duration) {
 	r.limit = m.at + d
-	m.timers.set(&r.timer, min(r.limit, r.deadline))
+	m.timers.set(&r.timer, r.due())
+}
+
+// due is when the timer must fire next.
+func (r *request) due() time.Duration {
+	if r.once() {
+		return min(r.limit, r.deadline, r.kept)
+	}
+	return min(r.limit, r.deadline)
+}
+
+// once reports whether r can only be completed with the result of a prefill that
+// has run, since it may not run twice.
+func (r *request) once() bool {
+	return r.ran > 0 && !r.service.idempotent && r.phase < prefilling
+}
+
+// hopeless reports whether the result of the only prefill allowed is gone.
+func (r *request) hopeless(at time.Duration) bool {
+	return r.once() && (r.handle == "" || at >= r.kept)
 }
 
 // expire handles a passed deadline of a request or of its current step.
@@ -226,8 +247,12 @@
 		m.fail(r, citronrock.ReasonDeadline, m.gate.After(r.service.first))
 		return
 	}
+	if r.hopeless(m.at) {
+		m.fail(r, citronrock.ReasonBackend, 0)
+		return
+	}
 	if m.at < r.limit {
-		m.timers.set(&r.timer, min(r.limit, r.deadline))
+		m.timers.set(&r.timer, r.due())
 		return
 	}
 	switch r.phase {
--- a/internal/core/flow/step.go
+++ b/internal/core/flow/step.go
@@ -72,8 +72,8 @@
 }
 
 // current returns the live request that engine works for in phase p, or nil
-// when the event is late. A late success leaves something on the engine, which
-// is cancelled unless the request uses that engine now.
+// when the event is late. What a late attempt may have left on the engine is
+// cancelled unless the request uses that engine now.
 func (m *Machine) current(id, engine string, p phase, f event.Fault) *request {
 	r := m.requests[id]
 	if r != nil && (engine == r.decode || engine == r.prefill) {
@@ -82,12 +82,22 @@
 		}
 		return nil
 	}
-	if f == event.FaultNone {
+	if mayHold(f) {
 		m.late(id, engine)
 	}
 	return nil
 }
 
+// mayHold reports whether an engine may hold something after an attempt that
+// ended with f.
+func mayHold(f event.Fault) bool {
+	switch f {
+	case event.FaultUnsent, event.FaultRefused, event.FaultCrashed:
+		return false
+	}
+	return true
+}
+
 func (m *Machine) held(e event.Held) {
 	if r := m.requests[e.Request]; r != nil && r.decode == e.Engine && r.holds > 0 {
 		r.holds--
@@ -170,6 +180,7 @@
 	}
 	r.paid = false
 	r.phase = prefilling
+	r.reused = r.prefill == r.grant.prefill
 	r.prefill, r.handle = r.grant.prefill, ""
 	r.ran++
 	m.emit(event.Prefill{
@@ -208,8 +219,13 @@
 	m.rerun(r, f, engine)
 }
 
-// dropPrefill forgets a prefill engine that is known to hold no cache.
+// dropPrefill forgets a prefill engine that is known to hold no cache, which the
+// refusal of a second prefill there doesn't tell.
 func (m *Machine) dropPrefill(r *request) {
+	if r.reused {
+		m.shedPrefill(r)
+		return
+	}
 	engine := r.prefill
 	r.prefill, r.handle = "", ""
 	r.shun(engine)
