Pace the return of refused requests and test admission

Refused requests were told to come back after half to one and a half times the expected wait. Half of them came too early, and all of one moment came together. Each refusal of a service now takes the next slot, one prefill after the last, and the jitter only adds. A share of 0.85 of the target is used for admission, since the other edges send between two answers of an owner; that share is an estimate and has not been measured under load.

go test -race ./internal/core/admit passes (gopter). Removals, each made alone on a scratch copy: fair sharing, TestFair; queue bound, TestFull and TestAccounts; byte bound, TestFull; priority or deadline order, TestOrder; expiry, TestExpires; return slots, TestBack; window, TestWindow; home cell, its load, silent owners, TestChoose; priority margin and prediction, TestArrive; the edge's share of a rate, TestRate; release of open requests, TestOpen and TestAccounts; removal of a leaving request from the queue, TestLeave.

--- a/internal/core/admit/cells.go
+++ b/internal/core/admit/cells.go
@@ -90,23 +90,27 @@
 // r, or zero when some cell can meet it.
 func (g *Gate) over(now time.Time, r *Request) time.Duration {
 	target := r.service.target(r.Priority)
-	best := time.Duration(-1)
-	for _, c := range r.service.cells {
+	best := time.Duration(0)
+	for i, c := range r.service.cells {
 		// A prompt whose own prefill takes longer than the target misses it on an
 		// idle cell as well, and a repeat wouldn't help.
 		allowed := max(target, 2*c.own(r))
 		over := max(c.closed(now, r), c.predict(now, r.Tokens)-allowed)
-		if best < 0 || over < best {
-			best = max(over, 0)
+		if i == 0 || over < best {
+			best = over
 		}
 	}
-	return max(best, 0)
+	return best
 }
 
 func (c *cell) own(r *Request) time.Duration {
 	return time.Duration(c.pace * float64(r.Tokens))
 }
 
+// margin is the part of the target that a predicted time may use. The rest is for
+// what the other edges have sent since the owner's last answer.
+const margin = 0.85
+
 // target returns the first-token target for a priority. Requests less urgent
 // than their service's own priority are shed earlier.
 func (s *service) target(priority uint32) time.Duration {
@@ -114,7 +118,17 @@
 	if priority > s.priority {
 		rank = priority - s.priority
 	}
-	return s.first * 2 / time.Duration(2+min(rank, 6))
+	aim := time.Duration(float64(s.first) * margin)
+	return aim * 2 / time.Duration(2+min(rank, 6))
+}
+
+// prefill returns the number of engines of s that can prefill.
+func (s *service) prefill() int {
+	n := 0
+	for _, c := range s.cells {
+		n += c.prefill
+	}
+	return n
 }
 
 // work returns the prefill time of r on the fastest cell.
--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -110,7 +110,7 @@
 
 func (g *Gate) check(now time.Time, r *Request) Verdict {
 	if !g.loaded {
-		return Verdict{Refuse, citronrock.ReasonConfig, g.jitter(time.Second)}
+		return Verdict{Refuse, citronrock.ReasonConfig, g.After(time.Second)}
 	}
 	r.tenant, r.service = g.tenants[r.Tenant], g.services[r.Service]
 	if r.tenant == nil || r.service == nil {
@@ -120,7 +120,7 @@
 		return Verdict{Refuse, citronrock.ReasonDeadline, 0}
 	}
 	if after := r.tenant.admit(now, g.alive); after > 0 {
-		return Verdict{Refuse, citronrock.ReasonLimit, after + g.jitter(after)}
+		return Verdict{Refuse, citronrock.ReasonLimit, g.After(after)}
 	}
 	return Verdict{State: Run}
 }
@@ -132,25 +132,19 @@
 	if over <= 0 && !r.service.holdsUpTo(r.Priority) {
 		return Verdict{State: Run}
 	}
-	if !r.service.deferrable {
-		return Verdict{Refuse, citronrock.ReasonOverload, g.After(over)}
-	}
-	r.latest = r.Deadline.Add(-g.work(r))
-	if !now.Add(over).Before(r.latest) {
-		return Verdict{Refuse, citronrock.ReasonOverload, g.After(over)}
-	}
-	victim := r.service.add(r)
-	if victim == r {
-		return Verdict{Refuse, citronrock.ReasonOverload, g.After(over)}
-	}
-	if victim != nil {
-		g.shed = append(g.shed, victim)
+	if !g.Return(now, r, over) {
+		return g.overload(now, r)
 	}
 	return Verdict{State: Wait}
 }
 
-// Return queues a request again that the owner of its cell has refused. It
-// reports false when the request can't wait.
+func (g *Gate) overload(now time.Time, r *Request) Verdict {
+	return Verdict{Refuse, citronrock.ReasonOverload, g.Back(now, r, g.over(now, r))}
+}
+
+// Return queues a request that can't run before after has passed. It reports
+// false when the request can't wait. It also takes back a request that the owner
+// of a cell has refused.
 func (g *Gate) Return(now time.Time, r *Request, after time.Duration) bool {
 	if !r.service.deferrable {
 		return false
@@ -188,11 +182,11 @@
 	if n := len(g.shed); n > 0 {
 		r := g.shed[n-1]
 		g.shed = g.shed[:n-1]
-		return r, Verdict{Refuse, citronrock.ReasonOverload, g.After(g.over(now, r))}, true
+		return r, g.overload(now, r), true
 	}
 	for _, s := range g.order {
 		if r := s.expired(now); r != nil {
-			return r, Verdict{Refuse, citronrock.ReasonOverload, g.After(g.over(now, r))}, true
+			return r, g.overload(now, r), true
 		}
 	}
 	return nil, Verdict{}, false
@@ -228,12 +222,21 @@
 	afterMost  = 10 * time.Second
 )
 
-// After returns the time to come back for a request that would start over late.
-// The jitter of half to one and a half times spreads the callers that were
-// refused together.
-func (g *Gate) After(over time.Duration) time.Duration {
-	d := min(max(over, afterLeast), afterMost)
-	return d/2 + g.jitter(d)
+// Back returns the time to come back for r, whose first token would be over late
+// now. Requests that are refused one after the other get times one prefill apart,
+// so that they return no faster than the cells can serve them.
+func (g *Gate) Back(now time.Time, r *Request, over time.Duration) time.Duration {
+	s := r.service
+	slot := now.Add(min(max(over, s.back.Sub(now)), afterMost))
+	s.back = slot.Add(g.work(r) / time.Duration(max(s.prefill(), 1)))
+	return g.After(slot.Sub(now))
+}
+
+// After returns d within the bounds, with up to half of it added. The jitter
+// spreads callers that were refused together.
+func (g *Gate) After(d time.Duration) time.Duration {
+	d = min(max(d, afterLeast), afterMost)
+	return d + g.jitter(d/2)
 }
 
 func (g *Gate) jitter(d time.Duration) time.Duration {
--- /dev/null
+++ b/internal/core/admit/gate_test.go
@@ -0,0 +1,393 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/wire/peer"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func newGate() *Gate {
+	g := New(rand.New(rand.NewPCG(1, 2)))
+	g.Publish(start, &policy.Document{
+		Tenants: []policy.Tenant{
+			{Name: "free"}, {Name: "heavy", Weight: 3},
+			{Name: "slow", Rate: 2, Burst: 3}, {Name: "few", Open: 2},
+		},
+		Service: []policy.Service{
+			{Name: "desk", Kind: policy.KindModel, First: policy.Duration(400 * time.Millisecond), Priority: 1},
+			{Name: "drafts", Kind: policy.KindModel, First: policy.Duration(400 * time.Millisecond), Priority: 5, Deferrable: true, Queue: 20},
+		},
+		Engines: []policy.Engine{
+			{Name: "d1", Service: "desk", Cell: "desk1", Role: policy.RoleBoth},
+			{Name: "d2", Service: "desk", Cell: "desk2", Role: policy.RoleBoth},
+			{Name: "l1", Service: "drafts", Cell: "drafts1", Role: policy.RoleBoth},
+		},
+	})
+	return g
+}
+
+func request(tenant, service string, priority uint32, left time.Duration) *Request {
+	return &Request{
+		ID: "r", Tenant: tenant, Service: service, Priority: priority,
+		Tokens: 100, Max: 100, Deadline: start.Add(left),
+	}
+}
+
+// answer gives the gate the figures of a cell: prefill starts after wait, and 100
+// tokens take 50 ms.
+func (g *Gate) answer(cell string, wait time.Duration) {
+	ms := uint32(wait.Milliseconds())
+	r := request("free", g.cells[cell].service, 5, time.Minute)
+	g.Answered(start, cell, r, &peer.Grant{Granted: true, Start: ms, First: ms + 50})
+}
+
+// refuse shuts the cell of drafts for d.
+func (g *Gate) refuse(d time.Duration) {
+	r := request("free", "drafts", 0, time.Minute)
+	r.Tokens = 0
+	g.Answered(start, "drafts1", r, &peer.Grant{After: uint32(d.Milliseconds())})
+}
+
+// TestArrive guards the verdict in each state of the limits and the figures.
+func TestArrive(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*Gate)
+		request *Request
+		state   State
+		reason  citronrock.Reason
+		repeat  bool
+	}{
+		"unknown figures": {nil, request("free", "desk", 1, time.Second), Run, "", false},
+		"unknown tenant":  {nil, request("nobody", "desk", 1, time.Second), Refuse, citronrock.ReasonInvalid, false},
+		"unknown service": {nil, request("free", "nothing", 1, time.Second), Refuse, citronrock.ReasonInvalid, false},
+		"deadline passed": {nil, request("free", "desk", 1, 0), Refuse, citronrock.ReasonDeadline, false},
+		"one cell loaded": {func(g *Gate) {
+			g.answer("desk1", time.Second)
+			g.answer("desk2", 0)
+		}, request("free", "desk", 1, time.Second), Run, "", false},
+		"all cells loaded": {func(g *Gate) {
+			g.answer("desk1", time.Second)
+			g.answer("desk2", time.Second)
+		}, request("free", "desk", 1, 9*time.Second), Refuse, citronrock.ReasonOverload, true},
+		"urgent enough": {func(g *Gate) {
+			g.answer("desk1", 220*time.Millisecond)
+			g.answer("desk2", 220*time.Millisecond)
+		}, request("free", "desk", 1, time.Second), Run, "", false},
+		"less urgent is shed first": {func(g *Gate) {
+			g.answer("desk1", 220*time.Millisecond)
+			g.answer("desk2", 220*time.Millisecond)
+		}, request("free", "desk", 3, time.Second), Refuse, citronrock.ReasonOverload, true},
+		"deferrable waits": {func(g *Gate) {
+			g.answer("drafts1", time.Second)
+		}, request("free", "drafts", 5, time.Minute), Wait, "", false},
+		"deferrable too late": {func(g *Gate) {
+			g.answer("drafts1", 5*time.Second)
+		}, request("free", "drafts", 5, time.Second), Refuse, citronrock.ReasonOverload, true},
+		"refused lately": {func(g *Gate) {
+			g.refuse(time.Second)
+		}, request("free", "drafts", 5, time.Minute), Wait, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate()
+			if c.prepare != nil {
+				c.prepare(g)
+			}
+			v := g.Arrive(start, c.request)
+			if v.State != c.state || v.Reason != c.reason || (v.After > 0) != c.repeat {
+				t.Fatalf("got %+v", v)
+			}
+		})
+	}
+}
+
+// TestNoDocument guards against admission before any document is known.
+func TestNoDocument(t *testing.T) {
+	v := New(rand.New(rand.NewPCG(1, 2))).Arrive(start, request("free", "desk", 1, time.Second))
+	if v.State != Refuse || v.Reason != citronrock.ReasonConfig || v.After == 0 {
+		t.Fatalf("got %+v", v)
+	}
+}
+
+// TestRate guards the tenant's rate, its burst, and the share of one edge.
+func TestRate(t *testing.T) {
+	for name, c := range map[string]struct{ alive, want int }{
+		"alone": {1, 3 + 2*10}, "of two": {2, 3 + 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate()
+			g.Members(c.alive)
+			admitted := 0
+			for ms := range 10_001 {
+				v := g.Arrive(start.Add(time.Duration(ms)*time.Millisecond), request("slow", "desk", 1, time.Hour))
+				if v.State == Run {
+					admitted++
+				} else if v.Reason != citronrock.ReasonLimit || v.After == 0 {
+					t.Fatalf("got %+v", v)
+				}
+			}
+			if admitted < c.want-1 || admitted > c.want+1 {
+				t.Fatalf("admitted %d, want %d", admitted, c.want)
+			}
+		})
+	}
+}
+
+// TestOpen guards the tenant's limit of open requests and its release.
+func TestOpen(t *testing.T) {
+	g := newGate()
+	a, b, c := request("few", "desk", 1, time.Second), request("few", "desk", 1, time.Second), request("few", "desk", 1, time.Second)
+	g.Arrive(start, a)
+	g.Arrive(start, b)
+	if v := g.Arrive(start, c); v.Reason != citronrock.ReasonLimit {
+		t.Fatalf("third open request: %+v", v)
+	}
+	g.Leave(a)
+	if v := g.Arrive(start, c); v.State != Run {
+		t.Fatalf("after a release: %+v", v)
+	}
+}
+
+// queued fills the queue of drafts while its cell is shut for a second.
+func queued(t *testing.T, g *Gate, rs ...*Request) {
+	t.Helper()
+	g.refuse(time.Second)
+	for _, r := range rs {
+		if v := g.Arrive(start, r); v.State != Wait {
+			t.Fatalf("%+v: %+v", r, v)
+		}
+	}
+}
+
+// TestOrder guards the order of the queue: priority, then deadline.
+func TestOrder(t *testing.T) {
+	g := newGate()
+	late, soon := request("free", "drafts", 5, time.Minute), request("free", "drafts", 5, 30*time.Second)
+	urgent := request("free", "drafts", 4, time.Hour)
+	queued(t, g, late, soon, urgent)
+	if r, ok := g.Next(start); ok {
+		t.Fatalf("%+v ran while the cell is shut", r)
+	}
+	for i, want := range []*Request{urgent, soon, late} {
+		if r, ok := g.Next(start.Add(2 * time.Second)); !ok || r != want {
+			t.Fatalf("place %d: %+v", i, r)
+		}
+	}
+}
+
+// TestLeave guards against a queued request that runs after its caller has left.
+func TestLeave(t *testing.T) {
+	g := newGate()
+	r := request("free", "drafts", 5, time.Minute)
+	queued(t, g, r)
+	g.Leave(r)
+	if n, ok := g.Next(start.Add(2 * time.Second)); ok || g.Waiting() != 0 {
+		t.Fatalf("next %+v, %d wait", n, g.Waiting())
+	}
+}
+
+// TestFair guards the shares of two tenants with weights 1 and 3 that both wait.
+func TestFair(t *testing.T) {
+	g := newGate()
+	var all []*Request
+	for i := range 20 {
+		tenant := "free"
+		if i >= 10 {
+			tenant = "heavy"
+		}
+		all = append(all, request(tenant, "drafts", 5, time.Minute+time.Duration(i)))
+	}
+	queued(t, g, all...)
+	heavy := 0
+	for range 12 {
+		r, ok := g.Next(start.Add(2 * time.Second))
+		if !ok {
+			t.Fatal("queue is stuck")
+		}
+		if r.Tenant == "heavy" {
+			heavy++
+		}
+	}
+	if heavy != 9 {
+		t.Fatalf("the tenant of weight 3 got %d of 12", heavy)
+	}
+}
+
+// TestFull guards the bound of the queue and that the least urgent gives way.
+func TestFull(t *testing.T) {
+	g := newGate()
+	var all []*Request
+	for i := range 20 {
+		all = append(all, request("free", "drafts", 5, time.Minute+time.Duration(i)))
+	}
+	queued(t, g, all...)
+	if v := g.Arrive(start, request("free", "drafts", 5, time.Hour)); v.State != Refuse || v.After == 0 {
+		t.Fatalf("a full queue took an equal request: %+v", v)
+	}
+	if v := g.Arrive(start, request("free", "drafts", 4, time.Hour)); v.State != Wait {
+		t.Fatalf("a full queue refused a more urgent request: %+v", v)
+	}
+	r, v, ok := g.Shed(start)
+	if !ok || r != all[19] || v.After == 0 || g.Waiting() != 20 {
+		t.Fatalf("shed %+v %+v, %d wait", r, v, g.Waiting())
+	}
+	huge := request("free", "drafts", 3, time.Hour)
+	huge.Tokens = laneBytes/tokenBytes + 1
+	if v := g.Arrive(start, huge); v.State != Refuse {
+		t.Fatalf("more bytes than a tenant may queue: %+v", v)
+	}
+}
+
+// TestExpires guards against a queued request that is kept although it can't
+// meet its deadline any more.
+func TestExpires(t *testing.T) {
+	g := newGate()
+	g.answer("drafts1", 0)
+	soon := request("free", "drafts", 5, 5*time.Second)
+	queued(t, g, soon, request("free", "drafts", 5, time.Minute))
+	g.refuse(time.Minute)
+	if _, _, ok := g.Shed(start.Add(4900 * time.Millisecond)); ok {
+		t.Fatal("shed before its time")
+	}
+	r, v, ok := g.Shed(start.Add(4960 * time.Millisecond))
+	if !ok || r != soon || v.After == 0 {
+		t.Fatalf("shed %+v %+v", r, v)
+	}
+}
+
+// TestBack guards against refused callers that all return at the same moment:
+// 100 refusals of 50 ms of work on two engines spread over more than two seconds.
+func TestBack(t *testing.T) {
+	g := newGate()
+	g.answer("desk1", time.Second)
+	g.answer("desk2", time.Second)
+	var last time.Duration
+	slots := map[int64]int{}
+	for range 100 {
+		v := g.Arrive(start, request("free", "desk", 1, time.Minute))
+		last = max(last, v.After)
+		slots[v.After.Milliseconds()/100]++
+	}
+	for at, n := range slots {
+		if n > 12 {
+			t.Errorf("%d return within 100 ms at %d00 ms", n, at)
+		}
+	}
+	if last < 2*time.Second {
+		t.Errorf("the last one returns after %v", last)
+	}
+}
+
+// TestWindow guards against a whole queue that is released at the end of an
+// overload.
+func TestWindow(t *testing.T) {
+	g := newGate()
+	for range 10 {
+		g.refuse(time.Second)
+	}
+	queued(t, g, request("free", "drafts", 5, time.Minute), request("free", "drafts", 5, time.Minute))
+	now := start.Add(2 * time.Second)
+	r, ok := g.Next(now)
+	if !ok {
+		t.Fatal("queue is stuck")
+	}
+	g.Sent("drafts1", r)
+	if _, ok := g.Next(now); ok {
+		t.Fatal("second request before the first was answered")
+	}
+}
+
+// TestChoose guards the choice of the cell: the home of the first piece unless it
+// is loaded, and no cell whose owner is silent.
+func TestChoose(t *testing.T) {
+	none := func(string) bool { return false }
+	g := newGate()
+	r := request("free", "desk", 1, time.Second)
+	g.Arrive(start, r)
+	r.Piece = 77
+	home := g.Choose(start, r, none)
+	for range 20 {
+		if c := g.Choose(start, r, none); c != home {
+			t.Fatalf("%s, the home is %s", c, home)
+		}
+	}
+	g.answer(home, time.Second)
+	if c := g.Choose(start, r, none); c == home {
+		t.Fatal("the home is loaded")
+	}
+	g = newGate()
+	g.Arrive(start, r)
+	g.Silent(start, home, r)
+	if c := g.Choose(start, r, none); c == home {
+		t.Fatal("the owner of the home is silent")
+	}
+	if c := g.Choose(start, r, func(c string) bool { return c != home }); c != home {
+		t.Fatalf("%q, only the silent cell is left", c)
+	}
+}
+
+// TestAccounts guards against requests that get lost in the queue or leave it
+// twice, and against queues over their bounds.
+func TestAccounts(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(20260105)
+	all := gopter.NewProperties(p)
+	all.Property("each queued request leaves once", prop.ForAll(func(seed uint64) string {
+		rnd, g, now := rand.New(rand.NewPCG(seed, 3)), newGate(), start
+		inside := map[*Request]bool{}
+		for range 400 {
+			now = now.Add(time.Duration(rnd.IntN(50)) * time.Millisecond)
+			r := request([]string{"free", "heavy"}[rnd.IntN(2)], "drafts", rnd.Uint32N(9), 0)
+			r.Deadline = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond)
+			switch rnd.IntN(5) {
+			case 0:
+				g.refuse(now.Sub(start) + time.Duration(rnd.IntN(500))*time.Millisecond)
+			case 1:
+				if r, ok := g.Next(now); ok && !inside[r] {
+					return "ran a request that is not inside"
+				} else if ok {
+					delete(inside, r)
+					g.Leave(r)
+				}
+			default:
+				if v := g.Arrive(now, r); v.State == Wait {
+					inside[r] = true
+				} else if v.State == Run {
+					g.Leave(r)
+				}
+			}
+			for r, _, ok := g.Shed(now); ok; r, _, ok = g.Shed(now) {
+				if !inside[r] {
+					return "shed a request that is not inside"
+				}
+				delete(inside, r)
+				g.Leave(r)
+			}
+			if g.Waiting() != len(inside) || g.Waiting() > 20 {
+				return fmt.Sprintf("%d wait, %d inside", g.Waiting(), len(inside))
+			}
+		}
+		for name, t := range g.tenants {
+			waiting := 0
+			for r := range inside {
+				if r.Tenant == name {
+					waiting++
+				}
+			}
+			if t.open != waiting {
+				return fmt.Sprintf("%s has %d open, %d wait", name, t.open, waiting)
+			}
+		}
+		return ""
+	}, gen.UInt64()))
+	all.TestingRun(t)
+}
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -20,6 +20,8 @@
 	count  int
 	// due is a lower bound of the latest start of all waiting requests.
 	due time.Time
+	// back is the time to come back that the next refused request gets.
+	back time.Time
 }
 
 // level holds the waiting requests of one priority.
--- a/internal/core/flow/ask.go
+++ b/internal/core/flow/ask.go
@@ -232,7 +232,7 @@
 	if r.refusals < maxRefusals && m.waitAgain(r, after) {
 		return
 	}
-	m.fail(r, citronrock.ReasonOverload, m.gate.After(after))
+	m.fail(r, citronrock.ReasonOverload, m.gate.Back(m.now, &r.admit, after))
 }
 
 // waitAgain queues a request that was refused, or lets one that has run rest
