Keep admission from collapsing when owners refuse nothing

A model of six edges before four cells showed that the edges' predictions alone collapse: the figures of a cell age while the other edges send to it, and together the edges kept the wait just above the target. Each cell now has a share of the target that falls to 0.7 of itself with a grant that misses the target and rises by 0.002 with one that meets it.

--- a/internal/core/admit/cells.go
+++ b/internal/core/admit/cells.go
@@ -30,6 +30,8 @@
 	window float64
 	// quiet is set until when the owner counts as lost.
 	quiet time.Time
+	// aim is the share of a target that a predicted time may use.
+	aim float64
 	// shut is until when the owner wants no requests like the one it refused:
 	// at most as urgent and at least as long.
 	shut         time.Time
@@ -51,7 +53,7 @@
 		if c == nil {
 			c = g.cells[e.Cell]
 			if c == nil {
-				c = &cell{name: e.Cell, window: windowMost}
+				c = &cell{name: e.Cell, window: windowMost, aim: aimMost}
 			}
 			c.service, c.prefill = e.Service, 0
 			next[e.Cell] = c
@@ -89,12 +91,11 @@
 // over returns by how much the best cell would miss the first-token target of
 // r, or zero when some cell can meet it.
 func (g *Gate) over(now time.Time, r *Request) time.Duration {
-	target := r.service.target(r.Priority)
 	best := time.Duration(0)
 	for i, c := range r.service.cells {
 		// A prompt whose own prefill takes longer than the target misses it on an
 		// idle cell as well, and a repeat wouldn't help.
-		allowed := max(target, 2*c.own(r))
+		allowed := max(c.allowed(r), 2*c.own(r))
 		over := max(c.closed(now, r), c.predict(now, r.Tokens)-allowed)
 		if i == 0 || over < best {
 			best = over
@@ -107,19 +108,27 @@
 	return time.Duration(c.pace * float64(r.Tokens))
 }
 
-// margin is the part of the target that a predicted time may use. The rest is for
-// what the other edges have sent since the owner's last answer.
-const margin = 0.85
+// Limits and steps of aim. The figures age while other edges send to the same
+// cell, so the share falls with each grant that misses the target and recovers
+// with those that meet it. Without that all edges together kept the wait just
+// above the target at 1.5 times the capacity, and nearly all requests missed it.
+const (
+	aimMost  = 0.85
+	aimLeast = 0.1
+	aimFall  = 0.7
+	aimRise  = 0.002
+)
 
-// target returns the first-token target for a priority. Requests less urgent
-// than their service's own priority are shed earlier.
-func (s *service) target(priority uint32) time.Duration {
+// allowed returns the time to the first token that is predicted at most for a
+// request to run. Requests less urgent than their service's own priority are
+// shed earlier.
+func (c *cell) allowed(r *Request) time.Duration {
 	rank := uint32(0)
-	if priority > s.priority {
-		rank = priority - s.priority
+	if r.Priority > r.service.priority {
+		rank = min(r.Priority-r.service.priority, 6)
 	}
-	aim := time.Duration(float64(s.first) * margin)
-	return aim * 2 / time.Duration(2+min(rank, 6))
+	aim := time.Duration(float64(r.service.first) * c.aim)
+	return aim * 2 / time.Duration(2+rank)
 }
 
 // prefill returns the number of engines of s that can prefill.
@@ -154,14 +163,14 @@
 		return open[0].name
 	}
 	best := g.two(now, r, open)
-	if home := home(r, open); home != nil && !g.loadedMore(now, r, home, best) {
+	if home := g.home(r, open); home != nil && !g.loadedMore(now, r, home, best) {
 		best = home
 	}
 	return best.name
 }
 
 func (g *Gate) candidates(now time.Time, r *Request, skip func(cell string) bool) []*cell {
-	var open, quiet []*cell
+	open, quiet := g.open[:0], g.quiet[:0]
 	for _, c := range r.service.cells {
 		if skip(c.name) {
 			continue
@@ -172,6 +181,7 @@
 		}
 		open = append(open, c)
 	}
+	g.open, g.quiet = open, quiet
 	if len(open) == 0 {
 		return quiet
 	}
@@ -195,15 +205,15 @@
 	return c.predict(now, r.Tokens) + c.closed(now, r)
 }
 
-func home(r *Request, open []*cell) *cell {
+func (g *Gate) home(r *Request, open []*cell) *cell {
 	if r.Piece == 0 {
 		return nil
 	}
-	names := make([]string, len(open))
-	for i, c := range open {
-		names[i] = c.name
+	g.names = g.names[:0]
+	for _, c := range open {
+		g.names = append(g.names, c.name)
 	}
-	first := owner.First(strconv.FormatUint(r.Piece, 16), names)
+	first := owner.First(strconv.FormatUint(r.Piece, 16), g.names)
 	for _, c := range open {
 		if c.name == first {
 			return c
@@ -282,6 +292,7 @@
 	c.window = min(windowMost, c.window+1)
 	run := millis(a.GetFirst()) - millis(a.GetStart())
 	c.wait = millis(a.GetStart()) + max(run, 0)/time.Duration(max(c.prefill, 1))
+	c.steer(r, millis(a.GetFirst()), run)
 	if run <= 0 || r.Tokens == 0 {
 		return
 	}
@@ -292,6 +303,16 @@
 	c.pace += (pace - c.pace) * paceShare
 }
 
+// steer adapts aim to a grant that expects the first token after first, run of it
+// for the prefill. A prompt whose prefill alone misses the target tells nothing.
+func (c *cell) steer(r *Request, first, run time.Duration) {
+	if r.service != nil && first > max(r.service.first, 2*run) {
+		c.aim = max(aimLeast, c.aim*aimFall)
+		return
+	}
+	c.aim = min(aimMost, c.aim+aimRise)
+}
+
 // Paused drops the figures, which a pause has made void.
 func (g *Gate) Paused() {
 	for _, c := range g.cells {
--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -60,6 +60,9 @@
 	cells map[string]*cell
 	seq   uint64
 	shed  []*Request
+	// open, quiet and names are kept by Choose for its next call.
+	open, quiet []*cell
+	names       []string
 }
 
 // New returns a gate that draws from rnd.
