--- a/internal/core/flow/machine.go
+++ b/internal/core/flow/machine.go
@@ -79,6 +79,8 @@
 	// known is false once the engine is in no document, leaving is true while
 	// the instance list says so.
 	known, leaving bool
+	// budget allows the retries that this engine's failures cause.
+	budget *retry.Budget
 }
 
 // New returns the machine of the daemon name with the given incarnation.
@@ -221,12 +223,14 @@
 
 func (m *Machine) emit(a event.Action) { m.out = append(m.out, a) }
 
-// Limits of the retry budget of a service: the share used when the document
-// gives none, and the number of unused retries kept. An engine runs about twenty
-// requests, so the loss of one engine must fit.
+// Limits of the retry budgets: the share used when the document gives none, and
+// the number of unused retries kept for a service and for an engine. An engine
+// runs about twenty requests, so its loss must fit; one failing engine must not
+// use up the budget of its service.
 const (
-	budgetShare = 0.1
-	budgetLimit = 32
+	budgetShare  = 0.1
+	budgetLimit  = 64
+	budgetEngine = 24
 )
 
 func (m *Machine) published(d *policy.Document) {
@@ -281,7 +285,7 @@
 func (m *Machine) engine(name string) *engine {
 	e := m.engines[name]
 	if e == nil {
-		e = &engine{}
+		e = &engine{budget: retry.NewBudget(budgetShare, budgetEngine)}
 		m.engines[name] = e
 	}
 	return e
--- a/internal/core/flow/step.go
+++ b/internal/core/flow/step.go
@@ -12,7 +12,7 @@
 // Deadlines of the steps before decode.
 const (
 	// holdWait bounds a Hold, which an engine answers at once.
-	holdWait = 500 * time.Millisecond
+	holdWait = 250 * time.Millisecond
 	// keptFor is how long a prefill result is counted on; engines evict it in
 	// less than a second.
 	keptFor = 800 * time.Millisecond
@@ -50,6 +50,7 @@
 	r.holds++
 	r.renewals++
 	r.phase = holding
+	m.engine(r.decode).budget.Sent()
 	m.emit(event.Hold{
 		Request: r.admit.ID, Engine: r.decode, Pieces: r.grant.pieces,
 		Term: m.term(r), Fence: r.grant.fence,
@@ -174,7 +175,7 @@
 // startPrefill sends the prefill. A second one is a retry, for which rerun has
 // paid unless the kept cache has run out of time in between.
 func (m *Machine) startPrefill(r *request) {
-	if r.ran > 0 && !r.paid && !m.pay(r) {
+	if r.ran > 0 && !r.paid && !m.pay(r, r.grant.prefill) {
 		m.fail(r, citronrock.ReasonBackend, m.gate.After(r.service.first))
 		return
 	}
@@ -182,6 +183,7 @@
 	r.phase = prefilling
 	r.reused = r.prefill == r.grant.prefill
 	r.prefill, r.handle = r.grant.prefill, ""
+	m.engine(r.prefill).budget.Sent()
 	r.ran++
 	m.emit(event.Prefill{
 		Request: r.admit.ID, Engine: r.prefill,
@@ -248,16 +250,17 @@
 // run twice and the retry budget allows it.
 func (m *Machine) rerun(r *request, f event.Fault, engine string) {
 	m.reportLost(r, f, engine)
-	if !r.paid && !m.pay(r) {
+	if !r.paid && !m.pay(r, engine) {
 		m.fail(r, citronrock.ReasonBackend, m.gate.After(r.service.first))
 		return
 	}
 	m.again(r, retry.Backoff(r.tries+1, m.rnd))
 }
 
-// pay takes a retry from the service's budget.
-func (m *Machine) pay(r *request) bool {
-	r.paid = r.service.idempotent && r.service.budget.Take()
+// pay takes a retry from the budgets of the service and of the engine that caused
+// it.
+func (m *Machine) pay(r *request, engine string) bool {
+	r.paid = r.service.idempotent && m.engine(engine).budget.Take() && r.service.budget.Take()
 	return r.paid
 }
 
