--- a/internal/core/flow/ask.go
+++ b/internal/core/flow/ask.go
@@ -137,11 +137,16 @@
 	if r.decode != g.GetDecode() {
 		m.leaveDecode(r)
 	}
-	if m.usable(r, g.GetDecode()) && m.usable(r, g.GetPrefill()) {
-		m.accept(r, g)
+	if !m.usable(r, g.GetDecode()) || !m.usable(r, g.GetPrefill()) {
+		m.unusable(r)
 		return
 	}
-	m.unusable(r)
+	first := time.Duration(g.GetFirst()) * time.Millisecond
+	if m.at+first >= r.deadline {
+		m.fail(r, citronrock.ReasonOverload, m.gate.Back(m.now, &r.admit, first))
+		return
+	}
+	m.accept(r, g)
 }
 
 // usable reports whether r may use an engine that was granted.
@@ -189,6 +194,7 @@
 
 // again asks once more after wait, as long as attempts remain.
 func (m *Machine) again(r *request, wait time.Duration) {
+	r.phase = resting
 	r.tries++
 	if r.tries > maxTries {
 		m.fail(r, citronrock.ReasonBackend, m.gate.After(time.Second))
@@ -198,6 +204,10 @@
 		m.fail(r, citronrock.ReasonSuspect, suspectAfter)
 		return
 	}
+	if r.hopeless(m.at) {
+		m.fail(r, citronrock.ReasonBackend, 0)
+		return
+	}
 	if wait == 0 {
 		m.ask(r)
 		return
@@ -212,8 +222,8 @@
 	r.phase = resting
 	r.asks, r.owed = 0, ""
 	r.refusals++
-	if g.GetReason() == string(citronrock.ReasonSuspect) && m.strikes.Count(m.now, r.print) >= 2 {
-		m.fail(r, citronrock.ReasonSuspect, suspectAfter)
+	if g.GetReason() == string(citronrock.ReasonSuspect) {
+		m.fail(r, citronrock.ReasonSuspect, suspectWait(g))
 		return
 	}
 	r.refused = append(r.refused, r.cell)
@@ -227,7 +237,16 @@
 	if r.refusals < maxRefusals && m.waitAgain(r, after) {
 		return
 	}
-	m.fail(r, citronrock.ReasonOverload, m.gate.After(after))
+	m.fail(r, citronrock.ReasonOverload, m.gate.Back(m.now, &r.admit, after))
+}
+
+// suspectWait is when a suspect request may come again: as the owner says, or
+// after the life of a strike.
+func suspectWait(g *peer.Grant) time.Duration {
+	if g.GetAfter() > 0 {
+		return time.Duration(g.GetAfter()) * time.Millisecond
+	}
+	return suspectAfter
 }
 
 // waitAgain queues a request that was refused, or lets one that has run rest
@@ -249,14 +268,7 @@
 // the kept cache, or with another prefill when it may run twice.
 func (m *Machine) restAgain(r *request, wait time.Duration) bool {
 	wait += time.Duration(m.rnd.Int64N(int64(wait / 4)))
-	end := r.deadline
-	if !r.service.idempotent {
-		end = min(end, r.kept)
-		if r.handle == "" {
-			return false
-		}
-	}
-	if m.at+wait >= end {
+	if m.at+wait >= r.deadline || r.hopeless(m.at+wait) {
 		return false
 	}
 	m.rest(r, wait)
--- a/internal/core/flow/machine.go
+++ b/internal/core/flow/machine.go
@@ -79,6 +79,8 @@
 	// known is false once the engine is in no document, leaving is true while
 	// the instance list says so.
 	known, leaving bool
+	// budget allows the retries that this engine's failures cause.
+	budget *retry.Budget
 }
 
 // New returns the machine of the daemon name with the given incarnation.
@@ -111,7 +113,6 @@
 	m.now, m.at = now, max(m.at, now.Sub(m.base))
 	m.out = out
 	m.apply(e)
-	m.drain()
 	out, m.out = m.out, nil
 	return out
 }
@@ -120,20 +121,29 @@
 	switch e := e.(type) {
 	case event.Progress:
 		m.progress(e)
-	case event.Arrive:
-		m.arrive(e)
-	case event.Granted:
-		m.granted(e.Grant)
 	case event.Held:
 		m.held(e)
 	case event.Prefilled:
 		m.prefilled(e)
 	case event.Moved:
 		m.moved(e)
-	case event.Ended:
-		m.ended(e)
 	case event.Cancelled:
 		m.cancelled(e)
+	default:
+		m.applyRest(e)
+		m.drain()
+	}
+}
+
+// applyRest applies the events after which a queued request may run.
+func (m *Machine) applyRest(e event.Event) {
+	switch e := e.(type) {
+	case event.Arrive:
+		m.arrive(e)
+	case event.Granted:
+		m.granted(e.Grant)
+	case event.Ended:
+		m.ended(e)
 	case event.Gone:
 		m.gone(e)
 	case event.Tick:
@@ -209,14 +219,22 @@
 	}
 }
 
+// Open returns the number of live requests and of background entries that free
+// what engines hold of requests.
+func (m *Machine) Open() (requests, releases int) {
+	return len(m.requests), len(m.releases)
+}
+
 func (m *Machine) emit(a event.Action) { m.out = append(m.out, a) }
 
-// Limits of the retry budget of a service: the share used when the document
-// gives none, and the number of unused retries kept. An engine runs about twenty
-// requests, so the loss of one engine must fit.
+// Limits of the retry budgets: the share used when the document gives none, and
+// the number of unused retries kept for a service and for an engine. An engine
+// runs about twenty requests, so its loss must fit; one failing engine must not
+// use up the budget of its service.
 const (
-	budgetShare = 0.1
-	budgetLimit = 32
+	budgetShare  = 0.1
+	budgetLimit  = 64
+	budgetEngine = 24
 )
 
 func (m *Machine) published(d *policy.Document) {
@@ -271,7 +289,7 @@
 func (m *Machine) engine(name string) *engine {
 	e := m.engines[name]
 	if e == nil {
-		e = &engine{}
+		e = &engine{budget: retry.NewBudget(budgetShare, budgetEngine)}
 		m.engines[name] = e
 	}
 	return e
