Keep unused grants until a report covers their whole term

Cause: a property with random events found an engine that refused a grant: with a lagging report, a grant that was used at the end of its term was released as unused, and its memory was granted again.

Change: a grant that no report has listed is released once a report's figures are younger than the end of its term.

Ruled out: a longer term, since it only moves the race.

Conclusion: go test -race ./internal/core/... passes, lint is clean.

--- a/internal/core/cell/grant.go
+++ b/internal/core/cell/grant.go
@@ -30,6 +30,8 @@
 	// work is the prefill work left, total all of it.
 	work, total time.Duration
 	queued      bool
+	// lapsed is the end of the term, once it is over.
+	lapsed time.Duration
 	// seen is set once a report has listed the grant, generation is the last
 	// report of the decode engine that did.
 	seen       bool
@@ -82,7 +84,9 @@
 	}
 }
 
-// expire releases grants that no engine has listed within the term.
+// expire ends the term of grants that no report has listed. Where the engine's
+// figures are older than the end of the term, the grant may have been used in
+// time; it is then kept until the next report.
 func (m *Machine) expire(at time.Duration) {
 	for {
 		due, ok := m.terms.first()
@@ -91,11 +95,20 @@
 		}
 		g := m.terms.items[m.terms.head].grant
 		m.terms.pop()
-		m.count.Expired++
-		m.release(at, g, false)
+		g.lapsed = due
+		m.lapse(at, g)
 	}
 }
 
+// lapse releases an unused grant whose term is over by the engine's figures.
+func (m *Machine) lapse(at time.Duration, g *grant) {
+	if g.lapsed == 0 || g.decode.asof < g.lapsed {
+		return
+	}
+	m.count.Expired++
+	m.release(at, g, false)
+}
+
 // asked answers an Ask: with the same grant when it is repeated, with a new one
 // or with a refusal.
 func (m *Machine) asked(at time.Duration, e event.Asked, out []event.Action) []event.Action {
@@ -123,6 +136,7 @@
 		return
 	}
 	r.serial++
+	r.lapsed = 0
 	m.terms.push(expiry{r, r.serial, at + term})
 }
 
--- a/internal/core/cell/report.go
+++ b/internal/core/cell/report.go
@@ -74,7 +74,9 @@
 			// The engine has ended the run, so the memory is free.
 			m.count.Ended++
 			m.release(at, g, false)
+			continue
 		}
+		m.lapse(at, g)
 	}
 	for request, ended := range u.done {
 		if u.asof > ended+margin {
