Add the decisions bench

Change: internal/bench/decide plays both operators' loads on six daemons (edge and owner halves) over small fakes in injected time; script/bench prints a JSON line a case and a table.

--- /dev/null
+++ b/internal/bench/decide/fleet.go
@@ -0,0 +1,223 @@
+// Package decide measures the decisions of the core: several daemons, each with
+// its edge and its owner half, run in one process against fakes, in injected
+// time and with seeded arrivals.
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"citronrock.example/citronrock/internal/bench/fakes"
+	"citronrock.example/citronrock/internal/bench/loads"
+	"citronrock.example/citronrock/internal/bench/sched"
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/wire/engine"
+	"citronrock.example/citronrock/internal/wire/platfm"
+)
+
+// Times of the model.
+const (
+	near        = 200 * time.Microsecond
+	far         = time.Millisecond
+	reportEvery = 100 * time.Millisecond
+	reportLag   = 100 * time.Millisecond
+	cacheDelay  = 120 * time.Millisecond
+	gossip      = 300 * time.Millisecond
+	breakSeen   = 50 * time.Millisecond
+	faultEvery  = 10 * time.Second
+	downFor     = 3 * time.Second
+	warm        = 10 * time.Second
+	daemons     = 6
+	// gaps is the share of cache events that are lost.
+	gaps = 0.01
+)
+
+// fleet is one run: the daemons, the engines and the requests.
+type fleet struct {
+	c        Case
+	q        *sched.Queue
+	rnd      *rand.Rand
+	start    time.Time
+	daemons  []*daemon
+	engines  map[string]*fakes.Engine
+	order    []*fakes.Engine
+	sequence map[string]uint64
+	requests map[string]*record
+	work     fakes.Work
+	document *policy.Document
+	records  []*record
+	faults   []time.Duration
+	// rate is the arrivals a second.
+	rate float64
+}
+
+// record is what became of a request.
+type record struct {
+	loads.Request
+	first, last time.Duration
+	tokens      uint32
+	answered    bool
+	kind        int
+	reason      string
+}
+
+func newFleet(c Case) *fleet {
+	f := &fleet{
+		c: c, rate: c.rate(), q: sched.New(), rnd: rand.New(rand.NewPCG(c.Seed, 2)),
+		engines: map[string]*fakes.Engine{}, sequence: map[string]uint64{}, requests: map[string]*record{},
+	}
+	f.start = f.q.Now()
+	f.document = f.build()
+	instances := f.instances()
+	alive := map[string]uint64{}
+	for i := range daemons {
+		alive[daemonName(i)] = incarnation
+	}
+	for i := range daemons {
+		f.daemons = append(f.daemons, newDaemon(f, i))
+	}
+	for _, d := range f.daemons {
+		d.feed(event.Published{Document: f.document})
+		d.feed(event.Listed{Revision: 1, Instances: instances})
+		d.join(alive)
+	}
+	return f
+}
+
+func daemonName(i int) string { return fmt.Sprint("daemon", i) }
+
+// build returns the document and makes the engines.
+func (f *fleet) build() *policy.Document {
+	l := f.c.Load
+	d := &policy.Document{
+		Version: 1,
+		Tenants: []policy.Tenant{{Name: "console", Rate: 1e6, Burst: 1e6, Weight: 1}},
+		Service: []policy.Service{{
+			Name: l.Service, Kind: policy.KindModel, First: policy.Duration(l.First), Gap: policy.Duration(l.Gap),
+			Priority: 1, Idempotent: true, Deferrable: true, Queue: 256, Waste: l.Waste,
+		}},
+	}
+	for i := range l.Prefill + l.Decode {
+		role := policy.RoleDecode
+		if i < l.Prefill {
+			role = policy.RolePrefill
+		}
+		e := policy.Engine{
+			Name: fmt.Sprintf("engine%02d", i), Service: l.Service, Cell: "cell", Role: role,
+			Domain: l.Domains[i%len(l.Domains)], Checks: true,
+		}
+		d.Engines = append(d.Engines, e)
+		f.addEngine(e)
+	}
+	return d
+}
+
+func (f *fleet) addEngine(p policy.Engine) {
+	e := fakes.New(f.q, p.Name, p.Role, p.Domain, &f.work)
+	e.Cached = func(stored, removed []uint64) { f.cached(e, stored, removed) }
+	f.engines[p.Name] = e
+	f.order = append(f.order, e)
+	first := time.Duration(len(f.order)) * reportEvery / 16
+	f.q.After(first, func() { f.report(e) })
+}
+
+func (f *fleet) instances() []*platfm.Instance {
+	var list []*platfm.Instance
+	for i := range daemons {
+		list = append(list, &platfm.Instance{
+			Name: daemonName(i), Kind: "daemon", State: "live", Domain: f.c.Load.Domains[i%len(f.c.Load.Domains)],
+		})
+	}
+	for _, e := range f.order {
+		list = append(list, &platfm.Instance{Name: e.Name, Kind: "engine", State: "live", Domain: e.Domain})
+	}
+	return list
+}
+
+// report sends an engine's figures to the daemons that watch it, late.
+func (f *fleet) report(e *fakes.Engine) {
+	f.q.After(reportEvery, func() { f.report(e) })
+	if !e.Up {
+		return
+	}
+	r := e.Report()
+	r.Lag = durationpb.New(reportLag)
+	inc := e.Incarnation
+	f.q.After(reportLag, func() {
+		// A report of an engine that has died doesn't arrive.
+		if e.Up && e.Incarnation == inc {
+			f.watchers(e.Name, event.Reported{Engine: e.Name, Report: r})
+		}
+	})
+}
+
+// cached sends a cache event late, and loses some.
+func (f *fleet) cached(e *fakes.Engine, stored, removed []uint64) {
+	f.sequence[e.Name]++
+	if f.rnd.Float64() < gaps {
+		return
+	}
+	c := &engine.CacheEvent{
+		Sequence: f.sequence[e.Name], Incarnation: e.Incarnation,
+		Stored: slices.Clone(stored), Removed: slices.Clone(removed),
+	}
+	f.q.After(cacheDelay, func() { f.watchers(e.Name, event.Cached{Engine: e.Name, Event: c}) })
+}
+
+func (f *fleet) watchers(name string, e event.Event) {
+	for _, d := range f.daemons {
+		if d.watches(name) {
+			d.feed(e)
+		}
+	}
+}
+
+// fault kills an engine and brings it back.
+func (f *fleet) fault() {
+	e := f.order[f.rnd.IntN(len(f.order))]
+	f.faults = append(f.faults, f.q.Now().Sub(f.start))
+	e.Kill()
+	f.q.After(breakSeen, func() { f.watchers(e.Name, event.Unreachable{Engine: e.Name}) })
+	f.q.After(downFor, e.Start)
+	f.q.After(faultEvery, f.fault)
+}
+
+// arrivals feeds the requests of the whole run, one after another.
+func (f *fleet) arrivals(s *loads.Source, end time.Duration) {
+	r := &record{Request: s.Next(f.rate)}
+	if r.At >= end {
+		return
+	}
+	f.q.At(f.start.Add(r.At), func() {
+		f.requests[r.ID] = r
+		f.records = append(f.records, r)
+		d := f.daemons[r.Edge%len(f.daemons)]
+		d.feed(event.Arrive{
+			Request: r.ID, Tenant: "console", Service: f.c.Load.Service, Priority: r.Priority,
+			Tokens: r.Tokens, Max: f.c.Load.Max, Pieces: r.Pieces, Print: r.Print,
+			Deadline: f.q.Now().Add(f.c.Load.Wait),
+		})
+		f.arrivals(s, end)
+	})
+}
+
+// run plays the case and returns its figures.
+func (f *fleet) run() Result {
+	// The owner starts with reduced grants until its engines have reported.
+	end := warm + f.c.Span
+	f.arrivals(loads.New(f.c.Load, f.c.Seed), end)
+	if f.c.Faults {
+		f.q.After(warm, f.fault)
+	}
+	f.q.Run(f.start.Add(warm))
+	before := f.work
+	f.q.Run(f.start.Add(end))
+	spent := fakes.Work{Total: f.work.Total - before.Total, Wasted: f.work.Wasted - before.Wasted}
+	f.q.Run(f.start.Add(end + f.c.Load.Wait))
+	return f.figures(spent)
+}
--- /dev/null
+++ b/internal/bench/decide/result.go
@@ -0,0 +1,149 @@
+package decide
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/bench/fakes"
+)
+
+// Result holds the figures of a case. Times are in milliseconds, rates a second.
+type Result struct {
+	Load   string  `json:"load"`
+	Mode   string  `json:"mode"`
+	Rate   float64 `json:"rate"`
+	Faults bool    `json:"faults"`
+	Seed   uint64  `json:"seed"`
+
+	Offered float64 `json:"offered"`
+	// Goodput counts the requests that met both targets.
+	Goodput float64 `json:"goodput"`
+	Done    float64 `json:"done"`
+	Late    float64 `json:"late"`
+	Slow    float64 `json:"slow"`
+	Refused float64 `json:"refused"`
+	Failed  float64 `json:"failed"`
+	// Worst is the goodput of the worst tenth of the run.
+	Worst float64 `json:"worst"`
+	// Wasted is the share of prefill work without use.
+	Wasted float64 `json:"wasted"`
+	// Median and High are the first-token times of completed requests at 50 and
+	// at 95 of 100.
+	Median float64 `json:"median"`
+	High   float64 `json:"high"`
+	// After is the goodput by the second since the last fault.
+	After []float64 `json:"after,omitempty"`
+	// Recover is the time from a fault to full goodput, -1 for never.
+	Recover float64 `json:"recover,omitempty"`
+}
+
+// tenths is the number of parts that the worst is taken of.
+const tenths = 10
+
+func (f *fleet) figures(work fakes.Work) Result {
+	c := f.c
+	r := Result{Load: c.Load.Name, Mode: c.Mode, Rate: c.Rate, Faults: c.Faults, Seed: c.Seed}
+	each := 1 / c.Span.Seconds()
+	parts := make([]float64, tenths)
+	var firsts []time.Duration
+	for _, q := range f.records {
+		if q.At < warm {
+			continue
+		}
+		r.Offered += each
+		good := f.count(&r, q, each)
+		if q.answered && q.kind == 0 {
+			firsts = append(firsts, q.first-q.At)
+		}
+		if good {
+			r.Goodput += each
+			parts[min(tenths-1, int((q.At-warm)*tenths/c.Span))] += tenths * each
+		}
+	}
+	r.Worst = slices.Min(parts)
+	if work.Total > 0 {
+		r.Wasted = work.Wasted.Seconds() / work.Total.Seconds()
+	}
+	slices.Sort(firsts)
+	if n := len(firsts); n > 0 {
+		r.Median, r.High = millis(firsts[n/2]), millis(firsts[n*95/100])
+	}
+	if c.Faults {
+		r.After = f.after()
+	}
+	return r
+}
+
+func millis(d time.Duration) float64 { return math.Round(d.Seconds() * 1000) }
+
+// count sorts a request by its outcome and reports whether it met its targets.
+func (f *fleet) count(r *Result, q *record, each float64) bool {
+	switch {
+	case !q.answered || q.kind > 1:
+		r.Failed += each
+		return false
+	case q.kind == 1:
+		r.Refused += each
+		return false
+	}
+	r.Done += each
+	late := q.first-q.At > f.c.Load.First
+	slow := q.tokens > 1 && (q.last-q.first)/time.Duration(q.tokens-1) > f.c.Load.Gap
+	if late {
+		r.Late += each
+	}
+	if slow {
+		r.Slow += each
+	}
+	return !late && !slow
+}
+
+// after returns the goodput in each second after a fault, over all faults.
+func (f *fleet) after() []float64 {
+	bins := make([]float64, faultEvery/time.Second)
+	n := 0
+	for _, at := range f.faults {
+		if at+faultEvery > warm+f.c.Span {
+			continue
+		}
+		n++
+		for _, q := range f.records {
+			if off := q.At - at; off >= 0 && off < faultEvery {
+				var none Result
+				if f.count(&none, q, 1) {
+					bins[off/time.Second]++
+				}
+			}
+		}
+	}
+	for i := range bins {
+		bins[i] /= float64(max(n, 1))
+	}
+	return bins
+}
+
+// full is the share of the goodput without faults that counts as full.
+const full = 0.95
+
+// Recoveries fills in the times to full goodput from the same cases without
+// faults.
+func Recoveries(all []Result) {
+	base := map[[3]any]float64{}
+	for _, r := range all {
+		if !r.Faults {
+			base[[3]any{r.Load, r.Mode, r.Rate}] = r.Goodput
+		}
+	}
+	for i := range all {
+		r := &all[i]
+		want := base[[3]any{r.Load, r.Mode, r.Rate}] * full
+		if !r.Faults || want == 0 {
+			continue
+		}
+		r.Recover = -1
+		for s := len(r.After) - 1; s >= 0 && r.After[s] >= want; s-- {
+			r.Recover = float64(s)
+		}
+	}
+}
