Let prefills start half a second before their planned start

Cause: prefill engines were busy 84% of the time while requests waited: edges held prefills back until the planned start, which was late when earlier prefills found more of their prompt cached than the index knew.

Change: a grant's start is 500 ms earlier than planned, which is also the bound of the planned wait; the engine's own queue keeps the order. The bench reports how busy the prefill engines are.

Ruled out: no start at all, since a longer bound of the queue would then fill the engines' queues without need.

--- a/internal/bench/decide/main.go
+++ b/internal/bench/decide/main.go
@@ -88,14 +88,14 @@
 // Table prints the figures side by side.
 func Table(out io.Writer, results []Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "load\trate\tfaults\tmode\toffered/s\tgoodput/s\tworst/s\tlate/s\tslow/s\trefused/s\tfailed/s\twasted %\tfirst ms 50\t95\trecover s\t")
+	fmt.Fprintln(w, "load\trate\tfaults\tmode\toffered/s\tgoodput/s\tworst/s\tlate/s\tslow/s\trefused/s\tfailed/s\twasted %\tbusy %\tfirst ms 50\t95\trecover s\t")
 	for _, r := range results {
 		recovered := "-"
 		if r.Faults {
 			recovered = fmt.Sprint(r.Recover)
 		}
-		fmt.Fprintf(w, "%s\t%.1f\t%v\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%s\t\n",
-			r.Load, r.Rate, r.Faults, r.Mode, r.Offered, r.Goodput, r.Worst, r.Late, r.Slow, r.Refused, r.Failed, 100*r.Wasted, r.Median, r.High, recovered)
+		fmt.Fprintf(w, "%s\t%.1f\t%v\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%s\t\n",
+			r.Load, r.Rate, r.Faults, r.Mode, r.Offered, r.Goodput, r.Worst, r.Late, r.Slow, r.Refused, r.Failed, 100*r.Wasted, 100*r.Busy, r.Median, r.High, recovered)
 	}
 	return w.Flush()
 }
--- a/internal/bench/decide/result.go
+++ b/internal/bench/decide/result.go
@@ -28,6 +28,8 @@
 	Worst float64 `json:"worst"`
 	// Wasted is the share of prefill work without use.
 	Wasted float64 `json:"wasted"`
+	// Busy is the share of the prefill engines' time that was worked.
+	Busy float64 `json:"busy"`
 	// Median and High are the first-token times of completed requests at 50 and
 	// at 95 of 100.
 	Median float64 `json:"median"`
@@ -65,6 +67,7 @@
 	if work.Total > 0 {
 		r.Wasted = work.Wasted.Seconds() / work.Total.Seconds()
 	}
+	r.Busy = work.Total.Seconds() * each / float64(c.Load.Prefill)
 	slices.Sort(firsts)
 	if n := len(firsts); n > 0 {
 		r.Median, r.High = millis(firsts[n/2]), millis(firsts[n*95/100])
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -18,6 +18,9 @@
 	// overhead covers the messages of one step: between a grant and the first
 	// token, and between the engines of a transfer.
 	overhead = 4 * time.Millisecond
+	// early is how long before its planned start a prefill is sent, so that the
+	// engine has it at hand when earlier ones take less than planned.
+	early = 500 * time.Millisecond
 	// crowd is the number of live grants of one prefix that an engine may have
 	// before its share of them is bounded.
 	crowd = 4
@@ -325,7 +328,7 @@
 		Prefill: r.prefill.name,
 		Decode:  r.decode.name,
 		Pieces:  r.pieces,
-		Start:   millis(r.start - at),
+		Start:   millis(r.start - at - early),
 		First:   millis(r.ready - at),
 		Free:    l.free,
 		Queue:   millis(l.queue),
