Add tokens, keys and forwarding to calls

Cause: calls that may not be repeated need one place that runs them.

Change: a call with a token or key goes to the daemon that holds the right to run it and is repeated there until it is answered; only the first message that may have been received can start a run with a key. A forward ends when the daemon is no longer a member. Refusals of a repeat at the edge are unknown, not not run.

Conclusion: Router.Call, Router.Token and Peer.Execute can be connected.

--- a/internal/daemon/call/call.go
+++ b/internal/daemon/call/call.go
@@ -5,14 +5,15 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"math/rand/v2"
 	"time"
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/once"
 	"citronrock.example/citronrock/internal/wire/caller"
-	"citronrock.example/citronrock/internal/wire/peer"
 )
 
 // Caller serves Router.Call and Router.Token, and Peer.Execute for other
@@ -30,6 +31,8 @@
 	clock       citronrock.Clock
 	dial        Dialer
 	observe     func(Sample)
+	secret      []byte
+	limits      once.Limits
 
 	state state // touched on the control goroutine only
 }
@@ -89,6 +92,17 @@
 	return func(c *Caller) { c.state.rnd = rand.New(rand.NewPCG(seed, 0)) }
 }
 
+// WithSecret gives the key of execution tokens, random and of this process only.
+// By default one is drawn from crypto/rand.
+func WithSecret(key []byte) Option {
+	return func(c *Caller) { c.secret = key }
+}
+
+// WithOnce replaces the limits of calls that may not be repeated.
+func WithOnce(l once.Limits) Option {
+	return func(c *Caller) { c.limits = l }
+}
+
 type systemClock struct{}
 
 func (systemClock) Now() time.Time { return time.Now() }
@@ -98,14 +112,22 @@
 	c := &Caller{
 		clock:   systemClock{},
 		observe: func(Sample) {},
+		limits:  once.Defaults(),
 		state: state{
-			rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			tenants: NewTenants(),
+			rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			tenants:  NewTenants(),
+			waits:    map[once.ID]*wait{},
+			forwards: map[*forward]bool{},
 		},
 	}
 	for _, o := range opts {
 		o(c)
 	}
+	if c.secret == nil {
+		c.secret = make([]byte, 32)
+		_, _ = crand.Read(c.secret) // never fails; it ends the process instead
+	}
+	c.state.table = once.New(c.name, c.incarnation, once.WithSecret(c.secret), once.WithLimits(c.limits))
 	return c
 }
 
@@ -113,16 +135,25 @@
 func (c *Caller) Publish(doc *policy.Document) { c.state.publish(doc, c.dial) }
 
 // List takes the platform's list of instances.
-func (c *Caller) List(l event.Listed) { c.state.list(l) }
+func (c *Caller) List(l event.Listed) { c.state.list(c.clock.Now(), l) }
+
+// Newer takes the highest revision of a list that a peer is known to have, from
+// probes. No key starts here until this daemon has that list.
+func (c *Caller) Newer(revision uint64) { c.state.table.Newer(revision) }
 
-// Members takes the daemons that answer, with their incarnations.
-func (c *Caller) Members(map[string]uint64) {}
+// Members takes the daemons that answer, with their incarnations. After a pause
+// they must have answered since.
+func (c *Caller) Members(alive map[string]uint64) { c.state.members(alive) }
 
 // Paused reports that the process did not run for gap.
-func (c *Caller) Paused(time.Duration) {}
+func (c *Caller) Paused(gap time.Duration) { c.state.table.Paused(c.clock.Now(), gap) }
 
-// Drain makes the daemon refuse new calls as not run. Calls in flight go on.
-func (c *Caller) Drain() { c.state.drained = true }
+// Drain makes the daemon refuse new calls as not run. Calls in flight go on, and
+// peers still get the answers that are kept here.
+func (c *Caller) Drain() {
+	c.state.drained = true
+	c.state.table.Close()
+}
 
 // Call sends a request to a plain service. Its errors are *citronrock.Error.
 func (c *Caller) Call(ctx context.Context, r *caller.CallRequest) (*caller.CallReply, error) {
@@ -134,7 +165,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.left)
 	defer cancel()
-	a := c.run(ctx, j)
+	var a answer
+	if j.exact() {
+		a = c.exact(ctx, j)
+	} else {
+		a = c.run(ctx, j)
+	}
 	c.control.Do(func(time.Time) { c.state.tenants.Release(j.tenant) })
 	c.sample(j, start, a)
 	if a.refusal != nil {
@@ -143,14 +179,33 @@
 	return &caller.CallReply{Request: j.request, Status: uint32(a.status), Body: a.body, Replay: a.replay}, nil
 }
 
-// Token issues execution tokens.
-func (c *Caller) Token(context.Context, *caller.TokenRequest) (*caller.TokenReply, error) {
-	return nil, refuse(citronrock.NotRun, citronrock.ReasonInvalid, "execution tokens are not issued; send an idempotency key", 0)
-}
+// tokenLimit bounds the tokens of one request.
+const tokenLimit = 1000
 
-// Execute runs a call for the daemon from.
-func (c *Caller) Execute(context.Context, string, *peer.ExecuteRequest) *peer.ExecuteReply {
-	return &peer.ExecuteReply{Kind: uint32(citronrock.NotRun), Reason: string(citronrock.ReasonHome)}
+// Token issues execution tokens. It counts as one call of the tenant's rate.
+func (c *Caller) Token(_ context.Context, r *caller.TokenRequest) (*caller.TokenReply, error) {
+	count := max(r.GetCount(), 1)
+	if count > tokenLimit {
+		return nil, invalid("%d tokens are too many; ask for at most %d", count, tokenLimit)
+	}
+	reply := &caller.TokenReply{}
+	var refusal *citronrock.Error
+	ok := c.control.Do(func(now time.Time) {
+		if refusal = c.state.count(now, r.GetTenant()); refusal != nil {
+			return
+		}
+		c.state.tenants.Release(r.GetTenant())
+		for range count {
+			reply.Tokens = append(reply.Tokens, c.state.table.Issue(now, r.GetTenant()))
+		}
+	})
+	if !ok {
+		refusal = stopped()
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return reply, nil
 }
 
 func (c *Caller) sample(j *job, start time.Time, a answer) {
--- /dev/null
+++ b/internal/daemon/call/fleet_test.go
@@ -0,0 +1,151 @@
+package call_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/once"
+	"citronrock.example/citronrock/internal/daemon/call"
+	"citronrock.example/citronrock/internal/wire/caller"
+	"citronrock.example/citronrock/internal/wire/peer"
+	"citronrock.example/citronrock/internal/wire/platfm"
+)
+
+// Faults of a connection between daemons.
+const (
+	cutOff      = "cut off"      // nothing is written
+	lostRequest = "lost request" // silent, the request never arrives
+	lostAnswer  = "lost answer"  // silent, the request arrives
+)
+
+// fleet is several daemons that share backends.
+type fleet struct {
+	clock   *clock
+	back    *backends
+	daemons map[string]*call.Caller
+	control map[string]*control
+
+	mu     sync.Mutex
+	faults map[string]string // by "from>to"
+	single bool              // a fault ends with the first message that meets it
+}
+
+var errLink = errors.New("connection failed")
+
+type link struct {
+	*fleet
+	from string
+}
+
+func (l link) Send(string, *peer.Frame) {}
+
+func (l link) Fetch(context.Context, string, uint64) (*peer.FetchReply, error) { return nil, errLink }
+
+func (l link) Execute(ctx context.Context, to string, r *peer.ExecuteRequest) (*peer.ExecuteReply, bool, error) {
+	l.mu.Lock()
+	fault := l.faults[l.from+">"+to]
+	if l.single {
+		delete(l.faults, l.from+">"+to)
+	}
+	l.mu.Unlock()
+	switch fault {
+	case cutOff:
+		return nil, false, errLink
+	case lostRequest:
+		<-ctx.Done()
+		return nil, true, errLink
+	case lostAnswer:
+		l.daemons[to].Execute(ctx, l.from, r)
+		<-ctx.Done()
+		return nil, true, errLink
+	}
+	return l.daemons[to].Execute(ctx, l.from, r), true, nil
+}
+
+// newFleet starts d1 to d5, all alive and listed for longer than the hold time.
+func newFleet() *fleet {
+	f := &fleet{
+		clock: newClock(), back: newBackends(), faults: map[string]string{},
+		daemons: map[string]*call.Caller{}, control: map[string]*control{},
+	}
+	for _, n := range all {
+		f.boot(n, 1)
+	}
+	f.list(1, all...)
+	f.members(all, all...)
+	f.clock.advance(time.Minute)
+	return f
+}
+
+func (f *fleet) boot(name string, incarnation uint64) {
+	f.control[name] = &control{clock: f.clock}
+	f.daemons[name] = call.New(
+		call.WithName(name, incarnation), call.WithControl(f.control[name]), call.WithClock(f.clock),
+		call.WithPeers(link{f, name}), call.WithDialer(f.back.dial), call.WithSeed(1),
+	)
+	f.do(name, func(c *call.Caller) { c.Publish(document(1)) })
+}
+
+func (f *fleet) do(name string, run func(c *call.Caller)) {
+	f.control[name].Do(func(time.Time) { run(f.daemons[name]) })
+}
+
+func (f *fleet) list(revision uint64, names ...string) {
+	l := event.Listed{Revision: revision}
+	for _, n := range names {
+		l.Instances = append(l.Instances, &platfm.Instance{Name: n, Kind: "daemon", State: "live"})
+	}
+	for _, n := range names {
+		f.do(n, func(c *call.Caller) { c.List(l) })
+	}
+}
+
+// members tells each of to that alive answer.
+func (f *fleet) members(to []string, alive ...string) {
+	m := map[string]uint64{}
+	for _, n := range alive {
+		m[n] = 1
+	}
+	for _, n := range to {
+		f.do(n, func(c *call.Caller) { c.Members(m) })
+	}
+}
+
+func (f *fleet) fail(from, to, fault string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults[from+">"+to] = fault
+}
+
+func (f *fleet) token(t *testing.T, name string) string {
+	t.Helper()
+	r, err := f.daemons[name].Token(t.Context(), &caller.TokenRequest{Tenant: "agentschap", Count: 2})
+	if err != nil || len(r.Tokens) != 2 {
+		t.Fatalf("Token = %v, %v", r, err)
+	}
+	return r.Tokens[1]
+}
+
+// send makes a sending of the order body with a token or key.
+func (f *fleet) send(t *testing.T, at, body, token, key string, attempt uint32) (*caller.CallReply, error) {
+	r := order("bestelbalie", body)
+	r.Head.Token, r.Head.Key, r.Head.Attempt = token, key, attempt
+	return f.daemons[at].Call(t.Context(), r)
+}
+
+// homed returns a key whose home by the first list is d1.
+func (f *fleet) homed() string {
+	table := once.New("d1", 1)
+	table.List(f.clock.Now(), 1, all)
+	for i := 0; ; i++ {
+		c := once.Call{Tenant: "agentschap", Service: "bestelbalie", Key: fmt.Sprintf("key%d", i)}
+		if at, _ := table.Homes(c); at == "d1" {
+			return c.Key
+		}
+	}
+}
--- a/internal/daemon/call/job.go
+++ b/internal/daemon/call/job.go
@@ -25,7 +25,8 @@
 	request, tenant, path string
 	body                  []byte
 	key, token            string
-	attempt               uint32
+	// first is true when the caller states that no earlier sending can have run.
+	first bool
 	// left is the time for the answer, counted from start.
 	left  time.Duration
 	start time.Time
@@ -65,7 +66,7 @@
 	h := r.GetHead()
 	j := &job{
 		tenant: h.GetTenant(), path: r.GetPath(), body: r.GetBody(),
-		key: h.GetKey(), token: h.GetToken(), attempt: h.GetAttempt(),
+		key: h.GetKey(), token: h.GetToken(), first: h.GetAttempt() == 1,
 		left: leftDefault,
 	}
 	if h.GetDeadline() != nil {
@@ -85,7 +86,22 @@
 	if !ok {
 		refusal = stopped()
 	}
-	return j, refusal
+	return j, j.soften(refusal)
+}
+
+// exact reports whether the call runs at most once over all its sendings.
+func (j *job) exact() bool {
+	return !j.conf.Idempotent && (j.key != "" || j.token != "")
+}
+
+// soften turns the refusal of a repeat into unknown where it says nothing about
+// the sendings before it.
+func (j *job) soften(refusal *citronrock.Error) *citronrock.Error {
+	if refusal == nil || refusal.Kind != citronrock.NotRun || j.first || !j.exact() {
+		return refusal
+	}
+	remedy := refusal.Remedy + "; an earlier sending may have run, repeat with the same key or token"
+	return refuse(citronrock.Unknown, refusal.Reason, remedy, refusal.After)
 }
 
 func stopped() *citronrock.Error {
@@ -108,24 +124,37 @@
 
 // admit runs on the control goroutine.
 func (s *state) admit(now time.Time, j *job, name string) *citronrock.Error {
-	if s.doc == nil {
-		return refuse(citronrock.NotRun, citronrock.ReasonConfig, "no valid document has been read yet; try again", time.Second)
-	}
 	svc := s.services[name]
-	if svc == nil {
+	switch {
+	case s.doc == nil:
+		return unconfigured()
+	case svc == nil:
 		return invalid("service %q is no plain service of the document; correct the name", name)
 	}
 	j.conf = svc.conf
-	if !s.tenants.Known(j.tenant) {
-		return invalid("tenant %q is not in the document; correct the name", j.tenant)
+	if s.tenants.Known(j.tenant) {
+		j.known = j.tenant
 	}
-	j.known = j.tenant
-	if s.drained {
+	return s.count(now, j.tenant)
+}
+
+// count counts an open call against the limits of its tenant.
+func (s *state) count(now time.Time, tenant string) *citronrock.Error {
+	switch {
+	case s.doc == nil:
+		return unconfigured()
+	case !s.tenants.Known(tenant):
+		return invalid("tenant %q is not in the document; correct the name", tenant)
+	case s.drained:
 		return stopped()
 	}
-	if after, ok := s.tenants.Admit(now, j.tenant); !ok {
-		remedy := fmt.Sprintf("tenant %s is at its limit of rate or open requests; wait", j.tenant)
+	if after, ok := s.tenants.Admit(now, tenant); !ok {
+		remedy := fmt.Sprintf("tenant %s is at its limit of rate or open requests; wait", tenant)
 		return refuse(citronrock.NotRun, citronrock.ReasonLimit, remedy, after)
 	}
 	return nil
 }
+
+func unconfigured() *citronrock.Error {
+	return refuse(citronrock.NotRun, citronrock.ReasonConfig, "no valid document has been read yet; try again", time.Second)
+}
--- a/internal/daemon/call/state.go
+++ b/internal/daemon/call/state.go
@@ -8,6 +8,7 @@
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/once"
 	"citronrock.example/citronrock/internal/core/retry"
 )
 
@@ -18,8 +19,14 @@
 	tenants  Tenants
 	rnd      *rand.Rand
 	drained  bool
-	count    uint64
+	made     uint64
 	listed   event.Listed
+	table    *once.Table
+	alive    map[string]uint64
+	// waits are the runs in progress here; forwards are the calls that wait for
+	// another daemon.
+	waits    map[once.ID]*wait
+	forwards map[*forward]bool
 }
 
 // service is a plain service with its servers.
@@ -59,7 +66,7 @@
 			s.services[conf.Name] = s.merge(old[conf.Name], conf, doc.Servers, dial)
 		}
 	}
-	s.list(s.listed)
+	s.survey()
 }
 
 // merge keeps the budget and the servers that have not changed.
@@ -90,12 +97,27 @@
 	return v
 }
 
-// list takes leaving servers out of use. A server that the platform has never
-// listed is used, since the list lags behind the document.
-func (s *state) list(l event.Listed) {
+// list takes a newer list of instances. Leaving daemons are home of no keys.
+func (s *state) list(now time.Time, l event.Listed) {
+	if l.Revision <= s.listed.Revision {
+		return
+	}
 	s.listed = l
-	states := map[string]string{}
+	s.survey()
+	var names []string
 	for _, i := range l.Instances {
+		if i.GetKind() == "daemon" && i.GetState() == "live" {
+			names = append(names, i.GetName())
+		}
+	}
+	s.table.List(now, l.Revision, names)
+}
+
+// survey takes leaving servers out of use. A server that the platform has never
+// listed is used, since the list lags behind the document.
+func (s *state) survey() {
+	states := map[string]string{}
+	for _, i := range s.listed.Instances {
 		if i.GetKind() == policy.KindPlain {
 			states[i.GetName()] = i.GetState()
 		}
@@ -109,10 +131,28 @@
 	}
 }
 
+// members ends the waits for daemons that are gone.
+func (s *state) members(alive map[string]uint64) {
+	s.alive = alive
+	s.table.Members(alive)
+	for f := range s.forwards {
+		if !s.answers(f.to) {
+			f.cancel()
+		}
+	}
+}
+
+// answers reports whether the daemon answers, as that incarnation if one is
+// given. Before the first members are known every daemon may.
+func (s *state) answers(to once.Origin) bool {
+	incarnation, ok := s.alive[to.Instance]
+	return s.alive == nil || ok && (to.Incarnation == 0 || to.Incarnation == incarnation)
+}
+
 // identity returns a new identity for a request.
 func (s *state) identity(name string, incarnation uint64) string {
-	s.count++
-	return name + "-" + strconv.FormatUint(incarnation, 36) + "-" + strconv.FormatUint(s.count, 36)
+	s.made++
+	return name + "-" + strconv.FormatUint(incarnation, 36) + "-" + strconv.FormatUint(s.made, 36)
 }
 
 // pick returns the server with the fewest open calls that tried does not hold.
