Test that forwarded calls end at once and never lie

Cause: trials on a scratch copy showed two rules of forwarding that no test guarded: that a daemon's departure ends the wait, and that not run is not passed on while an earlier message may still arrive.

--- a/internal/daemon/call/exact_test.go
+++ b/internal/daemon/call/exact_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/daemon/call"
 	"citronrock.example/citronrock/internal/wire/caller"
@@ -88,6 +89,9 @@
 	f.back.began = make(chan string, 2)
 	f.back.hold = make(chan struct{})
 	f.fail("d2", "d1", lostAnswer)
+	slow := document(2)
+	slow.Service[0].First = policy.Duration(time.Minute) // no message is repeated
+	f.do("d2", func(c *call.Caller) { c.Publish(slow) })
 	done := make(chan result, 1)
 	go func() {
 		reply, err := f.send(t, "d2", "o1", token, "", 1)
@@ -96,7 +100,12 @@
 	<-f.back.began
 	f.members([]string{"d2", "d3"}, "d2", "d3", "d4", "d5")
 	close(f.back.hold)
-	check(t, (<-done).err, citronrock.Unknown)
+	select {
+	case r := <-done:
+		check(t, r.err, citronrock.Unknown)
+	case <-time.After(20 * time.Second):
+		t.Fatal("no answer though the daemon is known to be gone")
+	}
 	_, err := f.send(t, "d3", "o1", token, "", 2)
 	check(t, err, citronrock.Unknown)
 	_, err = f.send(t, "d3", "o2", unused, "", 1)
@@ -260,3 +269,15 @@
 	}
 	f.runs(t, "o1", 1)
 }
+
+// Guards against not run while an earlier message of the sending may still
+// arrive.
+func TestExactRefusedAfterSilence(t *testing.T) {
+	f := newFleet()
+	token := f.token(t, "d1")
+	f.single = true
+	f.fail("d2", "d1", lostRequest)
+	f.do("d1", func(c *call.Caller) { c.Drain() })
+	_, err := f.send(t, "d2", "o1", token, "", 1)
+	check(t, err, citronrock.Unknown)
+}
--- a/internal/daemon/call/fleet_test.go
+++ b/internal/daemon/call/fleet_test.go
@@ -14,6 +14,7 @@
 	"citronrock.example/citronrock/internal/wire/caller"
 	"citronrock.example/citronrock/internal/wire/peer"
 	"citronrock.example/citronrock/internal/wire/platfm"
+	"google.golang.org/protobuf/types/known/durationpb"
 )
 
 // Faults of a connection between daemons.
@@ -135,6 +136,7 @@
 func (f *fleet) send(t *testing.T, at, body, token, key string, attempt uint32) (*caller.CallReply, error) {
 	r := order("bestelbalie", body)
 	r.Head.Token, r.Head.Key, r.Head.Attempt = token, key, attempt
+	r.Head.Deadline = durationpb.New(5 * time.Minute) // no test waits for it
 	return f.daemons[at].Call(t.Context(), r)
 }
 
