Add membership and dissemination as state machines, and a simulated fleet

Cause: the first group takes listed daemons for alive and lets every daemon watch the platform.

Change: internal/peer/member (one probe a second, indirect probes through 3 peers, suspect time 3 s, gossip bounded by records and bytes, refutations), internal/peer/spread (two watchers for each failure domain, version numbers, fetches from peers, polls), internal/peer/view, which joins the two, and internal/bench/fleet, which runs many of them over a lossy, reordering network with partitions, pauses, restarts and platform faults. A refutation raises a round, not the incarnation, since the incarnation identifies the process and its tokens.

--- /dev/null
+++ b/internal/bench/fleet/fetch.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"citronrock.example/citronrock/internal/peer/spread"
+	"citronrock.example/citronrock/internal/peer/view"
+	"citronrock.example/citronrock/internal/wire/peer"
+)
+
+var errReach = errors.New("peer is out of reach")
+
+// fetchTimeout is when a fetch from a peer beyond a partition fails.
+const fetchTimeout = 2 * time.Second
+
+// ask fetches from a peer. A dead process refuses at once, one beyond a
+// partition or paused does not answer.
+func (n *Node) ask(o spread.Ask) {
+	f := n.fleet
+	to := f.Nodes[o.To]
+	fail := func(d time.Duration) {
+		n.later(d, func() { n.fetched(o.To, [2]spread.Item{}, nil, errReach) })
+	}
+	switch {
+	case to == nil || f.cut(n.Name, o.To) || to.paused:
+		fail(fetchTimeout)
+		return
+	case !to.Up():
+		fail(2 * f.latency())
+		return
+	}
+	f.after(f.latency(), func() {
+		if !to.Up() || f.cut(n.Name, o.To) {
+			fail(fetchTimeout)
+			return
+		}
+		n.reply(to, o)
+	})
+}
+
+func (n *Node) reply(to *Node, o spread.Ask) {
+	items := [2]spread.Item{}
+	size := 0
+	for k, have := range []spread.Item{to.docs, to.lists} {
+		if have.Number > o.Have[k] {
+			items[k] = have
+			size += n.fleet.FetchBytes(spread.Kind(k), o.Have[k], have.Number)
+		}
+	}
+	var known []*peer.Member
+	if o.Members {
+		known = to.view.Members().Digest()
+		size += proto.Size(&peer.FetchReply{Members: known})
+	}
+	cost := uint64(FetchCost(size))
+	n.In += cost
+	to.Out += cost
+	n.later(n.fleet.latency(), func() { n.fetched(o.To, items, known, nil) })
+}
+
+func (n *Node) fetched(from string, items [2]spread.Item, known []*peer.Member, err error) {
+	n.step(func(now time.Time, out []view.Output) []view.Output {
+		return n.view.Fetched(now, from, items, known, err, out)
+	})
+}
+
+// Platform is the platform's configuration service.
+type Platform struct {
+	fleet *Fleet
+	// Down tells whether a daemon can't reach the platform, nil for none.
+	Down func(name string) bool
+	// Stale makes reads answer with what was there when it was set.
+	Stale bool
+	// Reads counts reads.
+	Reads int
+
+	now, old [2]spread.Item
+	pending  []*pending
+}
+
+// pending is a read that waits for news.
+type pending struct {
+	node *Node
+	life int
+	read spread.Read
+	over bool
+}
+
+// platformLatency is the time of one read without a wait.
+const platformLatency = 3 * time.Millisecond
+
+func newPlatform(f *Fleet) *Platform { return &Platform{fleet: f} }
+
+// Publish publishes a document; problem is what daemons find wrong with it.
+func (p *Platform) Publish(version uint64, problem error) {
+	p.set(spread.Document, spread.Item{Number: version, Problem: problem})
+}
+
+// PublishList publishes a list with the next revision.
+func (p *Platform) PublishList(d []view.Daemon) {
+	p.set(spread.List, spread.Item{Number: p.now[spread.List].Number + 1, Value: &view.Roster{Daemons: d}})
+}
+
+// Version is the highest version published.
+func (p *Platform) Version() uint64 { return p.now[spread.Document].Number }
+
+// Freeze makes reads answer with what is there now, whatever is published
+// later, until Thaw.
+func (p *Platform) Freeze() { p.Stale, p.old = true, p.now }
+
+// Thaw ends Freeze.
+func (p *Platform) Thaw() {
+	p.Stale = false
+	p.wake()
+}
+
+// Revert makes reads answer with an older document version.
+func (p *Platform) Revert(version uint64) {
+	p.Freeze()
+	p.old[spread.Document].Number = version
+}
+
+func (p *Platform) set(k spread.Kind, i spread.Item) {
+	p.now[k] = i
+	if !p.Stale {
+		p.wake()
+	}
+}
+
+func (p *Platform) shows(k spread.Kind) spread.Item {
+	if p.Stale {
+		return p.old[k]
+	}
+	return p.now[k]
+}
+
+func (p *Platform) wake() {
+	var still []*pending
+	for _, r := range p.pending {
+		if p.shows(r.read.Kind).Number > r.read.After && !r.over {
+			p.answer(r)
+		} else if !r.over {
+			still = append(still, r)
+		}
+	}
+	p.pending = still
+}
+
+func (p *Platform) read(n *Node, r spread.Read) {
+	p.Reads++
+	n.Out += uint64(FetchHeader / 3)
+	q := &pending{node: n, life: n.life, read: r}
+	if p.Down != nil && p.Down(n.Name) {
+		n.later(fetchTimeout, func() { n.answered(r, spread.Item{}, errReach) })
+		return
+	}
+	if p.shows(r.Kind).Number > r.After || r.Wait == 0 {
+		p.answer(q)
+		return
+	}
+	p.pending = append(p.pending, q)
+	p.fleet.after(r.Wait, func() {
+		if !q.over {
+			p.answer(q)
+		}
+	})
+}
+
+func (p *Platform) answer(q *pending) {
+	q.over = true
+	if q.node.life != q.life {
+		return
+	}
+	i := p.shows(q.read.Kind)
+	q.node.In += uint64(FetchHeader / 3)
+	if i.Number > q.read.After {
+		q.node.In += uint64(FetchCost(p.fleet.FetchBytes(q.read.Kind, 0, i.Number)))
+	}
+	n := q.node
+	n.later(platformLatency, func() {
+		if p.Down != nil && p.Down(n.Name) {
+			n.answered(q.read, spread.Item{}, errReach)
+			return
+		}
+		n.answered(q.read, i, nil)
+	})
+}
+
+func (n *Node) answered(r spread.Read, i spread.Item, err error) {
+	if i.Number <= r.After {
+		i = spread.Item{}
+	}
+	n.step(func(now time.Time, out []view.Output) []view.Output {
+		return n.view.Platform(now, r.Kind, i, err, out)
+	})
+}
--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,211 @@
+// Package fleet runs the control machines of many daemons in one process, over
+// an in-memory network and platform with an injected clock. Tests and the
+// measurements of control cost use it. A run depends on its seed alone.
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/spread"
+	"citronrock.example/citronrock/internal/peer/view"
+)
+
+// Settings describe a fleet.
+type Settings struct {
+	Seed    uint64
+	Domains int
+	// Loss is the share of datagrams that are lost, Jitter the random part of
+	// their delay, which reorders them, on top of Delay.
+	Loss          float64
+	Delay, Jitter time.Duration
+	// Prefix begins the daemons' names.
+	Prefix string
+}
+
+// Fleet is a set of daemons with a network, a platform and a clock.
+type Fleet struct {
+	set   Settings
+	rng   *rand.Rand
+	now   time.Time
+	epoch time.Time
+	queue events
+	order int
+
+	Nodes    map[string]*Node
+	Names    []string
+	Platform *Platform
+	// Cut tells whether two daemons can't reach each other, nil for none.
+	Cut func(a, b string) bool
+	// FetchBytes returns the encoded size of the answer to a fetch that brings
+	// a daemon from one number to another.
+	FetchBytes func(k spread.Kind, from, to uint64) int
+	// Violations lists breaches of what must always hold.
+	Violations []string
+	// Spent is the processor time used by all machines and codecs.
+	Spent time.Duration
+	// Largest is the largest datagram in bytes.
+	Largest int
+}
+
+// New returns an empty fleet.
+func New(s Settings) *Fleet {
+	if s.Delay == 0 {
+		s.Delay, s.Jitter = time.Millisecond, time.Millisecond
+	}
+	if s.Domains == 0 {
+		s.Domains = 2
+	}
+	epoch := time.Unix(1_700_000_000, 0)
+	f := &Fleet{
+		set:        s,
+		rng:        rand.New(rand.NewPCG(s.Seed, 99)),
+		now:        epoch,
+		epoch:      epoch,
+		Nodes:      map[string]*Node{},
+		FetchBytes: func(spread.Kind, uint64, uint64) int { return 0 },
+	}
+	f.Platform = newPlatform(f)
+	return f
+}
+
+// Now is the time since the start.
+func (f *Fleet) Now() time.Duration { return f.now.Sub(f.epoch) }
+
+// Run advances the clock.
+func (f *Fleet) Run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(*happening)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// RunUntil advances the clock until there, in steps of 10 ms, and returns the
+// time it took, or false after the limit.
+func (f *Fleet) RunUntil(limit time.Duration, there func() bool) (time.Duration, bool) {
+	from := f.Now()
+	for !there() {
+		if f.Now()-from >= limit {
+			return limit, false
+		}
+		f.Run(10 * time.Millisecond)
+	}
+	return f.Now() - from, true
+}
+
+func (f *Fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, &happening{at: f.now.Add(d), order: f.order, run: run})
+}
+
+func (f *Fleet) latency() time.Duration {
+	if f.set.Jitter == 0 {
+		return f.set.Delay
+	}
+	return f.set.Delay + time.Duration(f.rng.Int64N(int64(f.set.Jitter)))
+}
+
+// Add starts a daemon with a new name.
+func (f *Fleet) Add() *Node {
+	i := len(f.Names)
+	n := &Node{
+		fleet:  f,
+		Name:   fmt.Sprintf("%sd%03d", f.set.Prefix, i),
+		Domain: fmt.Sprintf("z%d", i%f.set.Domains),
+	}
+	f.Names = append(f.Names, n.Name)
+	f.Nodes[n.Name] = n
+	n.Start()
+	return n
+}
+
+// Live returns the running daemons by order of their names.
+func (f *Fleet) Live() []*Node {
+	var l []*Node
+	for _, name := range f.Names {
+		if n := f.Nodes[name]; n.Up() {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
+// All tells whether a condition holds at every running daemon.
+func (f *Fleet) All(ok func(*Node) bool) bool {
+	for _, name := range f.Names {
+		if n := f.Nodes[name]; n.Up() && !ok(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// InForce tells whether a version is in force at every running daemon.
+func (f *Fleet) InForce(version uint64) bool {
+	return f.All(func(n *Node) bool { return n.Version() >= version })
+}
+
+// Agree tells whether every running daemon takes exactly the running ones, at
+// their present incarnations, for alive.
+func (f *Fleet) Agree() bool {
+	live := f.Live()
+	return f.All(func(n *Node) bool {
+		if len(n.Alive) != len(live) {
+			return false
+		}
+		for _, o := range live {
+			if n.Alive[o.Name] != o.Incarnation {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// List publishes the running daemons as the platform's list.
+func (f *Fleet) List() {
+	var d []view.Daemon
+	for _, n := range f.Live() {
+		d = append(d, view.Daemon{Name: n.Name, Domain: n.Domain, Leaving: n.Leaving})
+	}
+	f.Platform.PublishList(d)
+}
+
+func (f *Fleet) cut(a, b string) bool { return f.Cut != nil && f.Cut(a, b) }
+
+func (f *Fleet) violate(format string, args ...any) {
+	if len(f.Violations) < 20 {
+		f.Violations = append(f.Violations, fmt.Sprintf("%v: ", f.Now())+fmt.Sprintf(format, args...))
+	}
+}
+
+// happening is something that is due.
+type happening struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []*happening
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*happening)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = nil
+	*e = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/bench/fleet/spread_test.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/spread"
+	"citronrock.example/citronrock/internal/wire/peer"
+)
+
+func strike(i uint64) *peer.Strike {
+	return &peer.Strike{Print: i, Count: 1, Left: 600_000, Engine: fmt.Sprintf("engine-%d", i)}
+}
+
+// Guards against records that don't reach all daemons or reach one twice.
+func TestStrikesReachAll(t *testing.T) {
+	f := build(t, Settings{Seed: 6, Loss: 0.2}, 40)
+	for i := range 10 {
+		f.Live()[i].Strike(strike(uint64(i)))
+	}
+	if _, ok := f.RunUntil(10*time.Second, func() bool {
+		return f.All(func(n *Node) bool { return len(n.Strikes) >= 9 })
+	}); !ok {
+		t.Fatal("records are missing after 10 s")
+	}
+	f.Run(20 * time.Second)
+	for _, n := range f.Live() {
+		seen := map[uint64]bool{}
+		for _, s := range n.Strikes {
+			if seen[s.Print] {
+				t.Errorf("%s got record %d twice", n.Name, s.Print)
+			}
+			seen[s.Print] = true
+		}
+	}
+}
+
+// Guards against a fleet in which all daemons read the platform.
+func TestFewReaders(t *testing.T) {
+	f := build(t, Settings{Seed: 7, Domains: 3}, 60)
+	f.Run(90 * time.Second)
+	watchers := 0
+	for _, n := range f.Live() {
+		if n.View().Spread().Watching() {
+			watchers++
+		}
+	}
+	if watchers != 3*spread.Watchers {
+		t.Errorf("%d watchers in 3 failure domains", watchers)
+	}
+	before := f.Platform.Reads
+	f.Run(5 * time.Minute)
+	reads := f.Platform.Reads - before
+	// Each watcher reads twice in 5 s, each other daemon twice in 45 s or more.
+	most := 6*2*60 + 54*2*7
+	if reads > most {
+		t.Errorf("%d reads in 5 minutes, more than %d", reads, most)
+	}
+	t.Logf("%d reads in 5 minutes", reads)
+}
+
+// Guards against a version that waits for a watcher that is dead.
+func TestLostWatchersAreReplaced(t *testing.T) {
+	for seed := range uint64(5) {
+		f := build(t, Settings{Seed: seed, Domains: 1}, 20)
+		f.Run(70 * time.Second)
+		for _, n := range f.Live() {
+			if n.View().Spread().Watching() {
+				n.Kill()
+			}
+		}
+		f.Platform.Publish(2, nil)
+		d, ok := f.RunUntil(12*time.Second, func() bool { return f.InForce(2) })
+		if !ok {
+			t.Error("version 2 is not in force 12 s after all watchers died")
+		}
+		t.Logf("seed %d: in force after %v", seed, d)
+		f.Run(12*time.Second - d)
+		watchers := 0
+		for _, n := range f.Live() {
+			if n.View().Spread().Watching() {
+				watchers++
+			}
+		}
+		if watchers != spread.Watchers {
+			t.Errorf("seed %d: %d watchers 12 s after all died", seed, watchers)
+		}
+	}
+}
+
+// Guards against a version that takes long to be in force everywhere.
+func TestVersionSpreadsFast(t *testing.T) {
+	for seed := range uint64(5) {
+		f := build(t, Settings{Seed: seed, Domains: 6, Loss: 0.05}, 60)
+		f.Platform.Publish(2, nil)
+		d, ok := f.RunUntil(2*time.Second, func() bool { return f.InForce(2) })
+		if !ok {
+			t.Errorf("seed %d: not in force after %v", seed, d)
+		}
+		t.Logf("seed %d: in force after %v", seed, d)
+		check(t, f)
+	}
+}
+
+// Guards against a fresh daemon that takes the older document of a platform
+// that is stale, and against one that is never ready when the platform is down.
+func TestFreshDaemonTakesTheHighest(t *testing.T) {
+	faults := map[string]func(f *Fleet){
+		"stale": func(f *Fleet) { f.Platform.Revert(1) },
+		"down":  func(f *Fleet) { f.Platform.Down = func(string) bool { return true } },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				f := build(t, Settings{Seed: seed}, 7)
+				for v := uint64(2); v <= 5; v++ {
+					f.Platform.Publish(v, nil)
+					settle(t, f, 10*time.Second, v)
+				}
+				fault(f)
+				n := f.Nodes["d003"]
+				n.Kill()
+				f.Run(time.Duration(seed) * time.Second)
+				n.Start()
+				if d, ok := f.RunUntil(time.Second, func() bool { return n.Version() > 0 }); !ok && name == "stale" {
+					t.Errorf("not ready %v after the start", d)
+				}
+				settle(t, f, 20*time.Second, 5)
+				if n.First != 5 {
+					t.Errorf("the first document of the fresh daemon has version %d", n.First)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a rejected document that comes into force, is fetched again
+// and again, or hides the next valid one.
+func TestRejectedOnce(t *testing.T) {
+	for name, n := range map[string]int{"all watch": 2, "most poll": 12} {
+		t.Run(name, func(t *testing.T) { rejectedOnce(t, build(t, Settings{Seed: 8}, n)) })
+	}
+}
+
+func rejectedOnce(t *testing.T, f *Fleet) {
+	f.Run(70 * time.Second)
+	before := f.Platform.Reads
+	f.Run(2 * time.Minute)
+	usual := f.Platform.Reads - before
+	f.Platform.Publish(9, errors.New("unknown key"))
+	before = f.Platform.Reads
+	f.Run(2 * time.Minute)
+	if got := f.Platform.Reads - before; got > usual+60 {
+		t.Errorf("%d reads with a rejected version, %d without", got, usual)
+	}
+	shown := 0
+	for _, n := range f.Live() {
+		if n.View().Spread().Problem(spread.Document) != nil {
+			shown++
+		}
+	}
+	if shown < min(2*spread.Watchers, len(f.Names)) {
+		t.Errorf("the problem is shown by %d daemons, fewer than there are watchers", shown)
+	}
+	if !f.All(func(n *Node) bool { return n.Version() == 1 }) {
+		t.Error("a rejected version is in force")
+	}
+	f.Platform.Publish(5, nil)
+	if _, ok := f.RunUntil(90*time.Second, func() bool { return f.InForce(5) }); !ok {
+		t.Error("a valid version below the rejected one is not in force")
+	}
+	check(t, f)
+}
--- /dev/null
+++ b/internal/peer/member/member_test.go
@@ -0,0 +1,96 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/wire/peer"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// pair returns a machine that knows the peer "b" at incarnation 5.
+func pair(t *testing.T) *Machine {
+	t.Helper()
+	m := New("a", 3, 1)
+	m.Listed(start, []Listed{{Name: "a"}, {Name: "b"}}, nil)
+	m.Receive(start, &peer.Packet{Kind: "news", From: "b", Incarnation: 5}, nil)
+	if m.Alive()["b"] != 5 {
+		t.Fatalf("alive %v", m.Alive())
+	}
+	return m
+}
+
+func record5(s string, round uint32) *peer.Packet {
+	return &peer.Packet{Kind: "news", From: "c", Incarnation: 9, Members: []*peer.Member{{Name: "b", Incarnation: 5, State: s, Round: round}}}
+}
+
+// Guards against an order of records in which an old one replaces a newer one.
+func TestRecordOrder(t *testing.T) {
+	cases := map[string]struct {
+		packets []*peer.Packet
+		alive   bool
+	}{
+		"suspect still answers":         {[]*peer.Packet{record5("suspect", 0)}, true},
+		"dead":                          {[]*peer.Packet{record5("dead", 0)}, false},
+		"late alive after dead":         {[]*peer.Packet{record5("dead", 0), record5("alive", 0)}, false},
+		"refuted":                       {[]*peer.Packet{record5("dead", 0), record5("alive", 1)}, true},
+		"late dead after refutation":    {[]*peer.Packet{record5("alive", 1), record5("dead", 0)}, true},
+		"left":                          {[]*peer.Packet{record5("leaving", 0), record5("alive", 0)}, false},
+		"predecessor's death":           {[]*peer.Packet{{Kind: "news", From: "b", Incarnation: 8}, record5("dead", 7)}, true},
+		"predecessor's packet":          {[]*peer.Packet{record5("dead", 0), {Kind: "news", From: "b", Incarnation: 4, Round: 9}}, false},
+		"restarted":                     {[]*peer.Packet{record5("dead", 0), {Kind: "news", From: "b", Incarnation: 8}}, true},
+		"record of an unlisted daemon":  {[]*peer.Packet{{Kind: "news", From: "x", Incarnation: 8}}, true},
+		"record with an unknown state":  {[]*peer.Packet{record5("odd", 9)}, true},
+		"record without an incarnation": {[]*peer.Packet{{Kind: "news", From: "b"}}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := pair(t)
+			for _, p := range tc.packets {
+				m.Receive(start, p, nil)
+			}
+			if _, ok := m.Alive()["b"]; ok != tc.alive {
+				t.Errorf("alive %v", m.Alive())
+			}
+			if _, ok := m.Alive()["x"]; ok {
+				t.Error("an unlisted daemon counts")
+			}
+		})
+	}
+}
+
+// Guards against a peer that is taken for dead because its suspicion ran out
+// while this process was paused and could not hear the refutation.
+func TestPauseRestartsSuspicions(t *testing.T) {
+	m := pair(t)
+	m.Receive(start, record5("suspect", 0), nil)
+	resumed := start.Add(10 * time.Second)
+	m.Paused(resumed, nil)
+	m.Tick(resumed, nil)
+	if _, ok := m.Alive()["b"]; !ok {
+		t.Error("the peer is dead right after the pause")
+	}
+	m.Tick(resumed.Add(suspectFor), nil)
+	if _, ok := m.Alive()["b"]; ok {
+		t.Error("the suspicion never ends")
+	}
+}
+
+// Guards against entries that stay when the list drops their names.
+func TestListDropsEntries(t *testing.T) {
+	m := pair(t)
+	m.Receive(start, record5("dead", 0), nil)
+	m.Listed(start, []Listed{{Name: "a"}}, nil)
+	if len(m.peers)+len(m.news) > 1 || m.Wake().After(start.Add(time.Minute)) {
+		t.Errorf("%d entries, %d changes are left", len(m.peers), len(m.news))
+	}
+	m.Listed(start, []Listed{{Name: "a", Leaving: true}, {Name: "b"}}, nil)
+	if m.Listing() || len(m.Alive()) != 0 {
+		t.Errorf("a daemon that the list shows as leaving counts: %v", m.Alive())
+	}
+	m.Receive(start, &peer.Packet{Kind: "news", From: "b", Incarnation: 5}, nil)
+	if m.Alive()["b"] != 5 {
+		t.Error("a name that came back on the list is not known again")
+	}
+}
