Run the group on membership and dissemination

Cause: the first group read the platform itself and took listed live daemons for alive.

Change: the group runs the view on the control goroutine and its reads, fetches and packets on goroutines of its own; frames show version numbers. The interface is unchanged.

--- a/internal/peer/group/group.go
+++ b/internal/peer/group/group.go
@@ -9,13 +9,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/peer/link"
+	"citronrock.example/citronrock/internal/peer/member"
+	"citronrock.example/citronrock/internal/peer/store"
+	"citronrock.example/citronrock/internal/peer/view"
 	"citronrock.example/citronrock/internal/wire/peer"
 )
 
@@ -36,6 +39,12 @@
 	Version  uint64            `json:"version"`
 	Revision uint64            `json:"revision"`
 	Alive    map[string]uint64 `json:"alive"`
+	// Watching tells whether this daemon holds the watch at the platform.
+	Watching bool `json:"watching"`
+	// Listed tells whether the newest list names this daemon as live.
+	Listed bool `json:"listed"`
+	// Replaced is the incarnation of a later process under the same name.
+	Replaced uint64 `json:"replaced,omitempty"`
 	// In and Out are control bytes since the start.
 	In  uint64 `json:"in"`
 	Out uint64 `json:"out"`
@@ -52,16 +61,23 @@
 	on       calls
 	log      hclog.Logger
 	link     *link.Link
-
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   sync.WaitGroup
-	status atomic.Pointer[Status]
+	// open is closed when link is set; what arrives before waits for it.
+	open chan struct{}
+
+	store   *store.Store
+	ctx     context.Context
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+	status  atomic.Pointer[Status]
+	mu      sync.Mutex
+	closed  bool
+	packets chan member.Send
+	wakes   chan time.Time
 
 	// Owned by the control goroutine.
-	document *policy.Document
-	body     []byte
-	listed   event.Listed
+	view *view.Machine
+	outs []view.Output
+	wake time.Time
 }
 
 // calls are the callbacks; all but execute run on the control goroutine.
@@ -112,18 +128,27 @@
 	for _, o := range opts {
 		o(g)
 	}
+	g.open = make(chan struct{})
+	g.store = store.New()
 	g.status.Store(new(Status))
+	g.packets = make(chan member.Send, 256)
+	g.wakes = make(chan time.Time, 1)
+	g.view = view.New(set.Name, set.Domain, set.Incarnation, set.Incarnation^xxhash.Sum64String(set.Name))
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	l, err := link.New(set.Name, set.Incarnation, set.Peer, link.WithLogger(g.log), link.WithCalls(link.Calls{
 		Frame:   g.frame,
 		Execute: g.execute,
+		Fetch:   g.fetch,
+		Packet:  g.packet,
 	}))
 	if err != nil {
+		g.cancel()
 		return nil, err
 	}
 	g.link = l
-	g.work.Go(g.watchDocument)
-	g.work.Go(g.watchList)
+	close(g.open)
+	g.goes(g.timer)
+	g.goes(g.sender)
 	return g, nil
 }
 
@@ -143,12 +168,24 @@
 // Close ends all links and goroutines. It must not be called on the control
 // goroutine.
 func (g *Group) Close() error {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
 	g.cancel()
 	err := g.link.Close()
 	g.work.Wait()
 	return err
 }
 
+// goes starts f unless the Group is closed.
+func (g *Group) goes(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.work.Go(f)
+	}
+}
+
 // Send implements citronrock.Peers.
 func (g *Group) Send(to string, f *peer.Frame) { g.link.Send(to, f) }
 
@@ -164,15 +201,27 @@
 
 // Strike spreads a record about a suspect request. It runs on the control
 // goroutine.
-func (g *Group) Strike(*peer.Strike) {}
+func (g *Group) Strike(s *peer.Strike) {
+	now := time.Now()
+	g.step(func(out []view.Output) []view.Output {
+		g.view.Strike(now, s)
+		return out
+	})
+}
 
 // Leave tells the peers that this daemon stops, so that its cells move. It
 // must not be called on the control goroutine.
-func (g *Group) Leave() {}
+func (g *Group) Leave() {
+	g.do(func(now time.Time, out []view.Output) []view.Output { return g.view.Leave(now, out) })
+}
 
 // Paused tells that the process did not run for gap. It runs on the control
-// goroutine.
-func (g *Group) Paused(time.Duration) {}
+// goroutine. OnMembers is called once peers have answered again.
+func (g *Group) Paused(gap time.Duration) {
+	now := time.Now()
+	g.log.Warn("process did not run for a while, asking peers", "gap", gap)
+	g.step(func(out []view.Output) []view.Output { return g.view.Paused(now, out) })
+}
 
 // Ready tells whether there is a valid document.
 func (g *Group) Ready() bool { return g.status.Load().Version > 0 }
@@ -184,109 +233,4 @@
 	return s
 }
 
-func (g *Group) frame(from string, _ uint64, f *peer.Frame) {
-	g.control.Do(func(time.Time) { g.on.frame(from, f) })
-}
-
-func (g *Group) execute(ctx context.Context, from string, r *peer.ExecuteRequest) (*peer.ExecuteReply, error) {
-	return g.on.execute(ctx, from, r), nil
-}
-
-func (g *Group) watchDocument() {
-	after := uint64(0)
-	for g.ctx.Err() == nil {
-		r, err := g.platform.Document(g.ctx, after, 5*time.Second)
-		if err != nil {
-			g.pause(err)
-			continue
-		}
-		if r.Version <= after {
-			continue
-		}
-		after = r.Version
-		d, err := g.check(r.Version, r.Body)
-		if err != nil {
-			g.log.Error("document is rejected", "version", r.Version, "error", err)
-			continue
-		}
-		g.control.Do(func(time.Time) { g.take(d, r.Body) })
-	}
-}
-
-// check validates a body and its version.
-func (g *Group) check(version uint64, body []byte) (*policy.Document, error) {
-	d, err := g.validate(body)
-	if err != nil {
-		return nil, err
-	}
-	if d.Version != version {
-		return nil, eris.Errorf("the document has version %d but is published as %d; publish it again", d.Version, version)
-	}
-	return d, nil
-}
-
-func (g *Group) take(d *policy.Document, body []byte) {
-	if g.document != nil && d.Version <= g.document.Version {
-		return
-	}
-	g.document, g.body = d, body
-	g.update(func(s *Status) { s.Version = d.Version })
-	g.on.document(d)
-}
-
-func (g *Group) watchList() {
-	after := uint64(0)
-	for g.ctx.Err() == nil {
-		r, err := g.platform.Instances(g.ctx, after, 5*time.Second)
-		if err != nil {
-			g.pause(err)
-			continue
-		}
-		if r.Revision <= after {
-			continue
-		}
-		after = r.Revision
-		g.control.Do(func(time.Time) { g.list(event.Listed{Revision: r.Revision, Instances: r.Instances}) })
-	}
-}
-
-// list takes a list and counts listed live daemons as alive.
-func (g *Group) list(l event.Listed) {
-	g.listed = l
-	alive := map[string]uint64{}
-	addrs := map[string]netip.AddrPort{}
-	for _, i := range l.Instances {
-		if i.Kind != "daemon" {
-			continue
-		}
-		if at, err := netip.ParseAddrPort(i.Peer); err == nil {
-			addrs[i.Name] = at
-		}
-		if i.State == "live" {
-			alive[i.Name] = 1
-		}
-	}
-	if _, ok := alive[g.set.Name]; ok {
-		alive[g.set.Name] = g.set.Incarnation
-	}
-	g.link.SetPeers(addrs)
-	g.update(func(s *Status) { s.Revision, s.Alive = l.Revision, alive })
-	g.on.listed(l)
-	g.on.members(alive)
-}
-
-func (g *Group) update(f func(*Status)) {
-	s := *g.status.Load()
-	f(&s)
-	g.status.Store(&s)
-}
-
-func (g *Group) pause(err error) {
-	g.log.Warn("platform does not answer", "error", err)
-	select {
-	case <-g.ctx.Done():
-	case <-time.After(time.Second):
-	}
-}
-
 var _ citronrock.Peers = (*Group)(nil)
--- /dev/null
+++ b/internal/peer/group/reads.go
@@ -0,0 +1,183 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/peer/spread"
+	"citronrock.example/citronrock/internal/peer/view"
+	"citronrock.example/citronrock/internal/wire/peer"
+	"citronrock.example/citronrock/internal/wire/platfm"
+)
+
+// Times allowed for calls, beyond the wait of a pending read.
+const (
+	readTimeout  = 3 * time.Second
+	fetchTimeout = 2 * time.Second
+)
+
+// sender sends packets.
+func (g *Group) sender() {
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case s := <-g.packets:
+			if err := g.link.Packet(s.To, s.Packet); err != nil {
+				g.log.Debug("packet is not sent", "to", s.To, "error", err)
+			}
+		}
+	}
+}
+
+// packet takes a packet from the socket. It waits for the control goroutine,
+// and the socket's buffer bounds what piles up meanwhile.
+func (g *Group) packet(p *peer.Packet) {
+	<-g.open
+	g.do(func(now time.Time, out []view.Output) []view.Output { return g.view.Receive(now, p, out) })
+}
+
+func (g *Group) frame(from string, _ uint64, f *peer.Frame) {
+	<-g.open
+	g.control.Do(func(now time.Time) {
+		if f.Version > 0 || f.Revision > 0 {
+			g.step(func(out []view.Output) []view.Output {
+				return g.view.Shown(now, from, f.Version, f.Revision, out)
+			})
+		}
+		g.on.frame(from, f)
+	})
+}
+
+func (g *Group) execute(ctx context.Context, from string, r *peer.ExecuteRequest) (*peer.ExecuteReply, error) {
+	<-g.open
+	return g.on.execute(ctx, from, r), nil
+}
+
+// fetch answers a peer.
+func (g *Group) fetch(_ context.Context, _ string, r *peer.FetchRequest) (*peer.FetchReply, error) {
+	out := g.store.Reply(r)
+	if r.Members {
+		g.control.Do(func(time.Time) { out.Members = g.view.Members().Digest() })
+	}
+	return out, nil
+}
+
+// read reads from the platform.
+func (g *Group) read(r spread.Read) {
+	ctx, cancel := context.WithTimeout(g.ctx, r.Wait+readTimeout)
+	defer cancel()
+	var i spread.Item
+	var err error
+	if r.Kind == spread.Document {
+		i, err = g.readDocument(ctx, r)
+	} else {
+		i, err = g.readList(ctx, r)
+	}
+	if err != nil && g.ctx.Err() == nil {
+		g.log.Warn("platform does not answer", "error", err)
+	}
+	g.do(func(now time.Time, out []view.Output) []view.Output {
+		return g.view.Platform(now, r.Kind, i, err, out)
+	})
+}
+
+func (g *Group) readDocument(ctx context.Context, r spread.Read) (spread.Item, error) {
+	d, err := g.platform.Document(ctx, r.After, r.Wait)
+	if err != nil || d.Version <= r.After {
+		return spread.Item{}, err
+	}
+	return g.document(d.Version, d.Body), nil
+}
+
+func (g *Group) readList(ctx context.Context, r spread.Read) (spread.Item, error) {
+	l, err := g.platform.Instances(ctx, r.After, r.Wait)
+	if err != nil || l.Revision <= r.After {
+		return spread.Item{}, err
+	}
+	return list(l.Revision, l.Instances), nil
+}
+
+func list(revision uint64, instances []*platfm.Instance) spread.Item {
+	return spread.Item{Number: revision, Value: roster(event.Listed{Revision: revision, Instances: instances})}
+}
+
+// document validates a body, away from the control goroutine, since a document
+// of a megabyte takes many milliseconds.
+func (g *Group) document(version uint64, body []byte) spread.Item {
+	d, err := g.check(version, body)
+	if err != nil {
+		g.log.Error("document is rejected; the one in force stays", "version", version, "error", err)
+		return spread.Item{Number: version, Problem: err}
+	}
+	return spread.Item{Number: version, Value: &document{parsed: d, body: body}}
+}
+
+func (g *Group) check(version uint64, body []byte) (*policy.Document, error) {
+	if len(body) > platformMax {
+		return nil, eris.Errorf("document %d has %d bytes, more than %d; publish a smaller one", version, len(body), platformMax)
+	}
+	d, err := g.validate(body)
+	if err != nil {
+		return nil, err
+	}
+	if d.Version != version {
+		return nil, eris.Errorf("the document states version %d but is published as %d; publish it again", d.Version, version)
+	}
+	return d, nil
+}
+
+// platformMax is the largest value of the platform in bytes.
+const platformMax = 1 << 20
+
+// ask fetches from a peer.
+func (g *Group) ask(a spread.Ask) {
+	ctx, cancel := context.WithTimeout(g.ctx, fetchTimeout)
+	defer cancel()
+	items, known, err := g.fetchFrom(ctx, a)
+	if err != nil && g.ctx.Err() == nil {
+		g.log.Info("peer gave no document or list", "peer", a.To, "error", err)
+	}
+	g.do(func(now time.Time, out []view.Output) []view.Output {
+		return g.view.Fetched(now, a.To, items, known, err, out)
+	})
+}
+
+// fetchFrom fetches changes, and everything when the changes do not fit.
+func (g *Group) fetchFrom(ctx context.Context, a spread.Ask) (items [2]spread.Item, known []*peer.Member, err error) {
+	r := &peer.FetchRequest{Above: a.Have[spread.Document], Revision: a.Have[spread.List], Members: a.Members}
+	for {
+		reply, err := g.link.Ask(ctx, a.To, r)
+		if err != nil {
+			return items, nil, err
+		}
+		items, err = g.contents(r, reply)
+		if err == nil || r.Above == 0 && r.Revision == 0 {
+			return items, reply.Members, err
+		}
+		r.Above, r.Revision = 0, 0
+	}
+}
+
+// contents reads the document and the list in a reply.
+func (g *Group) contents(r *peer.FetchRequest, reply *peer.FetchReply) (items [2]spread.Item, err error) {
+	body, err := g.store.Document(r.Above, reply)
+	if err != nil {
+		return items, err
+	}
+	instances, err := g.store.List(r.Revision, reply)
+	if err != nil {
+		return items, err
+	}
+	if body != nil {
+		items[spread.Document] = g.document(reply.Version, body)
+	}
+	if instances != nil {
+		items[spread.List] = list(reply.Revision, instances)
+	}
+	return items, nil
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -47,7 +48,9 @@
 	udp    *net.UDPConn
 	server *grpc.Server
 	count  counter
-	work   sync.WaitGroup
+	// version and revision are shown in frames.
+	version, revision atomic.Uint64
+	work              sync.WaitGroup
 
 	mu      sync.Mutex
 	closed  bool
@@ -162,6 +165,12 @@
 	return eris.Wrapf(last, "cannot receive probes on %s; choose a free address for the setting peer", addr)
 }
 
+// SetVersions sets the numbers that frames show.
+func (l *Link) SetVersions(version, revision uint64) {
+	l.version.Store(version)
+	l.revision.Store(revision)
+}
+
 // SetPeers replaces the addresses by name with those of the platform's list.
 // Links to names that left the list or moved are closed.
 func (l *Link) SetPeers(listed map[string]netip.AddrPort) {
--- a/internal/peer/link/pair.go
+++ b/internal/peer/link/pair.go
@@ -106,7 +106,7 @@
 
 // batch joins waiting frames to one.
 func (p *pair) batch(f *peer.Frame) *peer.Frame {
-	out := join(new(peer.Frame), f)
+	out := join(&peer.Frame{Version: p.link.version.Load(), Revision: p.link.revision.Load()}, f)
 	for records(out) < maxBatch {
 		select {
 		case f := <-p.queue:
