Measure what control costs a daemon by the size of the fleet

Cause: the planned size allows 1.3% of a core, 32 MB and 15 KB/s a daemon for control, and 18 s for a change.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -42,6 +42,8 @@
 	// FetchBytes returns the encoded size of the answer to a fetch that brings
 	// a daemon from one number to another.
 	FetchBytes func(k spread.Kind, from, to uint64) int
+	// PlatformBytes returns the encoded size of what the platform answers.
+	PlatformBytes func(k spread.Kind) int
 	// Violations lists breaches of what must always hold.
 	Violations []string
 	// Spent is the processor time used by all machines and codecs.
@@ -66,6 +68,8 @@
 		epoch:      epoch,
 		Nodes:      map[string]*Node{},
 		FetchBytes: func(spread.Kind, uint64, uint64) int { return 0 },
+
+		PlatformBytes: func(spread.Kind) int { return 0 },
 	}
 	f.Platform = newPlatform(f)
 	return f
--- /dev/null
+++ b/internal/bench/slope/print.go
@@ -0,0 +1,88 @@
+package slope
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+)
+
+// Limits of control at the planned size for each daemon.
+const (
+	LimitCore  = 1.3  // percent of a core
+	LimitHeap  = 32e3 // kilobytes
+	LimitBytes = 15e3 // bytes a second
+	LimitForce = 18.0 // seconds
+)
+
+// Report runs the cases and the parts and writes one JSON line for each, and a
+// table at the end.
+func Report(w io.Writer, seed uint64, sizes []int, d time.Duration) error {
+	var all []Figures
+	for _, n := range sizes {
+		f := Run(Case{Seed: seed, Daemons: n, Domains: domains(n), Time: d, Sizes: SizesOf(n)})
+		all = append(all, f)
+		if err := line(w, f); err != nil {
+			return err
+		}
+	}
+	parts, err := Parts(Planned)
+	if err != nil {
+		return err
+	}
+	for _, p := range parts {
+		if err := line(w, p); err != nil {
+			return err
+		}
+	}
+	table(w, all)
+	return nil
+}
+
+// domains is the number of failure domains of a fleet.
+func domains(n int) int {
+	if n < 12 {
+		return 2
+	}
+	return 6
+}
+
+func line(w io.Writer, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s\n", raw)
+	return err
+}
+
+func table(w io.Writer, all []Figures) {
+	fmt.Fprintf(w, "\n%d cores\n", runtime.NumCPU())
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "daemons\tcore %\theap KB\tin B/s\tout B/s\tbusiest B/s\twatcher B/s\treads/s\tforce s\tmax s\tloss s\tloss force s\tloss B/s\t")
+	for _, f := range all {
+		fmt.Fprintf(t, "%d\t%.4f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t\n", f.Daemons, f.Core, f.Heap,
+			f.In, f.Out, f.Busiest, f.Watcher, f.Reads, f.Force, f.Forcemax, f.Lost, f.Lostforce, f.Lostpeak)
+	}
+	_ = t.Flush()
+	if len(all) > 1 {
+		core := fit(all, func(f Figures) float64 { return f.Core })
+		mem := fit(all, func(f Figures) float64 { return f.Heap })
+		net := fit(all, func(f Figures) float64 { return f.In + f.Out })
+		fmt.Fprintf(w, "\ncore %%   = %.5f + %.7f n\nheap KB  = %.1f + %.3f n\nbytes/s  = %.1f + %.3f n\n",
+			core[0], core[1], mem[0], mem[1], net[0], net[1])
+	}
+}
+
+// fit returns the least squares line of a figure over the number of daemons.
+func fit(all []Figures, y func(Figures) float64) [2]float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, f := range all {
+		x := float64(f.Daemons)
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y(f), sxx+x*x, sxy+x*y(f)
+	}
+	b := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return [2]float64{(sy - b*sx) / n, b}
+}
