--- a/internal/core/cell/cell.go
+++ b/internal/core/cell/cell.go
@@ -16,6 +16,11 @@
 	term = 3 * time.Second
 	// grace is the time between noticing an orphan and cancelling it.
 	grace = 3 * time.Second
+	// attachedGrace is the same for runs that a connection waits for, and for runs
+	// of daemons that are not on the list. A daemon behind a network partition
+	// looks dead and goes on serving; its runs keep their connections, while
+	// those of a process that died lose them at once.
+	attachedGrace = time.Minute
 	// recancel is the time between two cancels of one orphan.
 	recancel = 500 * time.Millisecond
 	// stale is the age of a report from which an engine gets no grants.
@@ -91,7 +96,9 @@
 	// confirmed is false from a pause until the next Members event.
 	confirmed bool
 	alive     map[string]uint64
-	domains   map[string]string
+	// serving are the daemons whose runs are not orphans.
+	serving map[string]uint64
+	domains map[string]string
 	// states holds the listed state of daemons and engines.
 	states map[string]string
 
@@ -167,7 +174,7 @@
 	case event.Listed:
 		m.listed(at, e)
 	case event.Members:
-		m.members(at, e.Alive)
+		m.members(at, e)
 	case event.Paused:
 		m.paused()
 	case event.Struck:
--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -178,7 +178,12 @@
 	m.assign(at)
 }
 
-func (m *Machine) members(at time.Duration, alive map[string]uint64) {
+func (m *Machine) members(at time.Duration, e event.Members) {
+	alive := e.Alive
+	m.serving = e.Running
+	if m.serving == nil {
+		m.serving = alive
+	}
 	if m.confirmed && maps.Equal(alive, m.alive) {
 		return
 	}
--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -226,3 +226,49 @@
 		t.Errorf("refused: %v", g)
 	}
 }
+
+// Guards against cancelling the runs of a daemon that is leaving, that the list
+// lacks, or that only looks dead behind a network partition.
+func TestOrphanGraceByOrigin(t *testing.T) {
+	cases := map[string]struct {
+		running  map[string]uint64
+		listed   bool
+		attached bool
+		want     time.Duration // zero for never
+	}{
+		"leaving":             {map[string]uint64{"me": 7, "edge": 3}, true, false, 0},
+		"not heard of":        {map[string]uint64{"me": 7, "edge": 0}, true, false, 0},
+		"newer than known":    {map[string]uint64{"me": 7, "edge": 2}, true, false, 0},
+		"process died":        {map[string]uint64{"me": 7}, true, false, grace},
+		"process restarted":   {map[string]uint64{"me": 7, "edge": 4}, true, false, grace},
+		"partitioned":         {map[string]uint64{"me": 7}, true, true, attachedGrace},
+		"not listed":          {map[string]uint64{"me": 7}, false, false, attachedGrace},
+		"restarted, attached": {map[string]uint64{"me": 7, "edge": 4}, true, true, attachedGrace},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := ready(1, 1)
+			list := []*platfm.Instance{{Name: "me", Kind: "daemon", Domain: "gent", State: "live"}}
+			if c.listed {
+				list = append(list, &platfm.Instance{Name: "edge", Kind: "daemon", Domain: "gent", State: "live"})
+			}
+			r.do(event.Listed{Revision: 2, Instances: list})
+			r.do(event.Members{Alive: map[string]uint64{"me": 7}, Running: c.running})
+			begin, cancelled := r.now, time.Duration(0)
+			for cancelled == 0 && r.now.Sub(begin) < 2*attachedGrace {
+				out := r.report("d0", func(e *engine.Report) {
+					e.Running = []*engine.Running{{Request: "q", Instance: "edge", Incarnation: 3, Pieces: 1, State: stateDecode, Attached: c.attached}}
+				})
+				for _, a := range out {
+					if _, ok := a.(event.Cancel); ok {
+						cancelled = r.now.Sub(begin)
+					}
+				}
+				r.sleep(grace / 3)
+			}
+			if cancelled != c.want {
+				t.Errorf("cancelled after %v, want %v", cancelled, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/cell/refuse.go
+++ b/internal/core/cell/refuse.go
@@ -12,6 +12,9 @@
 const (
 	afterLeast = 10 * time.Millisecond
 	afterMost  = 5 * time.Second
+	// reportWait is when to ask again while an engine of a newly owned cell has
+	// not reported yet; its first report comes within one period of reports.
+	reportWait = 150 * time.Millisecond
 )
 
 // pace measures how fast a cell frees memory, and hands out times to come back
@@ -55,6 +58,8 @@
 	case p.prefill != nil:
 		// The prefill queue is too long; come back when half of it is left.
 		after = max(p.start-at-m.queue/2, p.ready-at-slack)
+	case p.unknown && g.awaiting():
+		after = reportWait
 	case p.unknown && at-g.since < term:
 		// The engines are fenced off until the old owner's term is over.
 		after = g.since + term - at
@@ -66,6 +71,16 @@
 	return a
 }
 
+// awaiting tells whether the first report of an engine is still to come.
+func (g *group) awaiting() bool {
+	for _, u := range g.units {
+		if !u.reported && !u.lost && !u.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) refuse(e event.Asked, why citronrock.Reason, after time.Duration) event.SendGrant {
 	m.count.Refused++
 	return event.SendGrant{To: e.From, Grant: &peer.Grant{
--- a/internal/core/cell/report.go
+++ b/internal/core/cell/report.go
@@ -143,31 +143,54 @@
 	}
 	found := 0
 	for _, run := range r.GetRunning() {
-		if m.alive[run.GetInstance()] == run.GetIncarnation() || run.GetInstance() == "" {
+		wait := m.orphaned(run)
+		if wait == 0 {
 			continue
 		}
 		found++
-		if _, ok := u.orphans[run.GetRequest()]; ok {
+		if o, ok := u.orphans[run.GetRequest()]; ok {
+			if o.wait != wait {
+				u.orphans[run.GetRequest()] = orphan{since: at, wait: wait}
+				m.schedule(at + wait)
+			}
 			continue
 		}
 		if u.orphans == nil {
 			u.orphans = map[string]orphan{}
 		}
-		u.orphans[run.GetRequest()] = orphan{since: at}
+		u.orphans[run.GetRequest()] = orphan{since: at, wait: wait}
 		m.orphans++
-		m.schedule(at + grace)
+		m.schedule(at + wait)
 	}
 	if found < len(u.orphans) {
 		m.dropOrphans(u, r)
 	}
 }
 
+// orphaned returns the grace of a run whose daemon is gone, zero for other runs.
+func (m *Machine) orphaned(run *engine.Running) time.Duration {
+	name, number := run.GetInstance(), run.GetIncarnation()
+	if name == "" {
+		return 0
+	}
+	known, ok := m.serving[name]
+	_, listed := m.states[name]
+	switch {
+	case ok && (known == number || known < number):
+		// The same daemon, or one that is newer than what is known here.
+		return 0
+	case run.GetAttached(), !ok && !listed:
+		return attachedGrace
+	}
+	return grace
+}
+
 // dropOrphans forgets the orphans that a report no longer lists.
 func (m *Machine) dropOrphans(u *unit, r *engine.Report) {
 	kept := make(map[string]orphan, len(u.orphans))
 	for _, run := range r.GetRunning() {
 		o, ok := u.orphans[run.GetRequest()]
-		if ok && m.alive[run.GetInstance()] != run.GetIncarnation() {
+		if ok && m.orphaned(run) > 0 {
 			kept[run.GetRequest()] = o
 		}
 	}
@@ -182,7 +205,7 @@
 	}
 	for _, request := range sorted(u.orphans) {
 		o := u.orphans[request]
-		if at-o.since < grace || o.sent && at-o.last < recancel {
+		if at-o.since < o.wait || o.sent && at-o.last < recancel {
 			continue
 		}
 		out = append(out, event.Cancel{Request: request, Engine: u.name, Fence: m.fence(), Fresh: o.sent})
--- a/internal/core/cell/unit.go
+++ b/internal/core/cell/unit.go
@@ -43,6 +43,8 @@
 
 // orphan is a run whose daemon is gone.
 type orphan struct {
+	// wait is the time between since and the first cancel.
+	wait        time.Duration
 	since, last time.Duration
 	sent        bool
 }
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -124,9 +124,15 @@
 	Instances []*platfm.Instance
 }
 
-// Members reports which daemons answer, this one included, by name with their
-// incarnations.
-type Members struct{ Alive map[string]uint64 }
+// Members reports which daemons answer, by name with their incarnations.
+type Members struct {
+	// Alive are the daemons that may own cells, this one included.
+	Alive map[string]uint64
+	// Running are the daemons that may have requests in flight: besides those
+	// in Alive the ones that leave, that the list lacks and that were not heard
+	// of yet, the last with incarnation zero. Without it, Alive counts.
+	Running map[string]uint64
+}
 
 // Paused reports that the process did not run for Gap. What was known before
 // is void until it has been confirmed.
--- a/internal/daemon/edge/server.go
+++ b/internal/daemon/edge/server.go
@@ -13,8 +13,11 @@
 
 // Limits of callers' connections.
 const (
-	maxBody       = 2 << 20
-	maxHeader     = 16 << 10
+	maxBody   = 2 << 20
+	maxHeader = 16 << 10
+	// compressFrom is the least size of a compressed message, in bytes. Compression
+	// of single tokens took 38% of the processor time of a stream.
+	compressFrom  = 4 << 10
 	headerTimeout = 5 * time.Second
 	readTimeout   = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
@@ -28,7 +31,7 @@
 // without TLS.
 func (e *Edge) Server() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(caller.NewRouterHandler(e, connect.WithReadMaxBytes(maxBody)))
+	mux.Handle(caller.NewRouterHandler(e, connect.WithReadMaxBytes(maxBody), connect.WithCompressMinBytes(compressFrom)))
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- /dev/null
+++ b/internal/daemon/start/fleet_test.go
@@ -0,0 +1,251 @@
+package start_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"citronrock.example/citronrock/internal/conf/local"
+	"citronrock.example/citronrock/internal/daemon/start"
+	"citronrock.example/citronrock/internal/stand/engine"
+	"citronrock.example/citronrock/internal/stand/plain"
+	"citronrock.example/citronrock/internal/stand/platfm"
+	"citronrock.example/citronrock/internal/wire/caller"
+	wire "citronrock.example/citronrock/internal/wire/platfm"
+)
+
+// patience bounds every wait of these tests; none of them passes by waiting.
+const patience = 20 * time.Second
+
+const document = `version = 1
+[[tenant]]
+name = "agentschap"
+rate = 1000.0
+burst = 1000
+open = 100
+[[tenant]]
+name = "small"
+rate = 1.0
+burst = 2
+open = 2
+[[service]]
+name = "taalpost"
+kind = "model"
+model = "stand"
+first = "2s"
+gap = "100ms"
+priority = 2
+idempotent = true
+deferrable = true
+queue = 200
+[[service]]
+name = "bestelbalie"
+kind = "plain"
+first = "300ms"
+priority = 1
+idempotent = false
+window = "10m"
+`
+
+// fleet is a small fleet in one process: stand-ins and daemons on loopback.
+type fleet struct {
+	t        *testing.T
+	platform *platfm.Platform
+	engines  []*engine.Engine
+	server   *plain.Server
+	daemons  []*start.Daemon
+	callers  []string
+	admins   []string
+	list     []*wire.Instance
+	client   *http.Client
+}
+
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newFleet(t *testing.T, daemons int) *fleet {
+	t.Helper()
+	return newFleetOf(t, daemons, []string{"prefill", "decode", "decode"}, func(int, *engine.Settings) {})
+}
+
+// newFleetOf starts a fleet with one engine for each role. The function change
+// may alter the settings of an engine.
+func newFleetOf(t *testing.T, daemons int, roles []string, change func(i int, s *engine.Settings)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, client: &http.Client{}}
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	doc := document
+	f.platform = platfm.New()
+	f.must(f.platform.Listen(loopback))
+	for i, role := range roles {
+		name := fmt.Sprintf("tp-%d", i+1)
+		e := engine.New(func(s *engine.Settings) {
+			s.Name, s.Role, s.Gap = name, role, 2*time.Millisecond
+			change(i, s)
+		})
+		f.must(e.Listen(loopback))
+		f.engines = append(f.engines, e)
+		doc += fmt.Sprintf("[[engine]]\nname = %q\nservice = \"taalpost\"\ncell = \"a\"\nrole = %q\naddress = %q\ndomain = \"gent\"\nchecks = true\n", name, role, e.Addr())
+		f.list = append(f.list, &wire.Instance{Name: name, Kind: "engine", Address: e.Addr().String(), Domain: "gent", State: "live"})
+	}
+	f.server = plain.New()
+	f.must(f.server.Listen(loopback))
+	doc += fmt.Sprintf("[[server]]\nname = \"bb-1\"\nservice = \"bestelbalie\"\naddress = %q\ndomain = \"gent\"\n", f.server.Addr())
+	f.list = append(f.list, &wire.Instance{Name: "bb-1", Kind: "plain", Address: f.server.Addr().String(), Domain: "gent", State: "live"})
+	f.platform.Document(1, []byte(doc))
+	for i := range daemons {
+		f.start(fmt.Sprintf("d%d", i+1))
+	}
+	t.Cleanup(f.close)
+	f.platform.Instances(f.list)
+	for _, a := range f.admins {
+		f.await("readiness", func() bool { return f.get("http://"+a+"/ready") == http.StatusOK })
+	}
+	return f
+}
+
+func (f *fleet) start(name string) {
+	f.t.Helper()
+	s := local.Settings{Name: name, Domain: "gent", Caller: free(f.t), Peer: free(f.t), Admin: free(f.t), Platform: f.platform.Addr()}
+	f.list = append(f.list, &wire.Instance{
+		Name: name, Kind: "daemon", Address: s.Caller.String(), Peer: s.Peer.String(), Domain: s.Domain, State: "live",
+	})
+	d, err := start.New(s, start.Logger(io.Discard, name))
+	f.must(err)
+	f.daemons = append(f.daemons, d)
+	f.callers = append(f.callers, s.Caller.String())
+	f.admins = append(f.admins, s.Admin.String())
+}
+
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		d.Stop()
+	}
+	for _, e := range f.engines {
+		_ = e.Close()
+	}
+	_ = f.server.Close()
+	_ = f.platform.Close()
+	f.client.CloseIdleConnections()
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) get(url string) int {
+	resp, err := f.client.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// await polls until ok or patience is over.
+func (f *fleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	f.within(patience, what, ok)
+}
+
+func (f *fleet) within(limit time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("no %s within %v", what, limit)
+}
+
+// switches sets a fault of the stand-in at an address.
+func (f *fleet) switches(addr netip.AddrPort, body string) {
+	f.t.Helper()
+	resp, err := f.client.Post("http://"+addr.String()+"/fault", "application/json", strings.NewReader(body))
+	f.must(err)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		f.t.Fatalf("fault %s gave status %d", body, resp.StatusCode)
+	}
+}
+
+// held returns the pieces and requests that all engines hold.
+func (f *fleet) held() (n int) {
+	for _, e := range f.engines {
+		h := e.Held()
+		n += int(h.Pieces) + h.Requests
+	}
+	return n
+}
+
+func (f *fleet) router(i int) caller.RouterClient {
+	return caller.NewRouterClient(f.client, "http://"+f.callers[i])
+}
+
+func head(service string) *caller.Head {
+	return &caller.Head{Tenant: "agentschap", Service: service, Deadline: durationpb.New(patience)}
+}
+
+// generate returns the text and the finish reason, after calling seen with each
+// index.
+func (f *fleet) generate(ctx context.Context, i int, r *caller.GenerateRequest, seen func(uint32)) (string, string, error) {
+	s, err := f.router(i).Generate(ctx, connect.NewRequest(r))
+	if err != nil {
+		return "", "", err
+	}
+	defer func() { _ = s.Close() }()
+	var text strings.Builder
+	finish := ""
+	next := r.From
+	for s.Receive() {
+		if s.Msg().Index != next {
+			return "", "", fmt.Errorf("index %d after %d", s.Msg().Index, next)
+		}
+		next++
+		text.WriteString(s.Msg().Text)
+		finish = s.Msg().Finish
+		if seen != nil {
+			seen(s.Msg().Index)
+		}
+	}
+	return text.String(), finish, s.Err()
+}
+
+// failure returns the typed failure of an error.
+func failure(t *testing.T, err error) *caller.Failure {
+	t.Helper()
+	var c *connect.Error
+	if !errors.As(err, &c) {
+		t.Fatalf("%v is not a connect error", err)
+	}
+	for _, d := range c.Details() {
+		if v, err := d.Value(); err == nil {
+			if f, ok := v.(*caller.Failure); ok {
+				return f
+			}
+		}
+	}
+	t.Fatalf("%v carries no failure", err)
+	return nil
+}
--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -167,9 +167,9 @@
 	d.moved = true
 }
 
-func (d *Daemon) members(alive map[string]uint64) {
+func (d *Daemon) members(alive, running map[string]uint64) {
 	d.calls.Members(alive)
-	d.loop.Inject(event.Members{Alive: alive})
+	d.loop.Inject(event.Members{Alive: alive, Running: running})
 	d.moved = true
 }
 
@@ -280,8 +280,11 @@
 	_ = d.meter.Close()
 }
 
-// Ready implements admin.Source.
-func (d *Daemon) Ready() bool { return !d.drain.Load() && d.group.Ready() }
+// Ready implements admin.Source. Without the instance list a daemon takes itself
+// for the owner of all cells, or knows no owner.
+func (d *Daemon) Ready() bool {
+	return !d.drain.Load() && d.group.Ready() && d.group.Status().Revision > 0
+}
 
 // Send implements citronrock.Peers.
 func (d *Daemon) Send(to string, f *peer.Frame) { d.group.Send(to, f) }
--- a/internal/peer/group/group.go
+++ b/internal/peer/group/group.go
@@ -84,7 +84,7 @@
 type calls struct {
 	document func(*policy.Document)
 	listed   func(event.Listed)
-	members  func(map[string]uint64)
+	members  func(alive, running map[string]uint64)
 	frame    func(string, *peer.Frame)
 	strike   func(*peer.Strike)
 	execute  func(context.Context, string, *peer.ExecuteRequest) *peer.ExecuteReply
@@ -105,7 +105,9 @@
 
 // OnMembers sets the function for changes of the daemons that answer, this one
 // included, by name with their incarnations.
-func OnMembers(f func(alive map[string]uint64)) Option { return func(g *Group) { g.on.members = f } }
+func OnMembers(f func(alive, running map[string]uint64)) Option {
+	return func(g *Group) { g.on.members = f }
+}
 
 // OnFrame sets the function for received frames.
 func OnFrame(f func(from string, frame *peer.Frame)) Option { return func(g *Group) { g.on.frame = f } }
@@ -156,7 +158,7 @@
 	return calls{
 		document: func(*policy.Document) {},
 		listed:   func(event.Listed) {},
-		members:  func(map[string]uint64) {},
+		members:  func(_, _ map[string]uint64) {},
 		frame:    func(string, *peer.Frame) {},
 		strike:   func(*peer.Strike) {},
 		execute: func(context.Context, string, *peer.ExecuteRequest) *peer.ExecuteReply {
--- a/internal/peer/group/group_test.go
+++ b/internal/peer/group/group_test.go
@@ -95,7 +95,7 @@
 	g, err := New(new(control), p, Settings{Name: "d1", Domain: "x", Peer: netip.MustParseAddrPort("127.0.0.1:0"), Incarnation: 9}, parse,
 		OnDocument(func(d *policy.Document) { docs <- d.Version }),
 		OnListed(func(l event.Listed) { lists <- l.Revision }),
-		OnMembers(func(a map[string]uint64) { alive <- a }))
+		OnMembers(func(a, _ map[string]uint64) { alive <- a }))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/group/step.go
+++ b/internal/peer/group/step.go
@@ -85,7 +85,7 @@
 		}
 	case member.Changed:
 		g.update(func(s *Status) { s.Alive = o.Alive })
-		g.on.members(o.Alive)
+		g.on.members(o.Alive, o.Running)
 	case member.Struck:
 		g.on.strike(o.Strike)
 	case member.Replaced:
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -39,7 +39,12 @@
 
 // Changed reports which daemons answer, this one included, by name with their
 // incarnations. It also follows a pause, once a peer has answered again.
-type Changed struct{ Alive map[string]uint64 }
+type Changed struct {
+	Alive map[string]uint64
+	// Running are the daemons that may have requests in flight, see
+	// event.Members.
+	Running map[string]uint64
+}
 
 // Shown reports the document version and the list revision of a peer.
 type Shown struct {
@@ -252,6 +257,19 @@
 	return a
 }
 
+// Running returns the daemons that are not known to be dead, this one included.
+// A daemon that leaves finishes its requests, so that they are not orphans.
+func (m *Machine) Running() map[string]uint64 {
+	r := make(map[string]uint64, len(m.peers)+1)
+	for name, e := range m.peers {
+		if e.state != dead {
+			r[name] = e.incarnation
+		}
+	}
+	r[m.self] = m.incarnation
+	return r
+}
+
 // Wake returns when Tick is wanted next.
 func (m *Machine) Wake() time.Time {
 	w := m.nextAt
@@ -342,7 +360,7 @@
 		return out
 	}
 	m.dirty = false
-	return append(out, Changed{Alive: m.Alive()})
+	return append(out, Changed{Alive: m.Alive(), Running: m.Running()})
 }
 
 // answering returns the names of the peers that answer, sorted.
--- a/internal/stand/engine/report.go
+++ b/internal/stand/engine/report.go
@@ -79,7 +79,7 @@
 	for _, n := range e.entries {
 		r.Running = append(r.Running, &wire.Running{
 			Request: n.id, Instance: n.origin.GetInstance(), Incarnation: n.origin.GetIncarnation(),
-			Pieces: n.pieces, State: n.state(),
+			Pieces: n.pieces, State: n.state(), Attached: n.stream != nil || n.job != nil,
 		})
 	}
 	sort.Slice(r.Running, func(i, j int) bool { return r.Running[i].Request < r.Running[j].Request })
