Let requests in time wait longer for a prefill than late ones

Cause: the bound of 500 ms on the planned wait refused requests that would have met their target, and requests that had missed it took the same places.

Change: the planned wait is bounded by 2 s and by the request's slack; a request without slack left gets a quarter of that bound.

--- a/internal/core/cell/cell.go
+++ b/internal/core/cell/cell.go
@@ -129,7 +129,7 @@
 		settings: settings{
 			quantile: 0.8,
 			prefixes: 4096,
-			queue:    500 * time.Millisecond,
+			queue:    2 * time.Second,
 			local:    500,
 			ramp:     4 * time.Second,
 			reserve:  true,
--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -241,6 +241,20 @@
 	}
 }
 
+// Guards against requests that are late already and make others late.
+func TestLateRequestsTakeShortWaits(t *testing.T) {
+	r := ready(1, 2)
+	r.ask(ask("a", 12000))
+	late, timely := ask("b", 1000), ask("c", 1000)
+	timely.Slack = 1000
+	if g := r.ask(late); g.Granted || g.After == 0 {
+		t.Errorf("a late request got %v behind 600 ms of work", g)
+	}
+	if g := r.ask(timely); !g.Granted {
+		t.Errorf("a request in time was refused: %v", g)
+	}
+}
+
 // Guards against a prefix that attracts all its requests to one engine.
 func TestPrefixAttractsUpToItsShare(t *testing.T) {
 	r := ready(4, 4, WithQueue(time.Hour))
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -20,7 +20,9 @@
 	overhead = 4 * time.Millisecond
 	// early is how long before its planned start a prefill is sent, so that the
 	// engine has it at hand when earlier ones take less than planned.
-	early = 500 * time.Millisecond
+	early = 2 * time.Second
+	// lateShare divides the bound of the queue for requests that are late already.
+	lateShare = 4
 	// crowd is the number of live grants of one prefix that an engine may have
 	// before its share of them is bounded.
 	crowd = 4
@@ -195,16 +197,23 @@
 	if !p.local {
 		p.ready += s.transfer(&p) + overhead
 	}
-	late := p.start-s.at > s.m.queue
-	if slack := time.Duration(s.ask.GetSlack()) * time.Millisecond; slack > 0 {
-		late = late || p.ready-s.at > slack
-	}
-	if late {
+	if s.late(&p) {
 		return p, citronrock.ReasonOverload
 	}
 	return p, ""
 }
 
+// late reports whether a placement would come too late to be of use. A request
+// that has missed its first-token target runs only where the wait is short, so
+// that it doesn't make others miss theirs.
+func (s *search) late(p *pick) bool {
+	slack := time.Duration(s.ask.GetSlack()) * time.Millisecond
+	if slack == 0 {
+		return p.start-s.at > s.m.queue/lateShare
+	}
+	return p.start-s.at > s.m.queue || p.ready-s.at > slack
+}
+
 // unreached returns why a cell has no engine for any request. After a takeover
 // the engines are there but not known yet.
 func (s *search) unreached() citronrock.Reason {
