Count a broken stream to a dead engine as a crash

A killed engine breaks the stream first and then refuses connections, or comes back without the request. Both ended as a lost engine without a strike, so the bound of two engines lost to one request depended on how the client named the fault. A broken stream that is followed by an unsent or refused one is a crash now. A finished stream whose last message was lost can look the same; it costs the request one strike, which its next run clears.

Streams that bring nothing are opened again with a backoff; before, a refused connection used up all three attempts at once.

An engine with an open release is not used, and a release that is asked for again starts again.

Removals on a scratch copy: crash rule or backoff, TestEngineGone; use of engines with open releases, TestReleasedEngine.

--- a/internal/core/flow/ask.go
+++ b/internal/core/flow/ask.go
@@ -149,9 +149,10 @@
 	m.accept(r, g)
 }
 
-// usable reports whether r may use an engine that was granted.
+// usable reports whether r may use an engine that was granted. An engine with an
+// open release could carry out the Cancel after the new work.
 func (m *Machine) usable(r *request, engine string) bool {
-	if m.engine(engine).leaving && engine != r.decode {
+	if m.engine(engine).leaving && engine != r.decode || m.releases[place{r.admit.ID, engine}] != nil {
 		r.shun(engine)
 	}
 	return engine != "" && !slices.Contains(r.avoid, engine)
--- a/internal/core/flow/faults_test.go
+++ b/internal/core/flow/faults_test.go
@@ -155,6 +155,25 @@
 	}
 }
 
+// TestEngineGone guards against a crash that is not counted as one because the
+// stream broke first and the engine refused connections after that.
+func TestEngineGone(t *testing.T) {
+	k := newMarks()
+	s := newScript(t, flow.WithStrikes(k))
+	d := s.decode("r", "drafts")
+	s.step(event.Ended{Request: "r", Engine: d.Engine, Stream: 1, Next: 3, Fault: event.FaultBroken})
+	s.step(event.Ended{Request: "r", Engine: d.Engine, Stream: 2, Next: 3, Fault: event.FaultUnsent})
+	if len(s.out) != 0 {
+		t.Fatalf("no backoff before the third stream: %s", list(s.out))
+	}
+	s.wait(100 * time.Millisecond)
+	n := one[event.Decode](s)
+	s.step(event.Ended{Request: "r", Engine: d.Engine, Stream: n.Stream, Next: 3, Fault: event.FaultUnsent})
+	if one[event.SendStrike](s); k.count[7] != 1 {
+		t.Fatalf("%d strikes", k.count[7])
+	}
+}
+
 // TestLateStream guards against an old stream that ends or advances the request.
 func TestLateStream(t *testing.T) {
 	s := newScript(t)
@@ -219,6 +238,25 @@
 	}
 }
 
+// TestReleasedEngine guards against new work on an engine that is being freed of
+// the same request: the Cancel could end the new work, or its answer could be
+// taken for that of a later one.
+func TestReleasedEngine(t *testing.T) {
+	s := newScript(t)
+	d := s.decode("r", "drafts")
+	p := d.Engine[:len(d.Engine)-2] + "p1"
+	s.step(event.Prefilled{Request: "r", Engine: p, Handle: "h"})
+	one[event.Cancel](s)
+	s.step(event.Ended{Request: "r", Engine: d.Engine, Stream: 1, Fault: event.FaultCrashed})
+	s.wait(50 * time.Millisecond)
+	a := one[event.SendAsk](s).Ask
+	a.Cell = p[:len(p)-2]
+	s.grant(a, "p1", "d2")
+	if n := len(find[event.Hold](s.out)); n != 0 {
+		t.Fatal("the grant of an engine that is being freed was used")
+	}
+}
+
 // TestGone guards against engine memory that a caller who left still holds.
 func TestGone(t *testing.T) {
 	s := newScript(t)
--- a/internal/core/flow/release.go
+++ b/internal/core/flow/release.go
@@ -17,9 +17,8 @@
 	place
 	// open is the number of Cancels without an answer.
 	open int
-	// again is set after a late success, at the time late: answers don't count
-	// until all of those that may be older than the success are in. They come in
-	// any order.
+	// again is set when there is more to free, at the time late: answers don't
+	// count until all of those that may be older are in. They come in any order.
 	again bool
 	late  time.Duration
 	// sent is the number of Cancels, silent those in a row without an answer.
@@ -46,10 +45,14 @@
 	answerMost = 5 * time.Second
 )
 
-// release starts to free a request on an engine.
+// release starts to free a request on an engine. A release that is open already
+// starts again, since its Cancels may precede what is to be freed.
 func (m *Machine) release(id, engine string) {
 	p := place{id, engine}
-	if m.releases[p] != nil {
+	if l := m.releases[p]; l != nil {
+		l.free = false
+		l.again, l.late = true, m.at
+		m.cancel(l)
 		return
 	}
 	if len(m.releases) >= maxReleases {
@@ -62,18 +65,6 @@
 	m.cancel(l)
 }
 
-// late frees what a late success has left on an engine.
-func (m *Machine) late(id, engine string) {
-	l := m.releases[place{id, engine}]
-	if l == nil {
-		m.release(id, engine)
-		return
-	}
-	l.free = false
-	l.again, l.late = true, m.at
-	m.cancel(l)
-}
-
 func (m *Machine) cancel(l *release) {
 	l.open++
 	l.sent++
--- a/internal/core/flow/request.go
+++ b/internal/core/flow/request.go
@@ -61,6 +61,9 @@
 	kept   time.Duration
 
 	stream, next uint32
+	// closed is true between a lost stream and the next one, broke is true when
+	// a stream broke since the last token.
+	closed, broke bool
 	// limit is when the running step must have made progress. The timer may be
 	// armed for an earlier time; that saves moving it for each token.
 	limit time.Duration
@@ -269,7 +272,7 @@
 	case moving:
 		m.moveLost(r, event.FaultStalled)
 	case decoding:
-		m.streamLost(r, event.FaultStalled)
+		m.streamDue(r)
 	}
 }
 
--- a/internal/core/flow/step.go
+++ b/internal/core/flow/step.go
@@ -84,7 +84,7 @@
 		return nil
 	}
 	if mayHold(f) {
-		m.late(id, engine)
+		m.release(id, engine)
 	}
 	return nil
 }
--- a/internal/core/flow/stream.go
+++ b/internal/core/flow/stream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/retry"
 )
 
 // Limits of a decode stream.
@@ -23,12 +24,12 @@
 
 // decodeFrom opens a stream at the next token index.
 func (m *Machine) decodeFrom(r *request) {
-	r.resumes, r.idle = 0, 0
+	r.resumes, r.idle, r.broke = 0, 0, false
 	m.open(r)
 }
 
 func (m *Machine) open(r *request) {
-	r.phase = decoding
+	r.phase, r.closed = decoding, false
 	r.stream++
 	m.emit(event.Decode{
 		Request: r.admit.ID, Engine: r.decode, Stream: r.stream,
@@ -42,18 +43,24 @@
 	if r == nil || r.phase != decoding || e.Stream != r.stream || e.Next <= r.next {
 		return
 	}
-	r.next, r.idle = e.Next, 0
-	// The timer is left where it is; expire moves it to the limit.
-	r.limit = m.at + r.stallWait()
+	r.advance(e.Next)
+	if !r.closed {
+		// The timer is left where it is; expire moves it to the limit.
+		r.limit = m.at + r.stallWait()
+	}
+}
+
+func (r *request) advance(next uint32) {
+	r.next, r.idle, r.broke = next, 0, false
 }
 
 func (m *Machine) ended(e event.Ended) {
 	r := m.requests[e.Request]
-	if r == nil || r.phase != decoding || e.Stream != r.stream || e.Engine != r.decode {
+	if r == nil || r.phase != decoding || e.Stream != r.stream || e.Engine != r.decode || r.closed {
 		return
 	}
 	if e.Next > r.next {
-		r.next, r.idle = e.Next, 0
+		r.advance(e.Next)
 	}
 	if e.Fault == event.FaultNone {
 		m.complete(r)
@@ -92,16 +99,42 @@
 	}
 	r.resumes++
 	r.idle++
+	r.broke = r.broke || f == event.FaultBroken
 	if resumable(f) && r.idle < maxIdle && r.resumes < maxResumes {
-		m.open(r)
+		m.resume(r)
 		return
 	}
+	if r.broke && (f == event.FaultUnsent || f == event.FaultRefused) {
+		// The engine died: it broke the stream, and then was gone or came back
+		// without the request.
+		f = event.FaultCrashed
+	}
 	engine := r.decode
 	m.strike(r, f, engine)
 	m.leaveDecode(r)
 	m.rerun(r, f, engine)
 }
 
+// resume opens the next stream at once, and after a backoff when the stream before
+// brought nothing, so that a short interruption doesn't use up all attempts.
+func (m *Machine) resume(r *request) {
+	if r.idle < 2 {
+		m.open(r)
+		return
+	}
+	r.closed = true
+	m.arm(r, retry.Backoff(r.idle+1, m.rnd))
+}
+
+// streamDue handles the timer of a stream: the end of a backoff or a stall.
+func (m *Machine) streamDue(r *request) {
+	if r.closed {
+		m.open(r)
+		return
+	}
+	m.streamLost(r, event.FaultStalled)
+}
+
 // resumable reports whether the engine may still run the request after f.
 func resumable(f event.Fault) bool {
 	switch f {
