Count a death once when edge and owner name it differently

An edge records a death under the engine's name and the owner under the name with the incarnation, so one death gave two strikes; and each refusal of a suspect closes the cell at that edge's admission for the ten minutes that the refusal names.

Change: where one of two names lacks the incarnation, deaths of the same engine within 5 s are one; names with different incarnations are two.

Ruled out: names without incarnation everywhere, since a request that crashes a restarted engine again at once would keep one strike.

That a suspect's refusal closes a cell for all requests alike remains in admission.

--- a/internal/core/cell/done.go
+++ b/internal/core/cell/done.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/strike"
 	"citronrock.example/citronrock/internal/wire/peer"
 )
 
@@ -82,7 +83,7 @@
 }
 
 func deathName(engine string, incarnation uint64) string {
-	return engine + "#" + strconv.FormatUint(incarnation, 10)
+	return engine + strike.Separator + strconv.FormatUint(incarnation, 10)
 }
 
 // finished ends a grant on word of its edge.
--- a/internal/core/strike/strike.go
+++ b/internal/core/strike/strike.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"citronrock.example/citronrock/internal/wire/peer"
@@ -15,6 +16,12 @@
 	Life = 10 * time.Minute
 	// Limit is the number of deaths from which a request is refused.
 	Limit = 2
+	// Separator stands between the name of an engine and its incarnation.
+	Separator = "#"
+	// window is the time within which reports about an engine that don't tell
+	// its incarnation mean one death. Edges notice a death within a second, and
+	// an engine that died needs longer to come back and run the request again.
+	window = 5 * time.Second
 	// capacity bounds the memory of a table to about half a megabyte.
 	capacity = 4096
 )
@@ -68,9 +75,9 @@
 	return 0
 }
 
-// Add records that engine died while it ran the request. The engine's name has
-// to tell apart its incarnations. The same death counts once; Add returns the
-// record to spread, nil when the death was known.
+// Add records that engine died while it ran the request. The name of the engine
+// may be followed by Separator and its incarnation. The same death counts once;
+// Add returns the record to spread, nil when the death was known.
 func (t *Table) Add(now time.Time, print uint64, engine string) *peer.Strike {
 	if print == 0 || !t.add(now, print, engine, now, 1) {
 		return nil
@@ -87,7 +94,7 @@
 // Known reports whether the death of engine is in the record of a print.
 func (t *Table) Known(now time.Time, print uint64, engine string) bool {
 	r := t.live(now, print)
-	return r != nil && slices.ContainsFunc(r.deaths, func(d death) bool { return d.engine == engine })
+	return r != nil && slices.ContainsFunc(r.deaths, func(d death) bool { return d.is(engine, now) })
 }
 
 // Clear drops the strikes of a print after a run that survived. It returns the
@@ -161,7 +168,7 @@
 	if !r.cleared.IsZero() && !at.After(r.cleared) {
 		return false
 	}
-	known := slices.ContainsFunc(r.deaths, func(d death) bool { return d.engine == engine })
+	known := r.knows(engine, at)
 	before := r.count
 	if !known {
 		r.deaths = append(r.deaths, death{engine, at})
@@ -174,6 +181,34 @@
 	return !known || r.count > before
 }
 
+// knows reports whether the record holds a death. It takes over the incarnation
+// when the record lacks it.
+func (r *record) knows(engine string, at time.Time) bool {
+	for i, d := range r.deaths {
+		if !d.is(engine, at) {
+			continue
+		}
+		if len(engine) > len(d.engine) {
+			r.deaths[i].engine = engine
+		}
+		return true
+	}
+	return false
+}
+
+// is reports whether the death is that of engine at the given time. Where one of
+// the names lacks the incarnation, the times decide.
+func (d death) is(engine string, at time.Time) bool {
+	own, _, labelled := strings.Cut(d.engine, Separator)
+	other, _, told := strings.Cut(engine, Separator)
+	if labelled && told {
+		return d.engine == engine
+	}
+	return own == other && d.near(at)
+}
+
+func (d death) near(at time.Time) bool { return at.Sub(d.at).Abs() < window }
+
 // clear drops the deaths up to the given time and keeps the time, so that a
 // late copy of an old record doesn't bring them back.
 func (t *Table) clear(now time.Time, print uint64, at time.Time) bool {
--- a/internal/core/strike/strike_test.go
+++ b/internal/core/strike/strike_test.go
@@ -18,15 +18,19 @@
 		after time.Duration
 		want  int
 	}{
-		"one death":         {func(t *Table) { t.Add(start, 1, "a") }, 0, 1},
-		"same death twice":  {func(t *Table) { t.Add(start, 1, "a"); t.Add(start, 1, "a") }, 0, 1},
-		"two deaths":        {func(t *Table) { t.Add(start, 1, "a"); t.Add(start, 1, "b") }, 0, 2},
-		"other print":       {func(t *Table) { t.Add(start, 2, "a") }, 0, 0},
-		"expired":           {func(t *Table) { t.Add(start, 1, "a") }, Life, 0},
-		"cleared":           {func(t *Table) { t.Add(start, 1, "a"); t.Clear(start, 1) }, 0, 0},
-		"told by two peers": {func(t *Table) { merge(t, 1, life, "a"); merge(t, 1, life-50, "a") }, 0, 1},
-		"two told deaths":   {func(t *Table) { merge(t, 1, life, "a"); merge(t, 1, life, "b") }, 0, 2},
-		"told count":        {func(t *Table) { merge(t, 2, life, "b") }, 0, 2},
+		"one death":            {func(t *Table) { t.Add(start, 1, "a") }, 0, 1},
+		"same death twice":     {func(t *Table) { t.Add(start, 1, "a"); t.Add(start, 1, "a") }, 0, 1},
+		"two deaths":           {func(t *Table) { t.Add(start, 1, "a"); t.Add(start, 1, "b") }, 0, 2},
+		"edge and owner tell":  {func(t *Table) { t.Add(start, 1, "a"); t.Add(start, 1, "a#1") }, 0, 1},
+		"owner and edge tell":  {func(t *Table) { t.Add(start, 1, "a#1"); t.Add(start, 1, "a") }, 0, 1},
+		"restart in between":   {func(t *Table) { t.Add(start, 1, "a"); t.Add(start, 1, "a#1"); t.Add(start, 1, "a#2") }, 0, 2},
+		"later death untagged": {func(t *Table) { t.Add(start, 1, "a"); t.Add(start.Add(window), 1, "a") }, window, 2},
+		"other print":          {func(t *Table) { t.Add(start, 2, "a") }, 0, 0},
+		"expired":              {func(t *Table) { t.Add(start, 1, "a") }, Life, 0},
+		"cleared":              {func(t *Table) { t.Add(start, 1, "a"); t.Clear(start, 1) }, 0, 0},
+		"told by two peers":    {func(t *Table) { merge(t, 1, life, "a"); merge(t, 1, life-50, "a") }, 0, 1},
+		"two told deaths":      {func(t *Table) { merge(t, 1, life, "a"); merge(t, 1, life, "b") }, 0, 2},
+		"told count":           {func(t *Table) { merge(t, 2, life, "b") }, 0, 2},
 		"old news after clearing": {func(t *Table) {
 			t.Add(start, 1, "a")
 			t.Clear(start.Add(time.Second), 1)
