Tighten stand-in tests and count prefill over killed engines

Cause: single faults were put into a scratch copy, one at a time, to see each test fail. Two survived: Stall without effect, since the test's link was slower than its deadline, and a chunk with a wrong index but the right text. Also, the counts of an engine were lost with the process.

Change: TestStall uses a fast link and demands the deadline's error; TestTake has the case of a wrong index. fleet.Kill saves the counts of an engine, fleet.Total sums them. The demo takes computed minus used tokens as wasted once nothing is held, as an export that breaks at its end is in neither engine's Wasted.

Ruled out: an acknowledgement of exports, which the protocol lacks.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,6 +73,7 @@
 }
 
 func measure(ctx context.Context, f *fleet.Fleet, set Settings, w io.Writer) error {
+	fmt.Fprintf(w, "callers reach the fleet at %s\n", strings.Join(f.Callers(), " "))
 	fmt.Fprintf(w, "sending %g requests a second for %s, seed %d\n", set.Rate, set.Time, set.Seed)
 	result, err := load.Run(ctx, f.Callers(), func(s *load.Settings) {
 		s.Seed, s.Rate, s.Time, s.Classes, s.Repeats = set.Seed, set.Rate, set.Time, load.Agentschap(), 5
@@ -85,26 +87,27 @@
 	for _, line := range result.Wrongs {
 		fmt.Fprintln(w, "  "+line)
 	}
-	held, err := Settle(ctx, f, settling)
-	waste(w, held)
+	if err := Settle(ctx, f, settling); err != nil {
+		return err
+	}
+	total, err := f.Total(ctx)
 	if err != nil {
 		return err
 	}
+	waste(w, total)
 	if n, answered := result.All(load.Answered); answered != n || result.Unsent > 0 {
 		return eris.Errorf("%d of %d requests answered, %d not sent", answered, n, result.Unsent)
 	}
 	return once(ctx, f, result)
 }
 
-// Settle waits until no engine holds memory, and returns what they hold then
-// or after limit, with an error.
-func Settle(ctx context.Context, f *fleet.Fleet, limit time.Duration) (map[string]engine.Held, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+// Settle waits until no engine holds memory, for at most limit.
+func Settle(ctx context.Context, f *fleet.Fleet, limit time.Duration) error {
+	over := time.Now().Add(limit)
 	for {
-		held, err := f.Held(context.WithoutCancel(ctx))
+		held, err := f.Held(ctx)
 		if err != nil {
-			return held, err
+			return err
 		}
 		var pieces uint32
 		requests := 0
@@ -113,13 +116,12 @@
 			requests += h.Requests
 		}
 		if pieces == 0 && requests == 0 {
-			return held, nil
+			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return held, eris.Errorf("%d requests still hold %d pieces after %s", requests, pieces, limit)
-		case <-time.After(50 * time.Millisecond):
+		if time.Now().After(over) {
+			return eris.Errorf("%d requests still hold %d pieces after %s", requests, pieces, limit)
 		}
+		time.Sleep(50 * time.Millisecond)
 	}
 }
 
@@ -149,21 +151,14 @@
 	return nil
 }
 
-func waste(w io.Writer, held map[string]engine.Held) {
-	var sum engine.Held
-	for _, h := range held {
-		sum.Computed += h.Computed
-		sum.Used += h.Used
-		sum.Wasted += h.Wasted
-		sum.Double += h.Double
-		sum.Preempted += h.Preempted
-	}
+func waste(w io.Writer, sum engine.Held) {
+	wasted := max(0, int64(sum.Computed)-int64(sum.Used))
 	share := 0.0
 	if sum.Computed > 0 {
-		share = 100 * float64(sum.Wasted) / float64(sum.Computed)
+		share = 100 * float64(wasted) / float64(sum.Computed)
 	}
 	fmt.Fprintf(w, "prefill: %d tokens computed, %d used, %d wasted (%.2f%%); %d double runs, %d preemptions\n",
-		sum.Computed, sum.Used, sum.Wasted, share, sum.Double, sum.Preempted)
+		sum.Computed, sum.Used, wasted, share, sum.Double, sum.Preempted)
 }
 
 // usage prints how to call the fleet and how to stop it.
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"citronrock.example/citronrock/internal/bench/direct"
 	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/stand/engine"
 	"citronrock.example/citronrock/internal/stand/platfm"
 )
 
@@ -59,7 +60,9 @@
 	doc     policy.Document
 	daemons []*Daemon
 	procs   map[string]*proc
-	ports   ports
+	// past holds what engines had counted when Kill ended them.
+	past  map[string]engine.Held
+	ports ports
 }
 
 // Start starts all processes and waits until the daemons are ready. Close must
@@ -73,7 +76,7 @@
 		return nil, eris.Wrapf(err, "can't make the directory %s", set.Work)
 	}
 	f := &Fleet{
-		set: set, doc: set.Plan.Document, procs: map[string]*proc{},
+		set: set, doc: set.Plan.Document, procs: map[string]*proc{}, past: map[string]engine.Held{},
 		ports:  ports{given: map[uint16]bool{}},
 		client: &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
 	}
--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"citronrock.example/citronrock/internal/stand/serve"
 	"citronrock.example/citronrock/internal/wire/caller"
+	"citronrock.example/citronrock/internal/wire/engine"
 	"citronrock.example/citronrock/internal/wire/platfm"
 )
 
@@ -139,15 +140,30 @@
 			t.Fatalf("daemon %d: %v, %v", i, r, err)
 		}
 	}
+	work := func() error {
+		e := f.Document().Engines[0]
+		_, err := engine.NewEngineClient(c, "http://"+e.Address.String()).Prefill(ctx,
+			connect.NewRequest(&engine.PrefillRequest{Request: "a", Prompt: "0123456789"}))
+		return err
+	}
+	counted := func() error {
+		if sum, err := f.Total(ctx); err != nil || sum.Computed != 3 {
+			return fmt.Errorf("total %+v, %w", sum, err)
+		}
+		return nil
+	}
 	steps := []struct {
 		name string
 		do   func() error
 		fail bool
 	}{
 		{"held", func() error { _, err := f.Held(ctx); return err }, false},
+		{"work", work, false},
 		{"kill engine", func() error { return f.Kill("e4") }, false},
 		{"held without e4", func() error { _, err := f.Held(ctx); return err }, true},
+		{"total without e4", func() error { _, err := f.Total(ctx); return err }, true},
 		{"restart engine", func() error { return f.Restart(ctx, "e4") }, false},
+		{"total with the earlier run", counted, false},
 		{"held again", func() error { _, err := f.Held(ctx); return err }, false},
 		{"fault", func() error { return f.Fault(ctx, "e4", `{"stall":true}`) }, false},
 		{"unknown fault", func() error { return f.Fault(ctx, "e4", `{"stalled":true}`) }, true},
--- a/internal/bench/fleet/ops.go
+++ b/internal/bench/fleet/ops.go
@@ -36,18 +36,62 @@
 	return p.signal(s)
 }
 
-// Kill ends a process at once and waits for its end.
+// Kill ends a process at once and waits for its end. What an engine has counted
+// until then stays in Total.
 func (f *Fleet) Kill(name string) error {
-	if err := f.signal(name, syscall.SIGKILL); err != nil {
+	p, err := f.find(name)
+	if err != nil {
+		return err
+	}
+	f.save(name)
+	if err := p.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
-	p, _ := f.find(name)
 	if _, ok := p.wait(starting); !ok {
 		return eris.Errorf("%s was not killed", name)
 	}
 	return nil
 }
 
+// save adds the counts of an engine to those of its earlier runs.
+func (f *Fleet) save(name string) {
+	for _, e := range f.Document().Engines {
+		var h engine.Held
+		if e.Name != name || f.get(context.Background(), f.url(name), &h) != nil {
+			continue
+		}
+		f.mu.Lock()
+		f.past[name] = add(f.past[name], h)
+		f.mu.Unlock()
+	}
+}
+
+// add sums the counts; what is held now has no sum.
+func add(a, b engine.Held) engine.Held {
+	return engine.Held{
+		Computed: a.Computed + b.Computed, Used: a.Used + b.Used, Wasted: a.Wasted + b.Wasted,
+		Double: a.Double + b.Double, Finished: a.Finished + b.Finished, Preempted: a.Preempted + b.Preempted,
+	}
+}
+
+// Total returns the sum of what all engines have counted, with earlier runs
+// that Kill ended. Once nothing is held, the tokens that were computed and not
+// used are wasted; Wasted itself misses the results that an engine held when
+// it was killed and transfers that broke at their end.
+func (f *Fleet) Total(ctx context.Context) (engine.Held, error) {
+	now, err := f.Held(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum engine.Held
+	for _, h := range f.past {
+		sum = add(sum, h)
+	}
+	for _, h := range now {
+		sum = add(sum, h)
+	}
+	return sum, err
+}
+
 // Stop pauses a process, Continue resumes it.
 func (f *Fleet) Stop(name string) error { return f.signal(name, syscall.SIGSTOP) }
 
--- a/internal/bench/load/plan_test.go
+++ b/internal/bench/load/plan_test.go
@@ -65,6 +65,7 @@
 		"whole":       {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(1), "length")}, true},
 		"end apart":   {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(1, text.Token(1), ""), chunk(2, "", "length")}, true},
 		"lost token":  {[]*caller.GenerateChunk{chunk(1, text.Token(1), "length")}, false},
+		"wrong index": {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(2, text.Token(1), "length")}, false},
 		"repeated":    {[]*caller.GenerateChunk{chunk(0, text.Token(0), ""), chunk(0, text.Token(0), "")}, false},
 		"other's":     {[]*caller.GenerateChunk{chunk(0, engine.NewText("x").Token(0), "")}, false},
 		"early end":   {[]*caller.GenerateChunk{chunk(0, text.Token(0), "length")}, false},
--- a/internal/stand/engine/engine_test.go
+++ b/internal/stand/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -205,10 +206,12 @@
 	})
 }
 
-// Guards against a stalled transfer that loses the cache or never ends.
+// Guards against a stalled transfer that ends by itself or loses the cache. The
+// link is fast, so that only the stall can stop the first import.
 func TestStall(t *testing.T) {
+	fast := func(s *Settings) { s.Link = 1 << 40 }
 	bubble(t, func(t *testing.T, from *Engine) {
-		to := New(small)
+		to := New(small, fast)
 		defer func() { _ = to.Close() }()
 		to.pull = func(ctx context.Context, _ string, r *wire.ExportRequest, recv func(*wire.ExportChunk) error) error {
 			return from.export(ctx, r, recv)
@@ -218,14 +221,15 @@
 		from.Set(Fault{Stall: true})
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
-		if _, err := to.importKV(ctx, &wire.ImportRequest{Request: "a", Handle: handle}); err == nil {
-			t.Fatal("a stalled import succeeded")
+		_, err := to.importKV(ctx, &wire.ImportRequest{Request: "a", Handle: handle})
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("a stalled import ended with %v", err)
 		}
 		from.Set(Fault{})
 		if _, err := to.importKV(t.Context(), &wire.ImportRequest{Request: "a", Handle: handle}); err != nil {
 			t.Fatalf("second import: %v", err)
 		}
-	})
+	}, fast)
 }
 
 // Guards against an engine that frees requests by itself when a stream breaks,
