--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -111,6 +111,11 @@
 // Guards against engine memory held for a daemon that is gone.
 func TestOrphansAreCancelled(t *testing.T) {
 	r := ready(1, 1)
+	r.do(event.Listed{Revision: 2, Instances: []*platfm.Instance{
+		{Name: "me", Kind: "daemon", Domain: "gent", State: "live"},
+		{Name: "other", Kind: "daemon", Domain: "gent", State: "live"},
+		{Name: "dead", Kind: "daemon", Domain: "gent", State: "live"},
+	}})
 	r.do(event.Members{Alive: map[string]uint64{"me": 7, "other": 3}})
 	with := func(e *engine.Report) {
 		e.Running = []*engine.Running{
