Keep transfers apart from silent connections; report ended processes

Cause: an import over a shared connection hung behind an earlier silent one, which the router can't avoid, as it does not open that connection. Reports also named the daemon that reserved a request, not the one that took it over, so that a new owner would cancel it as an orphan.

Change: each transfer between stand-ins uses a connection of its own; a request's origin is that of the last call. load.Class.Poison puts a text in each prompt; fleet.Ended lists processes that have ended. A process wait reports the end also when its timer fires at the same time, which the new test of Ended showed (ended map[] after a crash).

Ruled out: pings on a shared connection, as they take longer than the eviction time of a KV cache. Conclusion: faults of crash and silence can be combined with transfers.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -262,6 +262,18 @@
 	return out
 }
 
+// Ended returns the exit codes of the processes that have ended by themselves
+// or by Kill, by name; -1 stands for a signal. Restart starts them again.
+func (f *Fleet) Ended() map[string]int {
+	out := map[string]int{}
+	for name, p := range f.all() {
+		if code, over := p.wait(0); over {
+			out[name] = code
+		}
+	}
+	return out
+}
+
 func (f *Fleet) all() map[string]*proc {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -152,6 +152,14 @@
 		}
 		return nil
 	}
+	ended := func(name string, code int) error {
+		p, _ := f.find(name)
+		p.wait(starting)
+		if got := f.Ended(); len(got) != 1 || got[name] != code {
+			return fmt.Errorf("ended %v", got)
+		}
+		return nil
+	}
 	steps := []struct {
 		name string
 		do   func() error
@@ -162,12 +170,16 @@
 		{"kill engine", func() error { return f.Kill("e4") }, false},
 		{"held without e4", func() error { _, err := f.Held(ctx); return err }, true},
 		{"total without e4", func() error { _, err := f.Total(ctx); return err }, true},
+		{"ended by a kill", func() error { return ended("e4", -1) }, false},
 		{"restart engine", func() error { return f.Restart(ctx, "e4") }, false},
 		{"total with the earlier run", counted, false},
 		{"held again", func() error { _, err := f.Held(ctx); return err }, false},
 		{"fault", func() error { return f.Fault(ctx, "e4", `{"stall":true}`) }, false},
 		{"unknown fault", func() error { return f.Fault(ctx, "e4", `{"stalled":true}`) }, true},
 		{"fault of a daemon", func() error { return f.Fault(ctx, "d1", `{}`) }, true},
+		{"crash", func() error { _ = f.Fault(ctx, "e4", `{"crash":true}`); return nil }, false},
+		{"ended by a crash", func() error { return ended("e4", 70) }, false},
+		{"restart after the crash", func() error { return f.Restart(ctx, "e4") }, false},
 		{"stop", func() error { return f.Stop("d1") }, false},
 		{"continue", func() error { return f.Continue("d1") }, false},
 		{"drain", func() error { return f.Drain(ctx, "d1") }, false},
--- a/internal/bench/fleet/proc.go
+++ b/internal/bench/fleet/proc.go
@@ -106,11 +106,11 @@
 	select {
 	case <-done:
 	case <-t.C:
-		return 0, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.code, true
+	// Both may be ready at once.
+	return p.code, !p.alive()
 }
 
 // end asks the process to stop, and kills it when it still runs after d.
--- a/internal/bench/load/class.go
+++ b/internal/bench/load/class.go
@@ -39,6 +39,8 @@
 
 	// Prompt and Output are lengths in tokens.
 	Prompt, Output Spread
+	// Poison is a text in each prompt that crashes engines started with it.
+	Poison string
 	// Heads is the number of different beginnings that prompts share, of
 	// which the first are the most frequent; Shared is their share of a prompt.
 	Heads  uint64
--- a/internal/bench/load/plan.go
+++ b/internal/bench/load/plan.go
@@ -74,7 +74,7 @@
 		k := rand.NewZipf(r, 1.2, 1, c.Heads-1).Uint64()
 		head = fill(fmt.Sprintf("%s %d/head %d ", c.Name, p.seed, k), shared)
 	}
-	return head + fill(fmt.Sprintf("%s %d/%d ", c.Name, p.seed, p.number), size-shared)
+	return head + fill(fmt.Sprintf("%s %d/%d %s", c.Name, p.seed, p.number, c.Poison), size-shared)
 }
 
 // fill repeats text to size bytes, at least once in full.
--- a/internal/stand/engine/decode.go
+++ b/internal/stand/engine/decode.go
@@ -76,7 +76,7 @@
 		e.begin(n, r)
 	}
 	n.end(connect.NewError(connect.CodeAborted, fmt.Errorf("another stream took request %s over", r.Request)))
-	n.stream = s
+	n.stream, n.origin = s, r.Origin
 	return n, s, nil
 }
 
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -80,8 +80,6 @@
 	stop        context.CancelFunc
 	group       sync.WaitGroup
 	server      *serve.Server
-	client      *http.Client
-	idle        func()
 	in, out     pacer
 	// pull streams a KV cache from another engine; tests replace it.
 	pull func(ctx context.Context, source string, r *wire.ExportRequest, recv func(*wire.ExportChunk) error) error
@@ -129,8 +127,7 @@
 		entries: map[string]*entry{}, cache: newCache(set.Cache),
 		feeds: map[*feed]struct{}{}, finished: map[string]*entry{},
 	}
-	e.client, e.idle = serve.Client()
-	e.pull = e.pullFrom
+	e.pull = pullFrom
 	e.fault.Lag = millis(set.Lag)
 	e.fault.Delay = millis(set.Delay)
 	e.group.Go(e.decodeLoop)
@@ -172,7 +169,6 @@
 		err = e.server.Close()
 	}
 	e.group.Wait()
-	e.idle()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, n := range e.entries {
--- a/internal/stand/engine/engine_test.go
+++ b/internal/stand/engine/engine_test.go
@@ -255,10 +255,14 @@
 		}
 		second := make(chan error, 1)
 		go func() {
-			_, _, err := read(t.Context(), e, 3, 16)
-			second <- err
+			second <- e.decode(t.Context(), &wire.DecodeRequest{
+				Request: "a", Origin: &wire.Origin{Instance: "d2"}, From: 3, Max: 16,
+			}, func(*wire.DecodeChunk) error { return nil })
 		}()
 		synctest.Wait()
+		if r := e.report().Running; len(r) != 1 || r[0].Instance != "d2" || r[0].State != "decode" {
+			t.Fatalf("running %v, want the request with its new origin", r)
+		}
 		got, _, err := read(t.Context(), e, 3, 16)
 		if connect.CodeOf(<-second) != connect.CodeAborted {
 			t.Fatal("the earlier stream went on")
--- a/internal/stand/engine/entry.go
+++ b/internal/stand/engine/entry.go
@@ -73,13 +73,14 @@
 }
 
 // entry returns the entry of a request and makes one when there is none. The
-// caller holds mu.
+// last origin is the one that reports name. The caller holds mu.
 func (e *Engine) entry(id string, o *wire.Origin) *entry {
 	n := e.entries[id]
 	if n == nil {
-		n = &entry{id: id, origin: o}
+		n = &entry{id: id}
 		e.entries[id] = n
 	}
+	n.origin = o
 	return n
 }
 
--- a/internal/stand/engine/move.go
+++ b/internal/stand/engine/move.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"citronrock.example/citronrock/internal/stand/serve"
 	wire "citronrock.example/citronrock/internal/wire/engine"
 )
 
@@ -198,13 +199,16 @@
 	return nil
 }
 
-// pullFrom streams a KV cache from the engine at address source.
-func (e *Engine) pullFrom(ctx context.Context, source string, r *wire.ExportRequest,
+// pullFrom streams a KV cache from the engine at address source. Each transfer
+// has a connection of its own, since an earlier one may be silent.
+func pullFrom(ctx context.Context, source string, r *wire.ExportRequest,
 	recv func(*wire.ExportChunk) error) error {
 	// Ends the stream also when recv fails.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, err := wire.NewEngineClient(e.client, "http://"+source).Export(ctx, connect.NewRequest(r))
+	client, idle := serve.Client()
+	defer idle()
+	s, err := wire.NewEngineClient(client, "http://"+source).Export(ctx, connect.NewRequest(r))
 	if err != nil {
 		return err
 	}
