--- a/internal/stand/engine/http_test.go
+++ b/internal/stand/engine/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -41,18 +42,7 @@
 	from, to := listen(t), listen(t)
 	ctx, p, d := t.Context(), dial(t, from), dial(t, to)
 	prompt := text(5000, "net")
-	if r, err := d.Reserve(ctx, connect.NewRequest(&wire.ReserveRequest{
-		Request: "a", Pieces: 4, Term: durationpb.New(time.Minute),
-	})); err != nil || !r.Msg.Granted {
-		t.Fatalf("reserve %+v, %v", r, err)
-	}
-	f, err := p.Prefill(ctx, connect.NewRequest(&wire.PrefillRequest{Request: "a", Prompt: prompt}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := d.Import(ctx, connect.NewRequest(&wire.ImportRequest{
-		Request: "a", Handle: f.Msg.Handle, Source: from.Addr().String(),
-	})); err != nil {
+	if err := move(ctx, "a", prompt, p, d, from); err != nil {
 		t.Fatal(err)
 	}
 	s, err := d.Decode(ctx, connect.NewRequest(&wire.DecodeRequest{Request: "a", Max: 30}))
@@ -79,6 +69,50 @@
 	}
 }
 
+// move brings the KV cache of a request from engine source to d.
+func move(ctx context.Context, id, prompt string, p, d wire.EngineClient, source *Engine) error {
+	r, err := d.Reserve(ctx, connect.NewRequest(&wire.ReserveRequest{
+		Request: id, Pieces: 4, Term: durationpb.New(time.Minute),
+	}))
+	if err != nil || !r.Msg.Granted {
+		return fmt.Errorf("reserve %v, %w", r, err)
+	}
+	f, err := p.Prefill(ctx, connect.NewRequest(&wire.PrefillRequest{Request: id, Prompt: prompt}))
+	if err != nil {
+		return err
+	}
+	_, err = d.Import(ctx, connect.NewRequest(&wire.ImportRequest{
+		Request: id, Handle: f.Msg.Handle, Source: source.Addr().String(),
+	}))
+	return err
+}
+
+func silence(t *testing.T, e *Engine) {
+	t.Helper()
+	resp, err := http.Post("http://"+e.Addr().String()+"/fault", "application/json", strings.NewReader(`{"silent":true}`))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("fault: %v %v", resp, err)
+	}
+	_ = resp.Body.Close()
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// Guards against transfers that wait on a connection that fell silent after an
+// earlier transfer.
+func TestMoveAfterSilence(t *testing.T) {
+	from, to := listen(t), listen(t)
+	d := dial(t, to)
+	if err := move(t.Context(), "a", "first", dial(t, from), d, from); err != nil {
+		t.Fatal(err)
+	}
+	silence(t, from)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := move(ctx, "b", "second", dial(t, from), d, from); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against silence that also stops new connections, and against silence
 // that lets open ones go on.
 func TestSilent(t *testing.T) {
@@ -88,12 +122,7 @@
 	if _, err := old.Cancel(t.Context(), cancel); err != nil {
 		t.Fatal(err)
 	}
-	resp, err := http.Post("http://"+e.Addr().String()+"/fault", "application/json", strings.NewReader(`{"silent":true}`))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("fault: %v %v", resp, err)
-	}
-	_ = resp.Body.Close()
-	http.DefaultClient.CloseIdleConnections()
+	silence(t, e)
 	ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer stop()
 	if _, err := old.Cancel(ctx, cancel); connect.CodeOf(err) != connect.CodeDeadlineExceeded {
