Start the demo's engines with the model of their service

Cause: all 107 generate requests of the first demo with daemons were refused or timed out. citronrock engines showed the state "model" for all 10 engines: the harness started them with the stand-in's default model, and owners give no grants where the loaded model differs from the document's. Ruled out: membership (7 of 7 alive) and the document (version 1 in force on all daemons). Change: the harness passes the model of the engine's service.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -138,7 +138,10 @@
 			return err
 		}
 		e.Address = a
-		args := []string{"engine", "--address", a.String(), "--name", e.Name, "--role", e.Role}
+		args := []string{
+			"engine", "--address", a.String(), "--name", e.Name, "--role", e.Role,
+			"--model", f.doc.FindService(e.Service).Model,
+		}
 		if e.Checks {
 			args = append(args, "--checks")
 		}
