Plan for urgent requests that overtake a waiting prefill

Change: the wait of a prefill grows by half of the share of the prefill engines' time that more urgent requests took in the last 5 s.

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -255,6 +255,28 @@
 	}
 }
 
+// Guards against estimates that forget the more urgent requests to come.
+func TestLessUrgentRequestsAreOvertaken(t *testing.T) {
+	first := func(priority uint32) uint32 {
+		r := ready(1, 2)
+		for i := range 50 {
+			a := ask(fmt.Sprint("u", i), 2000)
+			a.Priority = 1
+			r.ask(a)
+			r.done(a.Request, "finish", "")
+			r.sleep(200 * time.Millisecond)
+			r.reportAll()
+		}
+		r.ask(ask("ahead", 8000))
+		a := ask("a", 1000)
+		a.Priority, a.Slack = priority, 5000
+		return r.ask(a).First
+	}
+	if urgent, other := first(1), first(2); other < urgent*5/4 {
+		t.Errorf("first tokens in %d and %d ms", urgent, other)
+	}
+}
+
 // Guards against a prefix that attracts all its requests to one engine.
 func TestPrefixAttractsUpToItsShare(t *testing.T) {
 	r := ready(4, 4, WithQueue(time.Hour))
--- a/internal/core/cell/grant.go
+++ b/internal/core/cell/grant.go
@@ -253,6 +253,7 @@
 	u.pendingRuns++
 	delete(u.done, r.request)
 	if !g.plain {
+		g.ranks.add(at, r.priority, r.work)
 		r.prefill.line.add(at, r)
 	}
 	if p.wire > 0 {
--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -33,6 +33,7 @@
 	hot    map[hotKey]int
 	depth  []int
 	pace   pace
+	ranks  ranks
 }
 
 // hotKey counts the live grants of one prefix on one engine, or in the whole
@@ -231,7 +232,7 @@
 	g.grants = map[string]*grant{}
 	g.index = prefix.New(m.prefixes)
 	g.hot = map[hotKey]int{}
-	g.pace = pace{}
+	g.pace, g.ranks = pace{}, ranks{at: at}
 	for _, u := range g.units {
 		u.reset()
 	}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -64,6 +64,9 @@
 	// output, local the best that does both.
 	prefill, decode, local pick
 	reach                  bool
+	// free is the share of the prefill engines' time that more urgent requests
+	// leave.
+	free float64
 }
 
 // place chooses engines for a request. Without a choice it returns the reason.
@@ -72,6 +75,7 @@
 	s.look.queue = -1
 	s.seen = m.exposed(a.GetPrint())
 	g.match(m, a.GetPieces())
+	s.free = 1 - overtaken*g.ranks.share(a.GetPriority(), g.prefills())
 	for _, u := range g.units {
 		if u.usable(at) {
 			s.consider(u)
@@ -91,6 +95,24 @@
 	}
 }
 
+// prefills returns the number of engines that prefill and nothing else, or of all
+// that can when there are none.
+func (g *group) prefills() int {
+	only, all := 0, 0
+	for _, u := range g.units {
+		if u.prefills() {
+			all++
+		}
+		if !u.decodes() {
+			only++
+		}
+	}
+	if only > 0 {
+		return only
+	}
+	return all
+}
+
 // consider weighs one engine.
 func (s *search) consider(u *unit) {
 	s.reach = true
@@ -128,7 +150,9 @@
 // prefillOn weighs the prefill on an engine and keeps it when it is the best.
 func (s *search) prefillOn(u *unit, wait time.Duration) pick {
 	cached := min(uint32(s.cached(u))*policy.PieceTokens, s.ask.GetTokens())
-	p := pick{prefill: u, start: s.at + wait}
+	p := pick{prefill: u}
+	wait = time.Duration(float64(wait) / s.free)
+	p.start = s.at + wait
 	p.work = u.prefillTime(s.ask.GetTokens() - cached)
 	if s.again.prefill == u {
 		// The prompt's KV cache may still be there.
