Compare recovery from faults with the same arrivals without

Cause: the goodput by the second after a fault varied by a fifth with the arrivals alone, so the time to full goodput was chance.

Change: the share of the goodput that the same arrivals reach without faults, by the second since the last fault.

--- a/internal/bench/decide/decide_test.go
+++ b/internal/bench/decide/decide_test.go
@@ -34,17 +34,28 @@
 	}
 }
 
-// Guards against a recovery time that is taken from the wrong case.
+// Guards against a recovery time that is taken from the wrong case or seconds.
 func TestRecoveries(t *testing.T) {
+	seconds := func(each int, first ...int) []int {
+		counts := make([]int, 30)
+		for i := range counts {
+			counts[i] = each
+			if i%10 < len(first) {
+				counts[i] = first[i%10]
+			}
+		}
+		return counts
+	}
 	all := []Result{
-		{Load: "a", Mode: ModeCore, Rate: 1, Goodput: 10},
-		{Load: "a", Mode: ModeTwo, Rate: 1, Goodput: 1},
-		{Load: "a", Mode: ModeCore, Rate: 1, Faults: true, After: []float64{2, 9, 10, 9.6}},
-		{Load: "a", Mode: ModeTwo, Rate: 1, Faults: true, After: []float64{2, 2, 2, 0}},
+		{Mode: ModeCore, good: seconds(10)},
+		{Mode: ModeTwo, good: seconds(2)},
+		{Mode: ModeCore, Faults: true, good: seconds(10, 2, 9)},
+		{Mode: ModeTwo, Faults: true, good: seconds(1)},
+		{Mode: ModeLeast, Faults: true, good: seconds(1)},
 	}
 	Recoveries(all)
-	if all[2].Recover != 2 || all[3].Recover != -1 {
-		t.Errorf("recoveries are %v and %v, want 2 and -1", all[2].Recover, all[3].Recover)
+	if all[2].Recover != 2 || all[2].After[1] != 0.9 || all[3].Recover != -1 || all[4].After != nil {
+		t.Errorf("got %+v", all[2:])
 	}
 }
 
--- a/internal/bench/decide/fleet.go
+++ b/internal/bench/decide/fleet.go
@@ -51,7 +51,6 @@
 	work     fakes.Work
 	document *policy.Document
 	records  []*record
-	faults   []time.Duration
 	// rate is the arrivals a second.
 	rate float64
 }
@@ -180,7 +179,6 @@
 // fault kills an engine and brings it back.
 func (f *fleet) fault() {
 	e := f.order[f.rnd.IntN(len(f.order))]
-	f.faults = append(f.faults, f.q.Now().Sub(f.start))
 	e.Kill()
 	f.q.After(breakSeen, func() { f.watchers(e.Name, event.Unreachable{Engine: e.Name}) })
 	f.q.After(downFor, e.Start)
--- a/internal/bench/decide/result.go
+++ b/internal/bench/decide/result.go
@@ -34,10 +34,14 @@
 	// at 95 of 100.
 	Median float64 `json:"median"`
 	High   float64 `json:"high"`
-	// After is the goodput by the second since the last fault.
+	// After is the share of the goodput without faults that is reached, by the
+	// second since the last fault.
 	After []float64 `json:"after,omitempty"`
-	// Recover is the time from a fault to full goodput, -1 for never.
-	Recover float64 `json:"recover,omitempty"`
+	// Recover is the time in seconds from a fault to full goodput, -1 when that is
+	// not reached before the next fault.
+	Recover float64 `json:"recover"`
+	// good counts the requests that met both targets by the second.
+	good []int
 }
 
 // tenths is the number of parts that the worst is taken of.
@@ -72,9 +76,7 @@
 	if n := len(firsts); n > 0 {
 		r.Median, r.High = millis(firsts[n/2]), millis(firsts[n*95/100])
 	}
-	if c.Faults {
-		r.After = f.after()
-	}
+	r.good = f.bySecond()
 	return r
 }
 
@@ -102,51 +104,63 @@
 	return !late && !slow
 }
 
-// after returns the goodput in each second after a fault, over all faults.
-func (f *fleet) after() []float64 {
-	bins := make([]float64, faultEvery/time.Second)
-	n := 0
-	for _, at := range f.faults {
-		if at+faultEvery > warm+f.c.Span {
-			continue
-		}
-		n++
-		for _, q := range f.records {
-			if off := q.At - at; off >= 0 && off < faultEvery {
-				var none Result
-				if f.count(&none, q, 1) {
-					bins[off/time.Second]++
-				}
-			}
+// bySecond returns the requests that met both targets by the second of arrival,
+// from the start of the run.
+func (f *fleet) bySecond() []int {
+	counts := make([]int, int((warm+f.c.Span)/time.Second))
+	for _, q := range f.records {
+		var none Result
+		if at := int(q.At / time.Second); at < len(counts) && f.count(&none, q, 1) {
+			counts[at]++
 		}
 	}
-	for i := range bins {
-		bins[i] /= float64(max(n, 1))
-	}
-	return bins
+	return counts
 }
 
 // full is the share of the goodput without faults that counts as full.
 const full = 0.95
 
-// Recoveries fills in the times to full goodput from the same cases without
-// faults.
+// Recoveries compares the cases with faults with the same arrivals without. It
+// fills in the share of the goodput by the second since the last fault, and the
+// time until it is full and stays so.
 func Recoveries(all []Result) {
-	base := map[[3]any]float64{}
+	type key struct {
+		load, mode string
+		rate       float64
+		seed       uint64
+	}
+	base := map[key][]int{}
 	for _, r := range all {
 		if !r.Faults {
-			base[[3]any{r.Load, r.Mode, r.Rate}] = r.Goodput
+			base[key{r.Load, r.Mode, r.Rate, r.Seed}] = r.good
 		}
 	}
 	for i := range all {
 		r := &all[i]
-		want := base[[3]any{r.Load, r.Mode, r.Rate}] * full
-		if !r.Faults || want == 0 {
+		good := base[key{r.Load, r.Mode, r.Rate, r.Seed}]
+		if !r.Faults || good == nil {
 			continue
 		}
+		r.After = shares(r.good, good)
 		r.Recover = -1
-		for s := len(r.After) - 1; s >= 0 && r.After[s] >= want; s-- {
+		for s := len(r.After) - 1; s >= 0 && r.After[s] >= full; s-- {
 			r.Recover = float64(s)
 		}
 	}
 }
+
+// shares sums the counts by the second after each fault. Faults happen at the
+// end of the warm-up and then at equal intervals.
+func shares(with, without []int) []float64 {
+	n := int(faultEvery / time.Second)
+	out := make([]float64, n)
+	for s := range out {
+		got, want := 0, 0
+		for at := int(warm/time.Second) + s; at < len(with); at += n {
+			got += with[at]
+			want += without[at]
+		}
+		out[s] = math.Round(1000*float64(got)/float64(max(want, 1))) / 1000
+	}
+	return out
+}
