Let equal requests use all engines once one of them has survived

Cause: runs of equal content are kept on two engines, so that a request that crashes its engines takes down two at most; a burst of equal harmless requests had to share those two as well.

--- a/internal/core/cell/cell.go
+++ b/internal/core/cell/cell.go
@@ -105,6 +105,7 @@
 	strikes *strike.Table
 	prints  map[uint64]*grant
 	ended   memory
+	safe    safe
 	terms   queue
 	spare   []*grant
 	orphans int
--- a/internal/core/cell/done.go
+++ b/internal/core/cell/done.go
@@ -120,11 +120,15 @@
 		if !s.ran(d.GetEngine()) {
 			return out
 		}
+		m.safe.drop(s.print)
 		if record := m.strikes.Add(m.now, s.print, s.death(d.GetEngine())); record != nil {
 			out = append(out, event.SendStrike{Strike: record})
 		}
 	case outcomeFinish:
 		m.output(g.service).add(d.GetOutput())
+		if r := m.prints[s.print]; r != nil && (r.sib != nil || r.request != d.GetRequest()) {
+			m.safe.add(s.print)
+		}
 		if s.struck == 0 || m.strikes.Count(m.now, s.print) > s.struck {
 			return out
 		}
--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -196,6 +196,34 @@
 	}
 }
 
+// Guards against many equal requests that are kept on two engines although one
+// of them has ended well.
+func TestEqualRequestsSpreadAfterOneSurvived(t *testing.T) {
+	r := ready(4, 4, WithQueue(time.Hour))
+	engines := func(name string) int {
+		used := map[string]bool{}
+		for i := range 12 {
+			a := ask(fmt.Sprint(name, i), 3000)
+			a.Print = 5
+			if g := r.ask(a); g.Granted {
+				used[g.Decode] = true
+			}
+		}
+		return len(used)
+	}
+	if n := engines("a"); n != 2 {
+		t.Errorf("%d engines run the content before it has survived, want 2", n)
+	}
+	r.done("a0", "finish", "")
+	if n := engines("b"); n != 4 {
+		t.Errorf("%d engines run the content after it has survived, want 4", n)
+	}
+	r.done("a1", "crash", "")
+	if r.m.safe.has(5) {
+		t.Error("the content counts as safe after a crash")
+	}
+}
+
 // Guards against two suspects on one engine, and against a neighbour's strike
 // that stays after it has survived.
 func TestNeighboursAreCleared(t *testing.T) {
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -295,7 +295,7 @@
 
 func (m *Machine) exposed(print uint64) exposure {
 	var x exposure
-	if print == 0 {
+	if print == 0 || m.safe.has(print) {
 		return x
 	}
 	for r := m.prints[print]; r != nil; r = r.sib {
