Probe every daemon once a second by a common shift of the names

Change: in each second all daemons shift the sorted names by the same pseudo-random distance, so that each is probed by exactly one other. Clocks that differ by more than a second, or views that differ, fall back to the independent case.

Ruled out: probing again at once after a failed probe, which shortens the tail by a fraction only.

--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -12,8 +12,8 @@
 	"citronrock.example/citronrock/internal/wire/peer"
 )
 
-// Times of the protocol. A daemon that dies is missed by the first probe after
-// about 1 s, suspected 0.5 s later and taken for dead 3 s after that.
+// Times of the protocol. A daemon that dies is missed by the next probe within
+// 1 s, suspected 0.5 s later and taken for dead 3 s after that.
 const (
 	probeEvery  = time.Second
 	relayAfter  = 250 * time.Millisecond
@@ -112,8 +112,6 @@
 	names  []string
 	peers  map[string]*entry
 
-	order    []string
-	turn     int
 	count    int
 	sequence uint64
 	probe    *probe
@@ -204,15 +202,14 @@
 	}
 }
 
-// rename derives the sorted names and a new probing order. Sorted names make
-// the machine deterministic, since the order of a map is not.
+// rename derives the sorted names. They make the machine deterministic, since
+// the order of a map is not.
 func (m *Machine) rename() {
 	m.names = m.names[:0]
 	for name := range m.peers {
 		m.names = append(m.names, name)
 	}
 	slices.Sort(m.names)
-	m.order = nil
 }
 
 // Listing tells whether the newest list names this daemon as live.
--- a/internal/peer/member/probe.go
+++ b/internal/peer/member/probe.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"citronrock.example/citronrock/internal/wire/peer"
@@ -35,7 +37,11 @@
 	if m.leaving {
 		return out
 	}
-	target := m.pick()
+	m.count++
+	target := m.pick(now)
+	if s := m.silent(); s != "" && (target == "" || m.count%silentTurn == 0) {
+		out = m.ping(s, out)
+	}
 	if target == "" {
 		return out
 	}
@@ -44,33 +50,24 @@
 	return out
 }
 
-// silentTurn is the share of probes, one in so many, that go to listed daemons
-// that have not answered. They find daemons whose messages were all lost, for
-// example those beyond a partition that has healed.
+// silentTurn is the number of seconds between pings to a listed daemon that has
+// not answered. They find daemons whose messages were all lost, for example
+// those beyond a partition that has healed.
 const silentTurn = 4
 
-// pick returns the next peer to probe: those that answer in a random order
-// that visits all, which bounds the time until each is probed, and now and
-// then a silent one.
-func (m *Machine) pick() string {
-	m.count++
-	if m.count%silentTurn == 0 {
-		if s := m.silent(); s != "" {
-			return s
-		}
-	}
-	for range 2 {
-		for m.turn < len(m.order) {
-			name := m.order[m.turn]
-			m.turn++
-			if e := m.peers[name]; e != nil && e.answers() {
-				return name
-			}
-		}
-		m.order = m.sample(m.answering(), len(m.names), "")
-		m.turn = 0
+// pick returns the peer to probe in this second. All daemons shift the sorted
+// names by the same pseudo-random distance, so that in each second every daemon
+// is probed by one other. Independent choices would leave a third of the
+// daemons without a probe in any second, and some for many seconds.
+func (m *Machine) pick(now time.Time) string {
+	names := m.answering()
+	if len(names) == 0 {
+		return ""
 	}
-	return m.silent()
+	place, _ := slices.BinarySearch(names, m.self)
+	shift := rand.NewPCG(uint64(now.Unix()), 0).Uint64() % uint64(len(names))
+	// Without this daemon in names, its successor is at its place.
+	return names[(place+int(shift))%len(names)]
 }
 
 func (m *Machine) silent() string {
