--- a/internal/back/platfm/platfm_test.go
+++ b/internal/back/platfm/platfm_test.go
@@ -1,6 +1,7 @@
 package platfm
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 	body []byte
 	mute atomic.Bool
 	wait atomic.Int64
+	sent atomic.Int64
 }
 
 func (s *stand) Document(ctx context.Context, r *connect.Request[platfm.DocumentRequest]) (*connect.Response[platfm.DocumentReply], error) {
@@ -38,11 +40,24 @@
 	return connect.NewResponse(&platfm.InstancesReply{Revision: 6}), nil
 }
 
+// sent counts the bytes of answers.
+type sent struct {
+	http.ResponseWriter
+	n *atomic.Int64
+}
+
+func (s sent) Write(b []byte) (int, error) {
+	s.n.Add(int64(len(b)))
+	return s.ResponseWriter.Write(b)
+}
+
 func serve(t *testing.T, s *stand, opts ...Option) *Client {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(platfm.NewPlatformHandler(s))
-	server := httptest.NewServer(mux)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(sent{ResponseWriter: w, n: &s.sent}, r)
+	}))
 	c := New(netip.MustParseAddrPort(server.Listener.Addr().String()), opts...)
 	t.Cleanup(func() { _ = c.Close(); server.Close() })
 	return c
@@ -107,3 +122,16 @@
 		t.Error("a platform that is down gave an answer")
 	}
 }
+
+// Guards against a watcher that exceeds its 15 KB/s at 10,000 changes a day,
+// since the platform sends whole documents.
+func TestDocumentComesCompressed(t *testing.T) {
+	s := &stand{body: bytes.Repeat([]byte("[[tenant]]\nname = \"a\"\n"), 20_000)}
+	c := serve(t, s)
+	if _, err := c.Document(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if n := s.sent.Load(); n == 0 || n > int64(len(s.body)/10) {
+		t.Errorf("%d bytes were sent for a document of %d", n, len(s.body))
+	}
+}
--- a/internal/bench/slope/print.go
+++ b/internal/bench/slope/print.go
@@ -28,6 +28,15 @@
 			return err
 		}
 	}
+	for _, n := range []int{8, 24} {
+		r, err := RunReal(n, 6, 10*time.Second)
+		if err != nil {
+			return err
+		}
+		if err := line(w, r); err != nil {
+			return err
+		}
+	}
 	parts, err := Parts(Planned)
 	if err != nil {
 		return err
