Take the fencing number from the takeover, not from the owner's start

Cause: a number made of the list's revision and the owner's incarnation falls when a daemon that was started earlier takes over from a younger one at the same revision; engines that check would refuse the new owner's reservations until the list changes. Ruled out: the highest number that an engine reports plus one; two owners in a partition would overtake each other without end. Change: the low bits carry the time of the takeover. At the same revision takeovers are at least the suspect time of 3 s apart, so clocks may differ by less than that. Conclusion: a takeover never lowers the number.

--- a/internal/core/cell/cell.go
+++ b/internal/core/cell/cell.go
@@ -199,7 +199,25 @@
 }
 
 // fence returns the fencing number of this daemon's orders.
-func (m *Machine) fence() uint64 { return owner.Fence(m.revision, m.incarnation) }
+// fence returns the fencing number of an owned cell. It carries the time of the
+// takeover and not the owner's start, which may lie before that of the owner it
+// follows; engines that check would then refuse the new owner's orders.
+func (m *Machine) fence(g *group) uint64 {
+	if g == nil || !g.owned {
+		return 0
+	}
+	return owner.Fence(m.revision, g.taken)
+}
+
+// Fence returns the fencing number of a cell for orders. It is false while this
+// daemon does not own the cell, or waits out the term of the owner before.
+func (m *Machine) Fence(cell string) (uint64, bool) {
+	g := m.groups[cell]
+	if g == nil || !g.owned || m.now.Sub(m.epoch)-g.since < term {
+		return 0, false
+	}
+	return m.fence(g), true
+}
 
 // Strikes returns the table of suspect requests for gossip and status.
 func (m *Machine) Strikes() *strike.Table { return m.strikes }
--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -24,6 +24,8 @@
 	owned         bool
 	// since is when this daemon became the owner.
 	since time.Duration
+	// taken is the same as time since 1970 in nanoseconds.
+	taken uint64
 	// settled is false after a takeover until each engine has reported.
 	settled bool
 	// plain switches off the correction of reports by grants.
@@ -234,6 +236,7 @@
 // adopt starts the account of a cell from nothing but coming reports.
 func (m *Machine) adopt(at time.Duration, g *group) {
 	g.owned, g.since, g.settled = true, at, false
+	g.taken = uint64(m.now.UnixNano())
 	g.grants = map[string]*grant{}
 	g.index = prefix.New(m.prefixes)
 	g.hot = map[hotKey]int{}
--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -305,3 +305,23 @@
 		})
 	}
 }
+
+// Guards against a new owner whose orders an engine refuses because the owner
+// that died had been started later.
+func TestFenceGrowsWithTakeover(t *testing.T) {
+	fence := func(incarnation uint64, at time.Duration) uint64 {
+		r := newRig(engines(1, 1))
+		r.m = New("me", incarnation)
+		r.now = start.Add(at)
+		r.do(event.Published{Document: r.document})
+		r.do(event.Listed{Revision: 1, Instances: []*platfm.Instance{{Name: "me", Kind: "daemon", Domain: "gent", State: "live"}}})
+		r.do(event.Members{Alive: map[string]uint64{"me": incarnation}})
+		r.reportAll()
+		return r.ask(ask("a", 1000)).Fence
+	}
+	late := uint64(start.UnixNano())
+	first, second := fence(late, 0), fence(late-uint64(time.Hour), grace)
+	if second <= first {
+		t.Errorf("the fencing number falls from %d to %d with a takeover", first, second)
+	}
+}
--- a/internal/core/cell/report.go
+++ b/internal/core/cell/report.go
@@ -208,7 +208,7 @@
 		if at-o.since < o.wait || o.sent && at-o.last < recancel {
 			continue
 		}
-		out = append(out, event.Cancel{Request: request, Engine: u.name, Fence: m.fence(), Fresh: o.sent})
+		out = append(out, event.Cancel{Request: request, Engine: u.name, Fence: m.fence(u.group), Fresh: o.sent})
 		m.count.Cancels++
 		o.last, o.sent = at, true
 		u.orphans[request] = o
--- a/internal/core/cell/status.go
+++ b/internal/core/cell/status.go
@@ -9,7 +9,6 @@
 
 // Status holds the figures of the operators' status page.
 type Status struct {
-	Fence  uint64
 	Counts Counts
 	// Strikes is the number of records about suspect requests.
 	Strikes int
@@ -19,9 +18,11 @@
 // Figures describes one cell.
 type Figures struct {
 	Name, Service, Owner string
-	Owned, Settled       bool
-	Grants, Prefixes     int
-	Engines              []Engine
+	// Fence is the fencing number of an owned cell.
+	Fence            uint64
+	Owned, Settled   bool
+	Grants, Prefixes int
+	Engines          []Engine
 }
 
 // Engine describes the account of one engine. Held is the sum of the live
@@ -38,7 +39,7 @@
 // Status returns the figures of all cells, with engines for owned ones only.
 func (m *Machine) Status() Status {
 	at := m.now.Sub(m.epoch)
-	s := Status{Fence: m.fence(), Counts: m.count, Strikes: m.strikes.Len()}
+	s := Status{Counts: m.count, Strikes: m.strikes.Len()}
 	for _, g := range m.order {
 		s.Cells = append(s.Cells, g.figures(m, at))
 	}
@@ -48,7 +49,7 @@
 func (g *group) figures(m *Machine, at time.Duration) Figures {
 	f := Figures{
 		Name: g.name, Service: g.service, Owner: g.holder,
-		Owned: g.owned, Settled: g.settled, Grants: len(g.grants),
+		Owned: g.owned, Settled: g.settled, Fence: m.fence(g), Grants: len(g.grants),
 	}
 	if !g.owned {
 		return f
