Order engines to the document's model and role

Cause: an engine that serves another model than the document states got no grants and stayed idle for ever. Change: core/order compares reports of the engines of owned cells with the document and sends orders with the cell's fencing number, where the service allows it by orders = true. One order is in progress at a time, since the weight store is limited in rate and engines that load together are missing together. An engine with running requests gets no order, a refused one is repeated after 2 s to 1 min with jitter, a new owner first waits out the term of the old one. Ruled out: orders by each daemon that sees a difference. A role change waits until the engine is idle by itself, since its owner goes on granting it work.

--- a/internal/back/engine/engine.go
+++ b/internal/back/engine/engine.go
@@ -289,8 +289,10 @@
 }
 
 // Order sends an order to load a model or to change role.
-func (c *Client) Order(ctx context.Context, o *wire.OrderRequest) (*wire.OrderReply, error) {
-	reply, err := c.current().Order(ctx, connect.NewRequest(o))
+func (c *Client) Order(ctx context.Context, a event.Order) (*wire.OrderReply, error) {
+	reply, err := c.current().Order(ctx, connect.NewRequest(&wire.OrderRequest{
+		Origin: c.origin(a.Fence), Model: a.Model, Role: a.Role,
+	}))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/consol/form.go
+++ b/internal/cli/consol/form.go
@@ -40,6 +40,7 @@
 	"retry":      "retries as a share of first attempts",
 	"cell":       "engines that one daemon accounts for",
 	"address":    "IP address and port",
+	"orders":     "the router may load models and change roles",
 	"checks":     "refuses orders with an old fencing number",
 }
 
--- a/internal/conf/policy/policy.go
+++ b/internal/conf/policy/policy.go
@@ -62,6 +62,9 @@
 	Queue      int  `toml:"queue,omitempty"`
 	// Waste weighs wasted prefill against goodput, from 0 to 1.
 	Waste float64 `toml:"waste,omitempty"`
+	// Orders allows the router to load the model and to change the role of this
+	// service's engines, so that they match the document.
+	Orders bool `toml:"orders,omitempty"`
 	// Window is how long callers repeat a call with the same key.
 	Window Duration `toml:"window,omitempty"`
 	// Retry is the number of retries allowed as a share of first attempts.
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -168,6 +168,13 @@
 // Struck carries a record about a suspect request from a peer.
 type Struck struct{ Strike *peer.Strike }
 
+// Ordered carries an engine's answer to Order.
+type Ordered struct {
+	Engine string
+	// Accepted is false when the engine refused or gave no answer.
+	Accepted bool
+}
+
 func (Arrive) event()      {}
 func (Gone) event()        {}
 func (Granted) event()     {}
@@ -188,6 +195,7 @@
 func (Unreachable) event() {}
 func (Cached) event()      {}
 func (Struck) event()      {}
+func (Ordered) event()     {}
 
 // SendAsk sends an Ask to the owner of its cell.
 type SendAsk struct{ Ask *peer.Ask }
@@ -252,6 +260,12 @@
 	After  time.Duration
 }
 
+// Order brings an engine to a model and a role.
+type Order struct {
+	Engine, Model, Role string
+	Fence               uint64
+}
+
 func (SendAsk) action()    {}
 func (SendGrant) action()  {}
 func (SendDone) action()   {}
@@ -262,3 +276,4 @@
 func (Decode) action()     {}
 func (Cancel) action()     {}
 func (Answer) action()     {}
+func (Order) action()      {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -21,13 +21,15 @@
 	name  string
 	edge  citronrock.Machine
 	owner Owner
+	more  []citronrock.Machine
 	queue []event.Event
 	buf   []event.Action
 }
 
-// New composes the edge and owner machines of the daemon with that name.
-func New(name string, edge citronrock.Machine, owner Owner) *Node {
-	return &Node{name: name, edge: edge, owner: owner}
+// New composes the edge and owner machines of the daemon with that name, and
+// more machines that exchange no messages.
+func New(name string, edge citronrock.Machine, owner Owner, more ...citronrock.Machine) *Node {
+	return &Node{name: name, edge: edge, owner: owner, more: more}
 }
 
 // Step applies an event to both machines. Messages from this daemon to itself
@@ -37,15 +39,26 @@
 	for i := 0; i < len(n.queue); i++ {
 		n.buf = n.owner.Step(now, n.queue[i], n.buf[:0])
 		n.buf = n.edge.Step(now, n.queue[i], n.buf)
+		for _, m := range n.more {
+			n.buf = m.Step(now, n.queue[i], n.buf)
+		}
 		out = n.route(out)
 	}
 	clear(n.queue)
 	return out
 }
 
-// Wake returns the earlier wish of the two machines.
+// Wake returns the earliest wish of the machines.
 func (n *Node) Wake() time.Time {
-	a, b := n.edge.Wake(), n.owner.Wake()
+	wake := earlier(n.edge.Wake(), n.owner.Wake())
+	for _, m := range n.more {
+		wake = earlier(wake, m.Wake())
+	}
+	return wake
+}
+
+// earlier returns the earlier of two times; zero is no time.
+func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
 	}
--- a/internal/daemon/exec/exec.go
+++ b/internal/daemon/exec/exec.go
@@ -20,6 +20,7 @@
 	prefillLimit = 2 * time.Minute
 	moveLimit    = time.Minute
 	cancelLimit  = time.Second
+	orderLimit   = 5 * time.Second
 	// progressEvery is the least time between two Progress events of a stream,
 	// well under the smallest progress deadline of the core.
 	progressEvery = 50 * time.Millisecond
@@ -136,6 +137,8 @@
 		x.decode(a)
 	case event.Cancel:
 		x.cancel(a)
+	case event.Order:
+		x.order(a)
 	case event.Answer:
 		if r := x.find(a.Request); r != nil {
 			r.finish(a)
@@ -255,3 +258,11 @@
 		return c.Cancel(ctx, a)
 	}, unsent)
 }
+
+func (x *Exec) order(a event.Order) {
+	unsent := event.Ordered{Engine: a.Engine}
+	x.attempt(context.Background(), a.Engine, orderLimit, func(ctx context.Context, c citronrock.Engine) event.Event {
+		reply, err := c.Order(ctx, a)
+		return event.Ordered{Engine: a.Engine, Accepted: err == nil && reply.GetAccepted()}
+	}, unsent)
+}
--- a/internal/daemon/start/fleet_test.go
+++ b/internal/daemon/start/fleet_test.go
@@ -47,6 +47,7 @@
 priority = 2
 idempotent = true
 deferrable = true
+orders = true
 queue = 200
 [[service]]
 name = "bestelbalie"
--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -22,6 +22,7 @@
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/flow"
 	"citronrock.example/citronrock/internal/core/node"
+	"citronrock.example/citronrock/internal/core/order"
 	"citronrock.example/citronrock/internal/daemon/admin"
 	"citronrock.example/citronrock/internal/daemon/call"
 	"citronrock.example/citronrock/internal/daemon/edge"
@@ -104,7 +105,7 @@
 	d.engines = &engines{name: name, number: d.number, clients: map[string]*client{}}
 	d.cell = cell.New(name, d.number)
 	d.flow = flow.New(name, d.number, flow.WithStrikes(d.cell.Strikes()), flow.WithSeed(d.number))
-	d.loop = loop.New(node.New(name, d.flow, d.cell), d.act,
+	d.loop = loop.New(node.New(name, d.flow, d.cell, order.New(d.cell, d.number)), d.act,
 		loop.WithPaused(d.paused), loop.WithAfter(d.after))
 	d.watch = watch.New(d.engines.find, d.loop.Post)
 	d.calls = call.New(call.WithName(name, d.number), call.WithControl(d.loop), call.WithPeers(d),
--- a/internal/daemon/start/start_test.go
+++ b/internal/daemon/start/start_test.go
@@ -244,3 +244,20 @@
 	<-stopped
 	f.await("release of all memory", func() bool { return f.held() == 0 })
 }
+
+// Guards against engines that stay with a model or a role that the document has
+// replaced, and against requests placed on them before.
+func TestOrdersLoadTheModel(t *testing.T) {
+	f := newFleetOf(t, 2, []string{"prefill", "decode"}, func(_ int, s *engine.Settings) {
+		s.Model, s.Load = "old", 200*time.Millisecond
+	})
+	h := head("taalpost")
+	want, _ := engine.Answer("laces", 5)
+	f.await("an answer from the ordered model", func() bool {
+		text, _, err := f.generate(context.Background(), 0, &caller.GenerateRequest{Head: h, Prompt: "laces", Max: 5}, nil)
+		if err == nil && text != want {
+			t.Fatalf("got %q, want %q", text, want)
+		}
+		return err == nil
+	})
+}
--- a/machine.go
+++ b/machine.go
@@ -48,7 +48,8 @@
 	Watch(ctx context.Context, every time.Duration, report func(*engine.Report)) error
 	// Events passes prefix cache events until the stream breaks or ctx ends.
 	Events(ctx context.Context, cached func(*engine.CacheEvent)) error
-	Order(ctx context.Context, o *engine.OrderRequest) (*engine.OrderReply, error)
+	// Order brings the engine to another model or role.
+	Order(ctx context.Context, a event.Order) (*engine.OrderReply, error)
 }
 
 // PlainRequest is one attempt of a call to a plain service.
