Test the loss of a cell's owner in the decisions bench

Cause: the takeover was tested on one machine only, not with the edges that ask, hold and release around it.

Change: a run in which the owner, which is also an edge, dies; the others notice after 3 s. Engines hold nothing for it 8 s later, and from then on the goodput is at least 95% of that of the same arrivals without the death.

--- a/internal/bench/decide/daemon.go
+++ b/internal/bench/decide/daemon.go
@@ -23,6 +23,8 @@
 	cell *cell.Machine
 	wake time.Time
 	out  []event.Action
+	// gone is set once the process has died.
+	gone bool
 }
 
 func newDaemon(f *fleet, i int) *daemon {
@@ -65,6 +67,9 @@
 
 // feed steps both halves and carries out their actions.
 func (d *daemon) feed(e event.Event) {
+	if d.gone {
+		return
+	}
 	now := d.f.q.Now()
 	d.out = d.edge.Step(now, e, d.out[:0])
 	n := len(d.out)
--- /dev/null
+++ b/internal/bench/decide/owner_test.go
@@ -0,0 +1,89 @@
+package decide
+
+import (
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/bench/loads"
+)
+
+// deathAt is when the owner dies, and suspectTime when the others notice.
+const (
+	deathAt     = 20 * time.Second
+	suspectTime = 3 * time.Second
+)
+
+// playOwner starts a case, in which the owner of the cell may die.
+func playOwner(c Case, dies bool) (f *fleet, owner *daemon) {
+	f = newFleet(c)
+	f.arrivals(loads.New(c.Load, c.Seed), warm+c.Span)
+	f.q.Run(f.start.Add(deathAt))
+	for _, d := range f.daemons {
+		if d.watches("") {
+			owner = d
+		}
+	}
+	owner.gone = dies
+	f.q.Run(f.start.Add(deathAt + suspectTime))
+	alive := map[string]uint64{}
+	for _, d := range f.daemons {
+		if !d.gone {
+			alive[d.name] = incarnation
+		}
+	}
+	for _, d := range f.daemons {
+		if !d.gone {
+			d.join(alive)
+		}
+	}
+	return f, owner
+}
+
+// goodAfter counts the requests of the edges other than skip that arrived after from
+// and met their targets.
+func (f *fleet) goodAfter(from time.Duration, skip *daemon) int {
+	n := 0
+	for _, q := range f.records {
+		var none Result
+		if q.At >= from && f.daemons[q.Edge%daemons].name != skip.name && f.count(&none, q, 1) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against engine memory that stays held for the callers of a dead edge.
+func TestOwnerDiesMemoryIsFreed(t *testing.T) {
+	for _, l := range loads.Operators() {
+		t.Run(l.Name, func(t *testing.T) {
+			f, owner := playOwner(Case{Load: l, Mode: ModeCore, Rate: 0.7, Seed: 4, Span: 30 * time.Second}, true)
+			f.q.Run(f.start.Add(deathAt + 8*time.Second))
+			for _, e := range f.order {
+				for _, r := range e.Report().GetRunning() {
+					if r.GetInstance() == owner.name {
+						t.Errorf("%s holds %v 8 s after the edge's death", e.Name, r)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a cell that stays without grants after its owner has died: from
+// 8 s after the death on, the goodput is that of the same arrivals without it.
+func TestOwnerDiesGrantsResume(t *testing.T) {
+	for _, l := range loads.Operators() {
+		t.Run(l.Name, func(t *testing.T) {
+			c := Case{Load: l, Mode: ModeCore, Rate: 0.5, Seed: 4, Span: 30 * time.Second}
+			end := warm + c.Span + l.Wait
+			f, owner := playOwner(c, true)
+			f.q.Run(f.start.Add(end))
+			g, _ := playOwner(c, false)
+			g.q.Run(g.start.Add(end))
+			with, without := f.goodAfter(deathAt+8*time.Second, owner), g.goodAfter(deathAt+8*time.Second, owner)
+			if with*100 < without*95 || without < 20 {
+				t.Errorf("%d requests met their targets, %d without the death", with, without)
+			}
+		})
+	}
+}
