Close the spare stream when both sides open one, and flush packets at close

Cause: when two daemons opened a stream to each other at the same time, one of the two was never used or closed again; and the packets of Leave were lost when Close followed at once.

Change: both sides use the stream that the side with the lower name opened; the other side ends its own. Only the stream in use counts as answering. The group sends the packets that wait before it closes its socket.

Ruled out: CloseSend under the pair's lock, which the race detector found to run beside Send; a stream's own lock now orders the two.

The choice by name alone is shown by no test: without it both streams end and are opened again. Conclusion: no stream is left open for an idle pair.

--- a/internal/peer/group/group.go
+++ b/internal/peer/group/group.go
@@ -165,16 +165,15 @@
 	}
 }
 
-// Close ends all links and goroutines. It must not be called on the control
-// goroutine.
+// Close sends the packets that wait, such as those of Leave, and ends all links
+// and goroutines. It must not be called on the control goroutine.
 func (g *Group) Close() error {
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
 	g.cancel()
-	err := g.link.Close()
 	g.work.Wait()
-	return err
+	return g.link.Close()
 }
 
 // goes starts f unless the Group is closed.
--- a/internal/peer/group/peers_test.go
+++ b/internal/peer/group/peers_test.go
@@ -130,6 +130,10 @@
 		t.Errorf("execution: %v, %v, %v", r, reached, err)
 	}
 	all[3].Leave()
+	_ = all[3].Close()
+	if n := len(all[3].packets); n > 0 {
+		t.Errorf("%d packets of a daemon that left are not sent", n)
+	}
 	eventually(t, "d3 left", func() bool { return len(all[0].Status().Alive) == 3 })
 }
 
--- a/internal/peer/group/reads.go
+++ b/internal/peer/group/reads.go
@@ -8,6 +8,7 @@
 
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/peer/member"
 	"citronrock.example/citronrock/internal/peer/spread"
 	"citronrock.example/citronrock/internal/peer/view"
 	"citronrock.example/citronrock/internal/wire/peer"
@@ -20,20 +21,30 @@
 	fetchTimeout = 2 * time.Second
 )
 
-// sender sends packets.
+// sender sends packets, those that wait at the end included.
 func (g *Group) sender() {
 	for {
+		select {
+		case s := <-g.packets:
+			g.sendPacket(s)
+			continue
+		default:
+		}
 		select {
 		case <-g.ctx.Done():
 			return
 		case s := <-g.packets:
-			if err := g.link.Packet(s.To, s.Packet); err != nil {
-				g.log.Debug("packet is not sent", "to", s.To, "error", err)
-			}
+			g.sendPacket(s)
 		}
 	}
 }
 
+func (g *Group) sendPacket(s member.Send) {
+	if err := g.link.Packet(s.To, s.Packet); err != nil {
+		g.log.Debug("packet is not sent", "to", s.To, "error", err)
+	}
+}
+
 // packet takes a packet from the socket. It waits for the control goroutine,
 // and the socket's buffer bounds what piles up meanwhile.
 func (g *Group) packet(p *peer.Packet) {
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -208,3 +208,32 @@
 	}()
 	wait(t, done)
 }
+
+// Guards against streams that stay open, or frames that are lost, when both
+// sides open a stream at the same time.
+func TestBothOpenAtOnce(t *testing.T) {
+	const rounds = 20
+	gotA, gotB := make(chan *peer.Frame, rounds), make(chan *peer.Frame, rounds)
+	idle := WithIdle(50 * time.Millisecond)
+	a := start(t, "a", Calls{Frame: func(_ string, _ uint64, f *peer.Frame) { gotA <- f }}, idle)
+	b := start(t, "b", Calls{Frame: func(_ string, _ uint64, f *peer.Frame) { gotB <- f }}, idle)
+	join2(a, b)
+	closed := func(l *Link, to string) bool {
+		l.mu.Lock()
+		c := l.conns[to]
+		open := c != nil && c.uses > 0
+		l.mu.Unlock()
+		return !open && l.pair(to).unused()
+	}
+	for range rounds {
+		go a.Send("b", &peer.Frame{Version: 1})
+		b.Send("a", &peer.Frame{Version: 2})
+		wait(t, gotA)
+		wait(t, gotB)
+		for end := time.Now().Add(10 * time.Second); !closed(a, "b") || !closed(b, "a"); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("a stream is open after 10 s")
+			}
+		}
+	}
+}
--- a/internal/peer/link/pair.go
+++ b/internal/peer/link/pair.go
@@ -164,9 +164,13 @@
 	}
 }
 
-func (p *pair) heard(f *peer.Frame) {
+// heard notes a received frame. Only the stream in use counts as answering,
+// since another one says nothing about the frames sent on it.
+func (p *pair) heard(st *stream, f *peer.Frame) {
 	p.mu.Lock()
-	p.unheard = time.Time{}
+	if p.current == st {
+		p.unheard = time.Time{}
+	}
 	if empty(f) {
 		p.mu.Unlock()
 		return
@@ -217,8 +221,9 @@
 	}
 	if p.current != nil && p.current.opened != nil {
 		// The peer may still be sending; its last frames are read until it
-		// ends the stream in turn.
-		_ = p.current.opened.CloseSend()
+		// ends the stream in turn. Only this goroutine writes to the stream,
+		// so that finish does not block.
+		p.current.finish()
 		p.current = nil
 	}
 	p.running = false
--- a/internal/peer/link/stall_test.go
+++ b/internal/peer/link/stall_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -94,3 +95,38 @@
 		}
 	}
 }
+
+// Guards against executions and fetches that keep using a connection which has
+// stalled, and against "not run" for an execution that went into it.
+func TestCallsLeaveStalledConnection(t *testing.T) {
+	a := start(t, "a", Calls{})
+	b := start(t, "b", Calls{
+		Execute: func(context.Context, string, *peer.ExecuteRequest) (*peer.ExecuteReply, error) {
+			return &peer.ExecuteReply{Status: 200}, nil
+		},
+		Fetch: func(context.Context, string, *peer.FetchRequest) (*peer.FetchReply, error) {
+			return &peer.FetchReply{Version: 4}, nil
+		},
+	})
+	r := newRelay(t, b.Addr())
+	a.SetPeers(map[string]netip.AddrPort{"b": r.l.Addr().(*net.TCPAddr).AddrPort()})
+	execute := func(d time.Duration) (bool, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), d)
+		defer cancel()
+		_, reach, err := a.Execute(ctx, "b", &peer.ExecuteRequest{Request: "r"})
+		return reach, err
+	}
+	if _, err := execute(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.epoch.Add(1)
+	if reach, err := execute(200 * time.Millisecond); err == nil || !reach {
+		t.Errorf("into the stall: reach %v, err %v", reach, err)
+	}
+	if _, err := execute(5 * time.Second); err != nil {
+		t.Errorf("after the stall: %v", err)
+	}
+	if f, err := a.Fetch(t.Context(), "b", 3); err != nil || f.Version != 4 {
+		t.Errorf("fetch: %v, %v", f, err)
+	}
+}
--- a/internal/peer/link/stream.go
+++ b/internal/peer/link/stream.go
@@ -53,6 +53,20 @@
 	return s.both.Send(f) == nil
 }
 
+// finish ends the sending side of a stream that this side opened. It waits for
+// a frame that is being sent, since grpc-go allows no CloseSend beside a Send.
+func (s *stream) finish() {
+	if s.opened == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		s.ended = true
+		_ = s.opened.CloseSend()
+	}
+}
+
 // stream returns the stream in use and opens one when there is none.
 func (p *pair) stream() *stream {
 	p.mu.Lock()
@@ -98,12 +112,22 @@
 	return st
 }
 
-// offer makes st the stream in use.
+// offer makes st the stream in use. When both sides opened one at the same
+// time, both use that of the side with the lower name, and the other side ends
+// its own, which is read until the peer ends it in turn.
 func (p *pair) offer(st *stream) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	old := p.current
+	if old != nil && old.opened != nil && st.opened == nil && p.link.self < p.name {
+		p.mu.Unlock()
+		return
+	}
 	p.current = st
 	p.unheard = time.Time{}
+	p.mu.Unlock()
+	if old != nil {
+		old.finish()
+	}
 }
 
 // forget stops using st and ends it. Frames that were written before reach the
@@ -134,7 +158,7 @@
 		if f.Incarnation != 0 {
 			incarnation = f.Incarnation
 		}
-		p.heard(f)
+		p.heard(st, f)
 		if p.link.calls.Frame != nil && !empty(f) {
 			p.link.calls.Frame(p.name, incarnation, f)
 		}
