Add adaptive concurrency limits for plain servers

Cause: a fixed limit of 64 open calls lets a queue grow in an overloaded server until no answer is in time.

Calls use it, and a call that finds no room is told a time computed from the servers' latency and limits.

Conclusion: the limit replaces the fixed one.

--- a/internal/daemon/call/job.go
+++ b/internal/daemon/call/job.go
@@ -18,6 +18,7 @@
 	leftDefault  = 10 * time.Second
 	leftLimit    = 10 * time.Minute
 	comeBackSoon = 250 * time.Millisecond
+	comeBackMost = 5 * time.Second
 )
 
 // job is one call at this daemon.
--- a/internal/daemon/call/run.go
+++ b/internal/daemon/call/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -15,15 +16,16 @@
 	count   uint32
 	earlier bool
 	tried   map[*server]bool
+	began   time.Time // of the newest attempt
 }
 
 // run makes attempts at this daemon until the rules end the call.
 func (c *Caller) run(ctx context.Context, j *job) answer {
 	a := &attempts{job: j, tried: map[*server]bool{}}
 	for {
-		b := c.acquire(a)
+		b, after := c.acquire(a)
 		if b == nil {
-			return answer{refusal: a.noServer()}
+			return answer{refusal: a.noServer(after)}
 		}
 		reply := b.plain.Send(ctx, citronrock.PlainRequest{
 			Request: j.request, Attempt: a.count, Path: j.path, Body: j.body,
@@ -31,7 +33,7 @@
 			// unknown or cost a second attempt its time.
 			Fresh: !j.conf.Idempotent || a.count > 1,
 		})
-		v, wait := c.decide(a, b, reply)
+		v, wait := c.decide(a, b, reply, errors.Is(ctx.Err(), context.Canceled))
 		switch v.Next {
 		case retry.Deliver:
 			return answer{status: reply.Status, body: reply.Body}
@@ -44,32 +46,36 @@
 	}
 }
 
-func (c *Caller) acquire(a *attempts) *server {
+// acquire takes a server for the next attempt, or returns the time to come back.
+func (c *Caller) acquire(a *attempts) (*server, time.Duration) {
 	var b *server
+	after := comeBackSoon
 	c.control.Do(func(now time.Time) {
-		b = c.state.pick(now, a.job.conf.Name, a.tried)
+		name := a.job.conf.Name
+		b, after = c.state.pick(now, name, a.tried)
 		if b == nil {
 			return
 		}
+		a.began = now
 		a.count++
 		a.tried[b] = true
-		if svc := c.state.services[a.job.conf.Name]; a.count == 1 {
-			svc.budget.Sent()
+		if a.count == 1 {
+			c.state.services[name].budget.Sent()
 		}
 	})
-	return b
+	return b, after
 }
 
 // decide releases the server and applies the rules. When the control loop has
 // ended there is no further attempt.
-func (c *Caller) decide(a *attempts, b *server, reply citronrock.PlainReply) (retry.Verdict, time.Duration) {
+func (c *Caller) decide(a *attempts, b *server, reply citronrock.PlainReply, cancelled bool) (retry.Verdict, time.Duration) {
 	st := retry.State{
 		Fault: reply.Fault, Earlier: a.earlier, Idempotent: a.job.conf.Idempotent,
 		After: comeBackSoon,
 	}
 	var v retry.Verdict
 	ok := c.control.Do(func(now time.Time) {
-		b.open--
+		b.limit.Release(now, now.Sub(a.began), outcome(reply, cancelled))
 		if svc := c.state.services[a.job.conf.Name]; svc != nil {
 			st.Budget = svc.budget.Take
 		}
@@ -96,12 +102,12 @@
 }
 
 // noServer answers a call for which no server has room.
-func (a *attempts) noServer() *citronrock.Error {
+func (a *attempts) noServer(after time.Duration) *citronrock.Error {
 	if a.earlier {
-		return a.refusal(retry.Verdict{Kind: citronrock.Unknown, Reason: citronrock.ReasonBackend, After: comeBackSoon})
+		return a.refusal(retry.Verdict{Kind: citronrock.Unknown, Reason: citronrock.ReasonBackend, After: after})
 	}
 	remedy := fmt.Sprintf("no server of service %s has room; send the call again after the stated time", a.job.conf.Name)
-	return refuse(citronrock.NotRun, citronrock.ReasonOverload, remedy, comeBackSoon)
+	return refuse(citronrock.NotRun, citronrock.ReasonOverload, remedy, after)
 }
 
 // expired answers a call whose caller left or whose deadline passed between two
--- a/internal/daemon/call/state.go
+++ b/internal/daemon/call/state.go
@@ -1,13 +1,17 @@
 package call
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/limit"
 	"citronrock.example/citronrock/internal/core/once"
 	"citronrock.example/citronrock/internal/core/retry"
 )
@@ -40,17 +44,16 @@
 type server struct {
 	conf  policy.Server
 	plain citronrock.Plain
-	open  int
-	// seen is true once the platform has listed the server; gone when it is
-	// leaving or is no longer listed.
-	seen, gone bool
+	limit *limit.Limit
+	// seen is true once the platform has listed the server.
+	seen bool
 }
 
-// Limits of a service's retry budget, and of open calls to a server.
+// Limits of a service's retry budget, as retries and as a share of first
+// attempts when the document states none.
 const (
 	budgetLimit = 10
 	shareLimit  = 0.1
-	openLimit   = 64
 )
 
 func (s *state) publish(doc *policy.Document, dial Dialer) {
@@ -90,7 +93,10 @@
 			continue
 		}
 		if known[b] == nil {
-			known[b] = &server{conf: b, plain: dial(conf, b)}
+			known[b] = &server{conf: b, plain: dial(conf, b), limit: limit.New()}
+			if old != nil {
+				known[b].limit.Return() // has just been added
+			}
 		}
 		v.servers = append(v.servers, known[b])
 	}
@@ -126,11 +132,20 @@
 		for _, b := range svc.servers {
 			state, ok := states[b.conf.Name]
 			b.seen = b.seen || ok
-			b.gone = b.seen && state != "live"
+			b.use(!b.seen || state == "live")
 		}
 	}
 }
 
+func (b *server) use(live bool) {
+	switch {
+	case !live:
+		b.limit.Close()
+	case b.limit.Closed():
+		b.limit.Return()
+	}
+}
+
 // members ends the waits for daemons that are gone.
 func (s *state) members(alive map[string]uint64) {
 	s.alive = alive
@@ -155,25 +170,53 @@
 	return name + "-" + strconv.FormatUint(incarnation, 36) + "-" + strconv.FormatUint(s.made, 36)
 }
 
-// pick returns the server with the fewest open calls that tried does not hold.
-// Ties are broken at random.
-func (s *state) pick(_ time.Time, name string, tried map[*server]bool) *server {
+// pick returns the least loaded server that tried does not hold, if there is
+// one. Ties are broken at random. Without a server it returns the time to come
+// back.
+func (s *state) pick(now time.Time, name string, tried map[*server]bool) (*server, time.Duration) {
 	svc := s.services[name]
 	if svc == nil {
-		return nil
+		return nil, comeBackSoon
 	}
-	var best *server
-	for _, i := range s.rnd.Perm(len(svc.servers)) {
+	order := s.rnd.Perm(len(svc.servers))
+	slices.SortStableFunc(order, func(x, y int) int {
+		a, b := svc.servers[x], svc.servers[y]
+		if tried[a] != tried[b] {
+			return cmp.Compare(rank(tried[a]), rank(tried[b]))
+		}
+		return cmp.Compare(a.limit.Load(), b.limit.Load())
+	})
+	wait := comeBackMost
+	for _, i := range order {
 		b := svc.servers[i]
-		if b.gone || b.open >= openLimit || tried[b] && len(tried) < len(svc.servers) {
-			continue
+		if b.limit.Acquire(now) {
+			return b, 0
 		}
-		if best == nil || b.open < best.open {
-			best = b
+		if !b.limit.Closed() {
+			wait = min(wait, b.limit.Wait(now))
 		}
 	}
-	if best != nil {
-		best.open++
+	// The jitter keeps refused calls from returning together.
+	return nil, wait + time.Duration(s.rnd.Int64N(int64(wait)))
+}
+
+func rank(tried bool) int {
+	if tried {
+		return 1
+	}
+	return 0
+}
+
+// outcome tells the limit of a server how an attempt ended.
+func outcome(reply citronrock.PlainReply, cancelled bool) limit.Outcome {
+	switch {
+	case reply.Fault == event.FaultRefused,
+		reply.Fault == event.FaultNone && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests):
+		return limit.Busy
+	case reply.Fault == event.FaultNone, reply.Fault == event.FaultFailed:
+		return limit.Answered
+	case cancelled:
+		return limit.Ended
 	}
-	return best
+	return limit.Fault
 }
