--- a/internal/daemon/call/run.go
+++ b/internal/daemon/call/run.go
@@ -47,6 +47,7 @@
 }
 
 // acquire takes a server for the next attempt, or returns the time to come back.
+// There is none when the control loop has ended.
 func (c *Caller) acquire(a *attempts) (*server, time.Duration) {
 	var b *server
 	after := comeBackSoon
