--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -19,7 +19,8 @@
 	// token, and between the engines of a transfer.
 	overhead = 4 * time.Millisecond
 	// early is how long before its planned start a prefill is sent, so that the
-	// engine has it at hand when earlier ones take less than planned.
+	// engine has it at hand when earlier ones take less than planned. It is as
+	// long as the bound of the queue: the engine keeps the order by priority.
 	early = 2 * time.Second
 	// lateShare divides the bound of the queue for requests that are late already.
 	lateShare = 4
