Compare a replay with recorded actions and stated outcomes

A trace held events only, so that a replay could show what the core does now but not whether that is what the daemon did. Traces can now hold the actions after each event, the core's seed and stated outcomes. Actions are JSON with sorted keys, since the text form of protobuf messages differs between builds. Members lines lacked the running daemons, so that a replayed owner could take other daemons' requests for orphans; they are recorded now.

A daemon does not write traces yet.

With the running daemons left out of decode TestRoundTrip fails.

--- /dev/null
+++ b/internal/trace/record/action_test.go
@@ -0,0 +1,81 @@
+package record_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/flow"
+	"citronrock.example/citronrock/internal/trace/record"
+	"citronrock.example/citronrock/internal/wire/peer"
+)
+
+// TestActions guards against actions that a trace does not keep exactly, and
+// against a comparison that finds no difference where there is one.
+func TestActions(t *testing.T) {
+	for name, c := range map[string]struct {
+		seed        uint64
+		differences int
+	}{
+		"same core": {0, 0},
+		// Another seed changes the jitter of retries and so what their ticks do.
+		"other seed": {99, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var buf bytes.Buffer
+			w := record.New(&buf, record.Head{Name: "d1", Incarnation: 7, Start: start, Seed: c.seed, Acts: true})
+			p := &player{m: flow.New("d1", 7), w: w, now: start}
+			p.step(start, event.Published{Document: document()})
+			p.acted()
+			p.feed(ms, event.Arrive{
+				Request: "r", Tenant: "agentschap", Service: "taalpost", Tokens: 4100, Max: 20,
+				Deadline: start.Add(20e9),
+			})
+			p.acted()
+			for wake := p.m.Wake(); wake.Before(start.Add(2e9)); wake = p.m.Wake() {
+				p.step(wake, event.Tick{})
+				p.acted()
+			}
+			if err := w.Close(); err != nil {
+				t.Fatal(err)
+			}
+			r, err := record.NewReader(&buf)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := flow.New("d1", 7)
+			if s := r.Head().Seed; s != 0 {
+				m = flow.New("d1", 7, flow.WithSeed(s))
+			}
+			steps, err := record.Replay(r, m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := record.CompareActions(steps)
+			if err != nil || len(got) < c.differences || c.differences == 0 && len(got) != 0 {
+				t.Fatalf("%d differences, want %d; %v %v", len(got), c.differences, got, err)
+			}
+		})
+	}
+}
+
+func (p *player) acted() { p.w.Acted(p.now, p.last) }
+
+// ExampleActionText shows the form of actions in traces and in the output of
+// "citronrock replay".
+func ExampleActionText() {
+	text, err := record.ActionText(event.SendDone{Done: &peer.Done{Request: "r", Cell: "gent", Outcome: "finish"}})
+	fmt.Println(text, err)
+	// Output: {"action":"senddone","done":{"cell":"gent","outcome":"finish","request":"r"}} <nil>
+}
+
+// ExampleCompareOutcomes shows that a stated outcome without a reason allows any.
+func ExampleCompareOutcomes() {
+	stated := map[string]record.Outcome{"a": {Outcome: "notrun"}, "b": {Outcome: "ok"}}
+	answers := []record.Answer{{Request: "a", Outcome: record.Outcome{Outcome: "notrun", Reason: "overload"}}}
+	for _, d := range record.CompareOutcomes(stated, answers) {
+		fmt.Println(d)
+	}
+	// Output: request b: the trace has ok, the replay no answer
+}
--- a/internal/trace/record/decode.go
+++ b/internal/trace/record/decode.go
@@ -67,7 +67,7 @@
 		all, err := parseAll(l.Bodies)
 		return event.Listed{Revision: l.Revision, Instances: all}, err
 	case "members":
-		return event.Members{Alive: l.Alive}, nil
+		return event.Members{Alive: l.Alive, Running: l.Running}, nil
 	case "paused":
 		return event.Paused{Gap: time.Duration(l.Gap)}, nil
 	case "unreachable":
--- a/internal/trace/record/encode.go
+++ b/internal/trace/record/encode.go
@@ -61,7 +61,7 @@
 		l.Event, l.Revision, l.Bodies = "listed", e.Revision, all
 		return l, err
 	case event.Members:
-		l.Event, l.Alive = "members", e.Alive
+		l.Event, l.Alive, l.Running = "members", e.Alive, e.Running
 	case event.Paused:
 		l.Event, l.Gap = "paused", int64(e.Gap)
 	case event.Unreachable:
--- a/internal/trace/record/line.go
+++ b/internal/trace/record/line.go
@@ -43,6 +43,7 @@
 	Document string            `json:"document,omitempty"`
 	Revision uint64            `json:"revision,omitempty"`
 	Alive    map[string]uint64 `json:"alive,omitempty"`
+	Running  map[string]uint64 `json:"running,omitempty"`
 	// Gap is in nanoseconds.
 	Gap int64 `json:"gap,omitempty"`
 
@@ -56,14 +57,26 @@
 	Name        string `json:"name,omitempty"`
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	Time        int64  `json:"time,omitempty"`
+	Seed        uint64 `json:"seed,omitempty"`
+	Acts        bool   `json:"acts,omitempty"`
 	// Count is the number of events that were not written.
 	Count uint64 `json:"count,omitempty"`
+
+	// Actions follow the event of the line before.
+	Actions []json.RawMessage `json:"actions,omitempty"`
+	// Outcome is "ok" or a kind of failure, Reason its reason.
+	Outcome string `json:"outcome,omitempty"`
+	Reason  string `json:"reason,omitempty"`
 }
 
 // Kinds of lines that are not events.
 const (
 	kindStart = "start"
 	kindLost  = "lost"
+	// kindActed holds the actions of the event before.
+	kindActed = "acted"
+	// kindOutcome states how a request must end; people add it to traces.
+	kindOutcome = "outcome"
 )
 
 var faults = []string{"", "unsent", "refused", "broken", "stalled", "crashed", "failed"}
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,11 @@
 	Incarnation uint64
 	// Start is the time that all offsets of the trace count from.
 	Start time.Time
+	// Seed is the seed of the decision core, zero for the one that flow.New
+	// derives from name and incarnation.
+	Seed uint64
+	// Acts tells that the trace also holds the actions of each event.
+	Acts bool
 }
 
 // Writer writes a trace. Add never blocks: events that find the buffer full are
@@ -36,9 +42,11 @@
 	err    error
 }
 
+// entry is an event, or the actions that followed the event before.
 type entry struct {
-	at time.Time
-	e  event.Event
+	at      time.Time
+	e       event.Event
+	actions []event.Action
 }
 
 // Option changes a new Writer.
@@ -64,14 +72,25 @@
 }
 
 // Add records an event. The event must not be changed afterwards.
-func (t *Writer) Add(at time.Time, e event.Event) {
+func (t *Writer) Add(at time.Time, e event.Event) { t.put(entry{at: at, e: e}) }
+
+// Acted records the actions of the event that was added last. It does nothing
+// unless the head says that the trace holds actions. The actions are copied;
+// what they point to must not be changed afterwards.
+func (t *Writer) Acted(at time.Time, actions []event.Action) {
+	if t.head.Acts && len(actions) > 0 {
+		t.put(entry{at: at, actions: slices.Clone(actions)})
+	}
+}
+
+func (t *Writer) put(n entry) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	if t.closed {
 		return
 	}
 	select {
-	case t.queue <- entry{at, e}:
+	case t.queue <- n:
 	default:
 		t.lost.Add(1)
 	}
@@ -98,7 +117,7 @@
 	out := json.NewEncoder(w)
 	err := out.Encode(line{
 		Event: kindStart, Name: t.head.Name, Incarnation: t.head.Incarnation,
-		Time: t.head.Start.UnixNano(),
+		Time: t.head.Start.UnixNano(), Seed: t.head.Seed, Acts: t.head.Acts,
 	})
 	told := uint64(0)
 	for n := range t.queue {
@@ -123,6 +142,13 @@
 	if err != nil {
 		return told, err
 	}
+	if n.e == nil {
+		l, err := encodeActions(t.head.Start, n.at, n.actions)
+		if err != nil {
+			return told, err
+		}
+		return told, out.Encode(l)
+	}
 	l, err := encode(t.head.Start, n.at, n.e)
 	if err != nil {
 		return told, err
--- a/internal/trace/record/record_test.go
+++ b/internal/trace/record/record_test.go
@@ -67,7 +67,7 @@
 		event.Tick{},
 		event.Published{Document: document()},
 		event.Listed{Revision: 3, Instances: []*platfm.Instance{{Name: "p1", Kind: "engine", State: "leaving"}}},
-		event.Members{Alive: map[string]uint64{"d1": 1 << 63}},
+		event.Members{Alive: map[string]uint64{"d1": 1 << 63}, Running: map[string]uint64{"d2": 0}},
 		event.Paused{Gap: time.Second},
 		event.Asked{From: "d2", Ask: &peer.Ask{Request: "r", Cell: "gent", Pieces: []uint64{1 << 63}}},
 		event.Finished{From: "d2", Done: &peer.Done{Request: "r", Outcome: "finish"}},
--- a/internal/trace/record/replay.go
+++ b/internal/trace/record/replay.go
@@ -20,6 +20,9 @@
 type Reader struct {
 	head Head
 	in   *json.Decoder
+	// acted holds the recorded actions since the last event.
+	acted    []string
+	outcomes map[string]Outcome
 }
 
 // NewReader reads the first line of a trace.
@@ -32,28 +35,56 @@
 	if l.Event != kindStart {
 		return nil, eris.Errorf("the trace begins with %q; it must begin with a line of kind %q", l.Event, kindStart)
 	}
-	h := Head{Name: l.Name, Incarnation: l.Incarnation, Start: time.Unix(0, l.Time).UTC()}
-	return &Reader{head: h, in: in}, nil
+	h := Head{
+		Name: l.Name, Incarnation: l.Incarnation, Start: time.Unix(0, l.Time).UTC(),
+		Seed: l.Seed, Acts: l.Acts,
+	}
+	return &Reader{head: h, in: in, outcomes: map[string]Outcome{}}, nil
 }
 
 // Head returns whose events the trace holds.
 func (r *Reader) Head() Head { return r.head }
 
+// Outcomes returns the stated outcomes by request, of the lines read so far.
+func (r *Reader) Outcomes() map[string]Outcome { return r.outcomes }
+
 // Next returns the next event and its time. It returns io.EOF at the end and
 // ErrGap where events are missing.
 func (r *Reader) Next() (time.Time, event.Event, error) {
-	var l line
-	if err := r.in.Decode(&l); err != nil {
-		if errors.Is(err, io.EOF) {
-			return time.Time{}, nil, io.EOF
+	r.acted = nil
+	for {
+		var l line
+		if err := r.in.Decode(&l); err != nil {
+			if errors.Is(err, io.EOF) {
+				return time.Time{}, nil, io.EOF
+			}
+			return time.Time{}, nil, eris.Wrap(err, "read a line of the trace")
+		}
+		switch l.Event {
+		case kindLost:
+			return time.Time{}, nil, ErrGap
+		case kindActed:
+			if err := r.takeActions(l.Actions); err != nil {
+				return time.Time{}, nil, err
+			}
+		case kindOutcome:
+			r.outcomes[l.Request] = Outcome{Outcome: l.Outcome, Reason: l.Reason}
+		default:
+			e, err := decode(r.head.Start, l)
+			return r.head.Start.Add(time.Duration(l.At)), e, err
 		}
-		return time.Time{}, nil, eris.Wrap(err, "read a line of the trace")
 	}
-	if l.Event == kindLost {
-		return time.Time{}, nil, ErrGap
+}
+
+func (r *Reader) takeActions(raw []json.RawMessage) error {
+	for _, a := range raw {
+		text, err := canonical(a)
+		if err != nil {
+			return err
+		}
+		r.acted = append(r.acted, text)
 	}
-	e, err := decode(r.head.Start, l)
-	return r.head.Start.Add(time.Duration(l.At)), e, err
+	return nil
 }
 
 // Step is one event of a replay with the actions that followed.
@@ -61,6 +92,8 @@
 	At      time.Time
 	Event   event.Event
 	Actions []event.Action
+	// Recorded holds the actions in the trace, in the form of ActionText.
+	Recorded []string
 }
 
 // Replay feeds all events of a trace to m.
@@ -68,6 +101,9 @@
 	var steps []Step
 	for {
 		at, e, err := r.Next()
+		if len(steps) > 0 {
+			steps[len(steps)-1].Recorded = r.acted
+		}
 		if errors.Is(err, io.EOF) {
 			return steps, nil
 		}
