Measure what a daemon adds to latency and its processor time

The cost of a token at a daemon decides the number of daemons at the target size, and nothing measured it. script/latency sends the same requests to the stand-ins and through one daemon in one run, and reads the daemon's processor time from the process for streams of three lengths and for calls; least squares give the time of a request and of a token.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"citronrock.example/citronrock/internal/bench/delay"
 	"citronrock.example/citronrock/internal/bench/demo"
 )
 
@@ -24,21 +25,37 @@
 	run.Duration(&set.Time, "", "time", "time of the load")
 	run.Bool(&set.Direct, "", "direct", "use a round robin router instead of the daemons")
 	run.Bool(&set.Keep, "", "keep", "leave all processes running")
+	slow := delay.Defaults()
+	latency := flaggy.NewSubcommand("latency")
+	latency.Description = "measure the latency that a daemon adds and its processor time"
+	latency.String(&slow.Bin, "", "bin", "directory of the programs")
+	latency.String(&slow.Work, "", "work", "directory for settings and logs")
+	latency.UInt64(&slow.Seed, "", "seed", "seed of the order of requests")
+	latency.Int(&slow.Requests, "", "requests", "requests in each case of latency")
+	latency.Duration(&slow.Time, "", "time", "time of each case of processor time")
+	latency.Int(&slow.Streams, "", "streams", "concurrent streams, up to 600")
+	latency.Duration(&slow.Gap, "", "gap", "time between tokens")
+	latency.String(&slow.Case, "", "case", "the only case to run")
 	parser := flaggy.NewParser("fleet")
 	parser.Description = "a fleet of stand-ins and daemons on this machine"
 	parser.AttachSubcommand(run, 1)
+	parser.AttachSubcommand(latency, 1)
 	if err := parser.Parse(); err != nil {
 		fmt.Fprintf(os.Stderr, "fleet: %v; see fleet --help\n", err)
 		os.Exit(2)
 	}
-	if !run.Used {
-		parser.ShowHelpWithMessage("name the verb demo")
+	if !run.Used && !latency.Used {
+		parser.ShowHelpWithMessage("name one of the verbs demo and latency")
 		os.Exit(2)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := demo.Run(ctx, set, os.Stdout); err != nil {
-		fmt.Fprintf(os.Stderr, "fleet: the demo failed: %v\n", err)
+	name, work := "demo", func() error { return demo.Run(ctx, set, os.Stdout) }
+	if latency.Used {
+		name, work = "measurement", func() error { return delay.Run(ctx, slow, os.Stdout) }
+	}
+	if err := work(); err != nil {
+		fmt.Fprintf(os.Stderr, "fleet: the %s failed: %v\n", name, err)
 		os.Exit(1)
 	}
 }
--- a/internal/bench/direct/direct.go
+++ b/internal/bench/direct/direct.go
@@ -97,24 +97,30 @@
 
 // Generate runs a request on one prefill and one decode engine.
 func (r *Router) Generate(ctx context.Context, q *connect.Request[caller.GenerateRequest], out *connect.ServerStream[caller.GenerateChunk]) error {
-	service := q.Msg.GetHead().GetService()
+	return r.Stream(ctx, q.Msg, out.Send)
+}
+
+// Stream runs a request on one prefill and one decode engine and passes the
+// tokens to emit.
+func (r *Router) Stream(ctx context.Context, q *caller.GenerateRequest, emit func(*caller.GenerateChunk) error) error {
+	service := q.GetHead().GetService()
 	if len(r.prefill[service]) == 0 || len(r.decode[service]) == 0 {
 		return fail(connect.CodeNotFound, caller.Failure_NOTRUN, "unknown service "+service)
 	}
 	p, d := r.pick(r.prefill[service]), r.pick(r.decode[service])
 	id := uuid.NewString()
 	defer release(ctx, id, p, d)
-	if err := place(ctx, id, q.Msg.Prompt, p, d); err != nil {
+	if err := place(ctx, id, q.Prompt, p, d); err != nil {
 		return err
 	}
-	s, err := d.engine.Decode(ctx, connect.NewRequest(&wire.DecodeRequest{Request: id, From: q.Msg.From, Max: q.Msg.Max}))
+	s, err := d.engine.Decode(ctx, connect.NewRequest(&wire.DecodeRequest{Request: id, From: q.From, Max: q.Max}))
 	if err != nil {
 		return fail(connect.CodeUnavailable, caller.Failure_FAILED, err.Error())
 	}
 	defer func() { _ = s.Close() }()
 	for s.Receive() {
 		m := s.Msg()
-		if err := out.Send(&caller.GenerateChunk{Request: id, Index: m.Index, Text: m.Text, Finish: m.Finish}); err != nil {
+		if err := emit(&caller.GenerateChunk{Request: id, Index: m.Index, Text: m.Text, Finish: m.Finish}); err != nil {
 			return err
 		}
 	}
@@ -160,13 +166,22 @@
 
 // Call sends a call to one server.
 func (r *Router) Call(ctx context.Context, q *connect.Request[caller.CallRequest]) (*connect.Response[caller.CallReply], error) {
-	service := q.Msg.GetHead().GetService()
+	reply, err := r.Post(ctx, q.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// Post sends a call to one server.
+func (r *Router) Post(ctx context.Context, q *caller.CallRequest) (*caller.CallReply, error) {
+	service := q.GetHead().GetService()
 	if len(r.servers[service]) == 0 {
 		return nil, fail(connect.CodeNotFound, caller.Failure_NOTRUN, "unknown service "+service)
 	}
 	id := uuid.NewString()
-	url := "http://" + r.pick(r.servers[service]).address + q.Msg.Path
-	h, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(q.Msg.Body))
+	url := "http://" + r.pick(r.servers[service]).address + q.Path
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(q.Body))
 	if err != nil {
 		return nil, fail(connect.CodeInvalidArgument, caller.Failure_NOTRUN, err.Error())
 	}
@@ -184,7 +199,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Citronrock-Run") == "no" {
 		return nil, fail(connect.CodeUnavailable, caller.Failure_NOTRUN, "the server is full")
 	}
-	return connect.NewResponse(&caller.CallReply{Request: id, Status: uint32(resp.StatusCode), Body: body}), nil
+	return &caller.CallReply{Request: id, Status: uint32(resp.StatusCode), Body: body}, nil
 }
 
 // Token issues tokens that nothing checks.
