Run the fleet's tests side by side and assert the interfaces

Cause: the fleet's tests take 41 s with the race detector, one after the other; each has a clock of its own.

Conclusion: no change of the tests' content.

--- a/internal/back/platfm/platfm.go
+++ b/internal/back/platfm/platfm.go
@@ -12,9 +12,12 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/wire/platfm"
 )
 
+var _ citronrock.Platform = (*Client)(nil)
+
 // MaxDocument is the largest document in bytes, as the platform defines it.
 const MaxDocument = 1 << 20
 
--- a/internal/bench/fleet/faults_test.go
+++ b/internal/bench/fleet/faults_test.go
@@ -91,6 +91,7 @@
 // Guards against an older version after a newer one, an earlier incarnation
 // after a later one, and views that stay apart after all faults have ended.
 func TestFaultsThenCommonView(t *testing.T) {
+	t.Parallel()
 	parameters := gopter.DefaultTestParametersWithSeed(21)
 	parameters.MinSuccessfulTests = 30
 	properties := gopter.NewProperties(parameters)
@@ -120,6 +121,7 @@
 // Guards against two sides of a long partition that do not find together, and
 // against a side that keeps the other one's daemons.
 func TestPartition(t *testing.T) {
+	t.Parallel()
 	f := build(t, Settings{Seed: 9}, 40)
 	side := func(n string) bool { return n < "d015" }
 	f.Cut = func(a, b string) bool { return side(a) != side(b) }
--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -45,6 +45,7 @@
 
 // Guards against a fleet that does not find together after all of it started.
 func TestColdStart(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 2, 7, 64} {
 		f := New(Settings{Seed: 1, Domains: 3})
 		f.Platform.Publish(1, nil)
@@ -58,6 +59,7 @@
 
 // Guards against a run that depends on anything but the seed.
 func TestSameSeedSameRun(t *testing.T) {
+	t.Parallel()
 	var sums [2]uint64
 	for i := range sums {
 		f := build(t, Settings{Seed: 5, Loss: 0.1, Jitter: 50 * time.Millisecond}, 20)
@@ -75,6 +77,7 @@
 
 // Guards against a dead daemon that keeps its cells for long.
 func TestDeathIsNoticed(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{7, 40} {
 		worst := time.Duration(0)
 		for seed := range uint64(6) {
@@ -89,6 +92,7 @@
 
 // Guards against a planned stop that costs the peers a suspicion.
 func TestLeaveIsFast(t *testing.T) {
+	t.Parallel()
 	f := build(t, Settings{Seed: 2}, 40)
 	f.Run(700 * time.Millisecond)
 	f.Nodes["d007"].Leave()
@@ -110,6 +114,7 @@
 // Guards against a restarted instance that is taken for its predecessor, whose
 // last packets arrive late and out of order.
 func TestRestartIsNotThePredecessor(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		f := build(t, Settings{Seed: seed, Loss: 0.1, Jitter: 800 * time.Millisecond, Delay: time.Millisecond}, 12)
 		for range 3 {
@@ -126,6 +131,7 @@
 // Guards against a paused daemon that stays dead for its peers, and against one
 // that takes its peers for dead because its timers ran out during the pause.
 func TestPausedRefutes(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		f := build(t, Settings{Seed: seed}, 12)
 		n := f.Nodes["d005"]
@@ -158,6 +164,7 @@
 
 // Guards against a process that does not notice a later one of its name.
 func TestReplacedIsNoticed(t *testing.T) {
+	t.Parallel()
 	f := build(t, Settings{Seed: 3}, 5)
 	n := f.Nodes["d001"]
 	n.Kill()
@@ -175,6 +182,7 @@
 // Guards against packets over the bound when names are long, changes many and
 // records of suspect requests numerous.
 func TestPacketsAreBounded(t *testing.T) {
+	t.Parallel()
 	f := New(Settings{Seed: 4, Prefix: strings.Repeat("n", 60)})
 	f.Platform.Publish(1, nil)
 	for range 40 {
@@ -195,6 +203,7 @@
 // Guards against a daemon that is suspected because one peer can't reach it
 // while others can.
 func TestIndirectProbes(t *testing.T) {
+	t.Parallel()
 	f := build(t, Settings{Seed: 10}, 6)
 	f.Cut = func(a, b string) bool { return a+b == "d000d001" || a+b == "d001d000" }
 	before := map[string]int{}
--- a/internal/bench/fleet/spread_test.go
+++ b/internal/bench/fleet/spread_test.go
@@ -16,6 +16,7 @@
 
 // Guards against records that don't reach all daemons or reach one twice.
 func TestStrikesReachAll(t *testing.T) {
+	t.Parallel()
 	f := build(t, Settings{Seed: 6, Loss: 0.2}, 40)
 	for i := range 10 {
 		f.Live()[i].Strike(strike(uint64(i)))
@@ -39,6 +40,7 @@
 
 // Guards against a fleet in which all daemons read the platform.
 func TestFewReaders(t *testing.T) {
+	t.Parallel()
 	f := build(t, Settings{Seed: 7, Domains: 3}, 60)
 	f.Run(90 * time.Second)
 	watchers := 0
@@ -63,6 +65,7 @@
 
 // Guards against a version that waits for a watcher that is dead.
 func TestLostWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		f := build(t, Settings{Seed: seed, Domains: 1}, 20)
 		f.Run(70 * time.Second)
@@ -92,6 +95,7 @@
 
 // Guards against a version that takes long to be in force everywhere.
 func TestVersionSpreadsFast(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		f := build(t, Settings{Seed: seed, Domains: 6, Loss: 0.05}, 60)
 		f.Platform.Publish(2, nil)
@@ -107,6 +111,7 @@
 // Guards against a fresh daemon that takes the older document of a platform
 // that is stale, and against one that is never ready when the platform is down.
 func TestFreshDaemonTakesTheHighest(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(f *Fleet){
 		"stale": func(f *Fleet) { f.Platform.Revert(1) },
 		"down":  func(f *Fleet) { f.Platform.Down = func(string) bool { return true } },
@@ -139,6 +144,7 @@
 // Guards against a rejected document that comes into force, is fetched again
 // and again, or hides the next valid one.
 func TestRejectedOnce(t *testing.T) {
+	t.Parallel()
 	for name, n := range map[string]int{"all watch": 2, "most poll": 12} {
 		t.Run(name, func(t *testing.T) { rejectedOnce(t, build(t, Settings{Seed: 8}, n)) })
 	}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -15,9 +15,12 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/wire/peer"
 )
 
+var _ citronrock.Peers = (*Link)(nil)
+
 // Calls are the functions that a Link calls for what it receives. Each may be
 // nil. They run on goroutines of the Link and may block; Close waits for them.
 type Calls struct {
