--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -200,6 +200,9 @@
 }
 
 func (d *Daemon) frame(from string, f *peer.Frame) {
+	if f.Revision > 0 {
+		d.calls.Newer(f.Revision)
+	}
 	for _, a := range f.Asks {
 		d.loop.Inject(event.Asked{From: from, Ask: a})
 	}
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -19,8 +19,8 @@
 	// reports stay at about 6 KB/s however many engines a daemon watches.
 	reportEach = 200 * time.Millisecond
 	reportMost = time.Second
-	retryFirst  = 100 * time.Millisecond
-	retryLimit  = 2 * time.Second
+	retryFirst = 100 * time.Millisecond
+	retryLimit = 2 * time.Second
 )
 
 // Watch keeps streams open.
