--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -248,8 +248,8 @@
 	defer grace.Stop()
 	for {
 		select {
-		case c := <-s.request.Tokens():
-			if err := s.pass(c); err != nil {
+		case <-s.request.Ready():
+			if err := s.passAll(); err != nil {
 				return err
 			}
 		case a := <-s.request.Answer():
@@ -274,10 +274,8 @@
 		}
 		return nil
 	}
-	for len(s.request.Tokens()) > 0 {
-		if err := s.pass(<-s.request.Tokens()); err != nil {
-			return err
-		}
+	if err := s.passAll(); err != nil {
+		return err
 	}
 	if !s.ended {
 		return &citronrock.Error{
@@ -288,6 +286,15 @@
 	return nil
 }
 
+func (s *stream) passAll() error {
+	for _, c := range s.request.Take() {
+		if err := s.pass(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // pass sends a token if it is the next one; repeated ones are dropped.
 func (s *stream) pass(c *engine.DecodeChunk) error {
 	if c.Index != s.next || s.ended {
--- a/internal/daemon/exec/request.go
+++ b/internal/daemon/exec/request.go
@@ -28,28 +28,41 @@
 
 	ctx    context.Context
 	end    context.CancelFunc
-	tokens chan *engine.DecodeChunk
+	ready  chan struct{}
 	answer chan event.Answer
+	limit  int
 
 	mu     sync.Mutex
+	tokens []*engine.DecodeChunk
 	cancel context.CancelFunc
 }
 
-// NewRequest returns a request whose attempts end with ctx. It buffers up to limit
-// tokens, so that a slow caller does not look like a stalled engine.
+// NewRequest returns a request whose attempts end with ctx. The tokens of an
+// answer of limit tokens may wait in it, so that a slow caller does not look like
+// a stalled engine.
 func NewRequest(ctx context.Context, id string, limit uint32) *Request {
 	ctx, end := context.WithCancel(ctx)
 	return &Request{
 		ID: id, ctx: ctx, end: end,
 		// A resumed stream may repeat tokens that wait here.
-		tokens: make(chan *engine.DecodeChunk, 2*limit+1),
+		limit:  2*int(limit) + 1,
+		ready:  make(chan struct{}, 1),
 		answer: make(chan event.Answer, 1),
 	}
 }
 
-// Tokens returns the tokens in the order of their arrival; indices may repeat
-// after a resumed stream.
-func (r *Request) Tokens() <-chan *engine.DecodeChunk { return r.tokens }
+// Ready returns a channel that tells when tokens wait.
+func (r *Request) Ready() <-chan struct{} { return r.ready }
+
+// Take removes the tokens that wait and returns them in the order of their
+// arrival; indices may repeat after a resumed stream.
+func (r *Request) Take() []*engine.DecodeChunk {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tokens := r.tokens
+	r.tokens = nil
+	return tokens
+}
 
 // Answer returns the one final answer.
 func (r *Request) Answer() <-chan event.Answer { return r.answer }
@@ -65,12 +78,17 @@
 // push queues a token. A full queue means that the engine sends more than was
 // asked for.
 func (r *Request) push(c *engine.DecodeChunk) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.tokens) >= r.limit {
+		return errFull
+	}
+	r.tokens = append(r.tokens, c)
 	select {
-	case r.tokens <- c:
-		return nil
+	case r.ready <- struct{}{}:
 	default:
-		return errFull
 	}
+	return nil
 }
 
 // stream returns the context of a new decode stream and ends the one before, so
