Start queued requests in time before late ones

Cause: the queue starts requests in the order of their deadlines. In an overload each of them is late before its turn comes, so that only the more urgent priority met its target.

Change: within a tenant's lane, requests that can still meet their first-token target go first; the others run when none of these waits.

--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -23,7 +23,9 @@
 	// seq orders requests of equal deadline.
 	seq uint64
 	// latest is the last moment at which a start still meets the deadline.
-	latest  time.Time
+	latest time.Time
+	// due is the last moment at which a start still meets the first-token target.
+	due     time.Time
 	waiting bool
 }
 
@@ -80,7 +82,7 @@
 func (g *Gate) Publish(now time.Time, d *policy.Document) {
 	g.loaded = true
 	g.publishTenants(now, d)
-	g.publishServices(d)
+	g.publishServices(now, d)
 	g.publishCells(d)
 }
 
@@ -96,6 +98,7 @@
 	}
 	g.seq++
 	r.seq = g.seq
+	r.due = now.Add(r.service.first - g.work(r))
 	v := g.place(now, r)
 	if v.State != Refuse {
 		r.tenant.open++
@@ -132,7 +135,7 @@
 // the first token.
 func (g *Gate) place(now time.Time, r *Request) Verdict {
 	over := g.over(now, r)
-	if over <= 0 && !r.service.holdsUpTo(r.Priority) {
+	if over <= 0 && !r.service.holdsUpTo(now, r.Priority) {
 		return Verdict{State: Run}
 	}
 	if !g.Return(now, r, over) {
@@ -169,7 +172,7 @@
 // Next removes the next queued request that may run now.
 func (g *Gate) Next(now time.Time) (*Request, bool) {
 	for _, s := range g.order {
-		head := s.head()
+		head := s.head(now)
 		if head == nil || !s.room() || g.over(now, head) > 0 {
 			continue
 		}
--- a/internal/core/admit/gate_test.go
+++ b/internal/core/admit/gate_test.go
@@ -185,6 +185,22 @@
 	}
 }
 
+// TestTimelyFirst guards against requests that wait behind late ones until they
+// are late as well.
+func TestTimelyFirst(t *testing.T) {
+	g := newGate()
+	late, timely := request("free", "drafts", 5, 30*time.Second), request("free", "drafts", 5, time.Minute)
+	queued(t, g, late)
+	if v := g.Arrive(start.Add(900*time.Millisecond), timely); v.State != Wait {
+		t.Fatalf("%+v", v)
+	}
+	for i, want := range []*Request{timely, late} {
+		if r, ok := g.Next(start.Add(1100 * time.Millisecond)); !ok || r != want {
+			t.Fatalf("place %d: %+v", i, r)
+		}
+	}
+}
+
 // TestLeave guards against a queued request that runs after its caller has left.
 func TestLeave(t *testing.T) {
 	g := newGate()
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -50,7 +50,7 @@
 	tokenBytes   = 4
 )
 
-func (g *Gate) publishServices(d *policy.Document) {
+func (g *Gate) publishServices(now time.Time, d *policy.Document) {
 	next := map[string]*service{}
 	g.order = g.order[:0]
 	for _, p := range d.Service {
@@ -69,17 +69,17 @@
 		next[p.Name] = s
 		g.order = append(g.order, s)
 	}
-	g.dropServices(next)
+	g.dropServices(now, next)
 	g.services = next
 }
 
 // dropServices sheds the queues of services that are no longer in the document.
-func (g *Gate) dropServices(next map[string]*service) {
+func (g *Gate) dropServices(now time.Time, next map[string]*service) {
 	for name, s := range g.services {
 		if next[name] != nil {
 			continue
 		}
-		for r := s.head(); r != nil; r = s.head() {
+		for r := s.head(now); r != nil; r = s.head(now) {
 			s.remove(r)
 			g.shed = append(g.shed, r)
 		}
@@ -149,16 +149,28 @@
 }
 
 // head returns the request to run next: of the most urgent priority, of the
-// tenant that got the least for its weight, the one with the earliest deadline.
-func (s *service) head() *Request {
+// tenant that got the least for its weight, the one that front chooses.
+func (s *service) head(now time.Time) *Request {
 	for _, l := range s.levels {
 		if n := l.next(); n != nil {
-			return n.items[0]
+			return n.front(now)
 		}
 	}
 	return nil
 }
 
+// front returns the request with the earliest deadline of those that can still
+// meet their first-token target, or of all when none can. In the order of the
+// deadlines alone, an overload makes each request late before its turn comes.
+func (n *lane) front(now time.Time) *Request {
+	for _, r := range n.items {
+		if now.Before(r.due) {
+			return r
+		}
+	}
+	return n.items[0]
+}
+
 func (l *level) next() *lane {
 	var best *lane
 	for _, n := range l.lanes {
@@ -230,11 +242,11 @@
 
 // holdsUpTo reports whether a request of this priority or a more urgent one
 // waits, so that a newcomer doesn't overtake it.
-func (s *service) holdsUpTo(priority uint32) bool {
+func (s *service) holdsUpTo(now time.Time, priority uint32) bool {
 	if s.count == 0 {
 		return false
 	}
-	h := s.head()
+	h := s.head(now)
 	return h != nil && h.Priority <= priority
 }
 
