Take the size of the KV cache from the document

Cause: the daemon never set cell.WithCache, so that the time on the links between engines counted as zero in every placement. Change: a model service may state cache, the bytes of KV cache for each prompt token; the demo's plans do. Conclusion: link time is accounted for where the document gives it.

--- a/internal/bench/fleet/plan.go
+++ b/internal/bench/fleet/plan.go
@@ -35,7 +35,7 @@
 		Tenants: []policy.Tenant{{Name: "agentschap", Rate: 1000, Burst: 2000, Open: 4000, Weight: 1}},
 		Service: []policy.Service{
 			{
-				Name: "taalpost", Kind: policy.KindModel, Model: "taal", First: ms(3000), Gap: ms(40),
+				Name: "taalpost", Kind: policy.KindModel, Model: "taal", Cache: 16 << 10, First: ms(3000), Gap: ms(40),
 				Priority: 5, Idempotent: true, Deferrable: true, Queue: 500, Waste: 0.3, Retry: 0.1,
 			},
 			{
@@ -58,7 +58,7 @@
 		Tenants: []policy.Tenant{{Name: "xenho", Rate: 1000, Burst: 2000, Open: 4000, Weight: 1}},
 		Service: []policy.Service{
 			{
-				Name: "letter-llm", Kind: policy.KindModel, Model: "letter", First: ms(4000), Gap: ms(40),
+				Name: "letter-llm", Kind: policy.KindModel, Model: "letter", Cache: 16 << 10, First: ms(4000), Gap: ms(40),
 				Priority: 5, Idempotent: true, Deferrable: true, Queue: 500, Waste: 0.8, Retry: 0.1,
 			},
 			{
--- a/internal/cli/consol/form.go
+++ b/internal/cli/consol/form.go
@@ -40,6 +40,7 @@
 	"retry":      "retries as a share of first attempts",
 	"cell":       "engines that one daemon accounts for",
 	"address":    "IP address and port",
+	"cache":      "bytes of KV cache for each prompt token",
 	"orders":     "the router may load models and change roles",
 	"checks":     "refuses orders with an old fencing number",
 }
@@ -167,8 +168,8 @@
 		n, err := strconv.Atoi(s)
 		v.SetInt(int64(n))
 		return err
-	case reflect.Uint32:
-		n, err := strconv.ParseUint(s, 10, 32)
+	case reflect.Uint32, reflect.Uint64:
+		n, err := strconv.ParseUint(s, 10, v.Type().Bits())
 		v.SetUint(n)
 		return err
 	default:
--- a/internal/conf/policy/policy.go
+++ b/internal/conf/policy/policy.go
@@ -62,6 +62,9 @@
 	Queue      int  `toml:"queue,omitempty"`
 	// Waste weighs wasted prefill against goodput, from 0 to 1.
 	Waste float64 `toml:"waste,omitempty"`
+	// Cache is the size of the KV cache of a prompt token in bytes. Without it
+	// the time on the links between engines counts as zero.
+	Cache uint64 `toml:"cache,omitempty"`
 	// Orders allows the router to load the model and to change the role of this
 	// service's engines, so that they match the document.
 	Orders bool `toml:"orders,omitempty"`
--- a/internal/conf/policy/valid.go
+++ b/internal/conf/policy/valid.go
@@ -92,6 +92,7 @@
 		c.require(s.Gap > 0, of+"target gap is missing", `write a time, as in gap = "32ms"`)
 	case KindPlain:
 		c.require(s.Model == "", of+"a plain service has no model", "remove model")
+		c.require(s.Cache == 0, of+"a plain service has no KV cache", "remove cache")
 		c.require(!s.Orders, of+"a plain service takes no orders", "remove orders")
 		c.require(s.Gap == 0, of+"a plain service has no target gap", "remove gap")
 		c.require(s.Idempotent || s.Window > 0, of+"window is missing",
--- a/internal/core/cell/cell.go
+++ b/internal/core/cell/cell.go
@@ -35,7 +35,8 @@
 
 // settings are what options change.
 type settings struct {
-	// cache is the size of the KV cache in bytes a token.
+	// cache is the size of the KV cache in bytes a token where the document
+	// gives none.
 	cache uint64
 	// quantile of the output lengths that is reserved.
 	quantile float64
--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -18,6 +18,8 @@
 // group is a cell: the engines that one daemon accounts for.
 type group struct {
 	name, service, domain string
+	// cache is the size of the KV cache in bytes a token, zero when unknown.
+	cache uint64
 	// former holds the engines of the last document while a new one is read.
 	units, former []*unit
 	holder        string
@@ -78,8 +80,10 @@
 	previous, groups := m.units, m.groups
 	m.units, m.groups, m.order = map[string]*unit{}, map[string]*group{}, nil
 	models := map[string]string{}
+	sizes := map[string]uint64{}
 	for _, s := range d.Service {
 		models[s.Name] = s.Model
+		sizes[s.Name] = s.Cache
 	}
 	for _, e := range d.Engines {
 		m.define(e, models[e.Service], previous[e.Name], groups)
@@ -97,6 +101,10 @@
 	slices.SortFunc(m.order, func(a, b *group) int { return strings.Compare(a.name, b.name) })
 	for _, g := range m.order {
 		g.domain = commonDomain(g.units)
+		g.cache = sizes[g.service]
+		if g.cache == 0 {
+			g.cache = m.cache
+		}
 		if g.owned && !slices.Equal(g.units, g.former) {
 			// Engines are numbered anew, so the index has to start again.
 			g.index = prefix.New(m.prefixes)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -280,10 +280,10 @@
 // transfer returns the time to move the KV cache and sets the link time used.
 func (s *search) transfer(p *pick) time.Duration {
 	link := min(p.prefill.link, p.decode.link)
-	if s.m.cache == 0 || link <= 0 {
+	if s.group.cache == 0 || link <= 0 {
 		return 0
 	}
-	bytes := float64(s.ask.GetTokens()) * float64(s.m.cache)
+	bytes := float64(s.ask.GetTokens()) * float64(s.group.cache)
 	p.wire = time.Duration(bytes / link * float64(time.Second))
 	ahead := max(p.prefill.wire.rest(s.at), p.decode.wire.rest(s.at))
 	return max(0, ahead-(p.done-s.at)) + p.wire
