--- a/internal/daemon/start/bench_test.go
+++ b/internal/daemon/start/bench_test.go
@@ -21,6 +21,14 @@
 	return s
 }
 
+// show logs how the daemons see the fleet, for failures that depend on timing.
+func (f *fleet) show() {
+	for i := range f.daemons {
+		s := f.status(i)
+		f.t.Logf("%s: ready %t, members %v, cells %v, engines %+v", s.Name, s.Ready, s.Members, s.Cells, s.Engines)
+	}
+}
+
 // BenchmarkControlBytes reports the control bytes that one generate request costs
 // its edge and the owner of its cell, by the length of the prompt. It is the
 // slope that docs/CAPACITY.md uses for frames.
--- a/internal/daemon/start/fault_test.go
+++ b/internal/daemon/start/fault_test.go
@@ -31,6 +31,7 @@
 			once.Do(begun.Done)
 			if err != nil || text != want {
 				f.t.Errorf("answer %d: %d of %d bytes, %v", i, len(text), len(want), err)
+				f.show()
 			}
 		})
 	}
--- a/internal/daemon/start/fleet_test.go
+++ b/internal/daemon/start/fleet_test.go
@@ -124,12 +124,20 @@
 
 func (f *fleet) start(name string) {
 	f.t.Helper()
-	s := local.Settings{Name: name, Domain: "gent", Caller: free(f.t), Peer: free(f.t), Admin: free(f.t), Platform: f.platform.Addr()}
+	var d *start.Daemon
+	var s local.Settings
+	var err error
+	// Another process may take a free port before the daemon does.
+	for range 5 {
+		s = local.Settings{Name: name, Domain: "gent", Caller: free(f.t), Peer: free(f.t), Admin: free(f.t), Platform: f.platform.Addr()}
+		if d, err = start.New(s, start.Logger(io.Discard, name)); err == nil {
+			break
+		}
+	}
+	f.must(err)
 	f.list = append(f.list, &wire.Instance{
 		Name: name, Kind: "daemon", Address: s.Caller.String(), Peer: s.Peer.String(), Domain: s.Domain, State: "live",
 	})
-	d, err := start.New(s, start.Logger(io.Discard, name))
-	f.must(err)
 	f.daemons = append(f.daemons, d)
 	f.callers = append(f.callers, s.Caller.String())
 	f.admins = append(f.admins, s.Admin.String())
