Keep the new owner's name when a cell is lost

Under load (14 to 16 copies of the test at once) it came back in 3 of 58 runs; the daemons' status then showed a cell without an owner at one daemon: that daemon had owned the cell alone for a moment, and disown cleared the new owner's name after assign had set it. Its edge knew nobody to ask from then on. Ruled out: pauses (Members follows them), lost reports (the other daemon had all engines live). Change: assign sets the owner after disown. Conclusion: a change of owner leaves no daemon without one.

--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -231,13 +231,15 @@
 		if len(names) == 0 {
 			names = all
 		}
-		g.holder = owner.First(g.name, names)
-		switch mine := g.holder == m.name; {
+		holder := owner.First(g.name, names)
+		switch mine := holder == m.name; {
 		case mine && !g.owned:
 			m.adopt(at, g)
 		case !mine && g.owned:
 			m.disown(g)
 		}
+		// After disown, which forgets the owner.
+		g.holder = holder
 	}
 }
 
--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/owner"
 	"citronrock.example/citronrock/internal/wire/engine"
 	"citronrock.example/citronrock/internal/wire/platfm"
 )
@@ -325,3 +326,25 @@
 		t.Errorf("the fencing number falls from %d to %d with a takeover", first, second)
 	}
 }
+
+// Guards against a daemon that loses a cell and then knows no owner to ask.
+func TestFormerOwnerKnowsTheNewOne(t *testing.T) {
+	r := ready(1, 1)
+	if r.m.Owner("c") != "me" {
+		t.Fatalf("owner is %q, want me", r.m.Owner("c"))
+	}
+	other := ""
+	for i := 0; other == ""; i++ {
+		if name := fmt.Sprint("d", i); owner.First("c", []string{"me", name}) == name {
+			other = name
+		}
+	}
+	r.do(event.Listed{Revision: 2, Instances: []*platfm.Instance{
+		{Name: "me", Kind: "daemon", Domain: "gent", State: "live"},
+		{Name: other, Kind: "daemon", Domain: "gent", State: "live"},
+	}})
+	r.do(event.Members{Alive: map[string]uint64{"me": 7, other: 1}})
+	if got := r.m.Owner("c"); got != other {
+		t.Errorf("owner is %q, want %q", got, other)
+	}
+}
