Revert "Don't let the refusal of a suspect request shut its cell"

Cause: the test of that commit failed for another reason, before and after the change: a request that may start at once is not in the queue that Next returns. Change: reverted.

--- a/internal/core/admit/cells.go
+++ b/internal/core/admit/cells.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/owner"
 	"citronrock.example/citronrock/internal/wire/peer"
@@ -283,10 +282,6 @@
 		return
 	}
 	c.at, c.quiet = now, time.Time{}
-	if a.GetReason() == string(citronrock.ReasonSuspect) {
-		// This refusal is about the request's content, not about the cell's load.
-		return
-	}
 	if !a.GetGranted() {
 		c.wait = millis(a.GetQueue()) / time.Duration(max(c.prefill, 1))
 		c.shut = now.Add(millis(a.GetAfter()))
