Bound the writes of answers without a message to the connection

A timer of the answer now bounds a write and sets a deadline only when it has expired. One deadline for the whole answer was ruled out, since HTTP/2 resets a stream whose deadline passes between two writes.

--- a/internal/bench/delay/cases.go
+++ b/internal/bench/delay/cases.go
@@ -61,25 +61,29 @@
 	return m.print()
 }
 
-// generates compares single streams, one at a time, by both ways in random order.
+// generates compares streams by both ways, in random order.
 func (m *meter) generates(ctx context.Context, name string) error {
-	return m.compare(ctx, name, func(ctx context.Context, p path, id string) (sample, error) {
+	return m.compare(ctx, name, streamWorkers, func(ctx context.Context, p path, id string) (sample, error) {
 		return generate(ctx, p, id, shortPrompt, latencyWords)
 	})
 }
 
 func (m *meter) calls(service string) func(context.Context, string) error {
 	return func(ctx context.Context, name string) error {
-		return m.compare(ctx, name, func(ctx context.Context, p path, id string) (sample, error) {
+		return m.compare(ctx, name, callWorkers, func(ctx context.Context, p path, id string) (sample, error) {
 			return call(ctx, p, service, id)
 		})
 	}
 }
 
-// workers is the number of requests at a time in the cases of latency.
-const workers = 4
+// Number of requests at a time in the cases of latency. Streams mostly wait for
+// tokens.
+const (
+	streamWorkers = 16
+	callWorkers   = 4
+)
 
-func (m *meter) compare(ctx context.Context, name string, send func(context.Context, path, string) (sample, error)) error {
+func (m *meter) compare(ctx context.Context, name string, workers int, send func(context.Context, path, string) (sample, error)) error {
 	var mu sync.Mutex
 	var samples [2][]sample
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/edge/server.go
+++ b/internal/daemon/edge/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -36,7 +37,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           limited(mux),
+		Handler:           limited(mux, writeTimeout),
 		Protocols:         &protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -50,9 +51,9 @@
 }
 
 // limited reads each request's body under a deadline and a size limit before it
-// is handled, and sets a deadline for each write of the answer. Every request of
+// is handled, and bounds the time of each write of the answer. Every request of
 // the protocol is one message, so that its body can be read beforehand.
-func limited(next http.Handler) http.Handler {
+func limited(next http.Handler, limit time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(readTimeout))
@@ -63,32 +64,71 @@
 		}
 		_ = control.SetReadDeadline(time.Time{})
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		next.ServeHTTP(&deadlineWriter{w, control}, r)
+		bounded := &boundedWriter{ResponseWriter: w, control: control, limit: limit}
+		defer bounded.stop()
+		next.ServeHTTP(bounded, r)
 	})
 }
 
-// deadlineWriter gives each write its own deadline and lifts it afterwards, since
-// HTTP/2 resets a stream when its write deadline passes between two writes.
-type deadlineWriter struct {
+// boundedWriter ends the answer when one write takes longer than limit. It keeps a
+// timer of its own, since each SetWriteDeadline of an HTTP/2 answer is a message to
+// the goroutine that serves the connection, four of them for each token.
+type boundedWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
-}
+	limit   time.Duration
+	timer   *time.Timer
 
-func (w *deadlineWriter) Write(p []byte) (int, error) {
-	defer w.limit()()
-	return w.ResponseWriter.Write(p)
+	mu      sync.Mutex
+	writing bool
 }
 
-func (w *deadlineWriter) limit() (lift func()) {
-	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return func() { _ = w.control.SetWriteDeadline(time.Time{}) }
+func (w *boundedWriter) Write(p []byte) (int, error) {
+	w.begin()
+	defer w.end()
+	return w.ResponseWriter.Write(p)
 }
 
 // Flush sends what was written.
-func (w *deadlineWriter) Flush() {
-	defer w.limit()()
+func (w *boundedWriter) Flush() {
+	w.begin()
+	defer w.end()
 	_ = w.control.Flush()
 }
 
 // Unwrap returns the writer below, for http.ResponseController.
-func (w *deadlineWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *boundedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *boundedWriter) begin() {
+	w.mu.Lock()
+	w.writing = true
+	w.mu.Unlock()
+	if w.timer == nil {
+		w.timer = time.AfterFunc(w.limit, w.expire)
+		return
+	}
+	w.timer.Reset(w.limit)
+}
+
+func (w *boundedWriter) end() {
+	w.timer.Stop()
+	w.mu.Lock()
+	w.writing = false
+	w.mu.Unlock()
+}
+
+// expire fails the write in progress by a deadline that has passed. The lock keeps
+// the handler from returning meanwhile, after which the writer can't be used.
+func (w *boundedWriter) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.writing {
+		_ = w.control.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
+func (w *boundedWriter) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
