Share the limits of tenants between both kinds of services

Cause: generate requests divided a tenant's rate among the daemons that answer, calls to plain services did not, and each kind had a count of its own, so that a tenant got its limits twice. Change: core/tenant holds the limits once; admission and calls use the same. Ruled out: a limit of the whole fleet, which needs messages for each request. Conclusion: one tenant, one limit for each daemon. A tenant on a single connection gets the share of one daemon, as before for generate.

--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -8,6 +8,7 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/core/tenant"
 )
 
 // Request is what admission needs to know of a request.
@@ -18,7 +19,7 @@
 	Piece    uint64
 	Deadline time.Time
 
-	tenant  *tenant
+	tenant  *tenant.Tenant
 	service *service
 	// seq orders requests of equal deadline.
 	seq uint64
@@ -53,9 +54,8 @@
 // Gate admits the generate requests of one edge.
 type Gate struct {
 	rnd      *rand.Rand
-	alive    int
 	loaded   bool
-	tenants  map[string]*tenant
+	tenants  *tenant.Limits
 	services map[string]*service
 	// order lists the services as in the document, for a fixed order of Next.
 	order []*service
@@ -71,8 +71,7 @@
 func New(rnd *rand.Rand) *Gate {
 	return &Gate{
 		rnd:      rnd,
-		alive:    1,
-		tenants:  map[string]*tenant{},
+		tenants:  tenant.New(),
 		services: map[string]*service{},
 		cells:    map[string]*cell{},
 	}
@@ -81,14 +80,17 @@
 // Publish applies a document. Queued requests and figures are kept.
 func (g *Gate) Publish(now time.Time, d *policy.Document) {
 	g.loaded = true
-	g.publishTenants(now, d)
+	g.tenants.Publish(d.Tenants)
 	g.publishServices(now, d)
 	g.publishCells(d)
 }
 
 // Members tells how many daemons are alive. Each enforces its share of the
 // tenants' limits, since the platform's load balancer spreads the callers.
-func (g *Gate) Members(alive int) { g.alive = max(alive, 1) }
+func (g *Gate) Members(alive int) { g.tenants.Members(alive) }
+
+// SetTenants replaces the limits by ones that calls to plain services share.
+func (g *Gate) SetTenants(l *tenant.Limits) { g.tenants = l }
 
 // Arrive decides about a new request. Every request that is not refused needs
 // one later call of Leave.
@@ -101,7 +103,7 @@
 	r.due = now.Add(r.service.first - g.work(r))
 	v := g.place(now, r)
 	if v.State != Refuse {
-		r.tenant.open++
+		r.tenant.Open()
 	}
 	return v
 }
@@ -111,21 +113,21 @@
 	if r.waiting {
 		r.service.remove(r)
 	}
-	r.tenant.open--
+	r.tenant.Close()
 }
 
 func (g *Gate) check(now time.Time, r *Request) Verdict {
 	if !g.loaded {
 		return Verdict{Refuse, citronrock.ReasonConfig, g.After(time.Second)}
 	}
-	r.tenant, r.service = g.tenants[r.Tenant], g.services[r.Service]
+	r.tenant, r.service = g.tenants.Find(r.Tenant), g.services[r.Service]
 	if r.tenant == nil || r.service == nil {
 		return Verdict{Refuse, citronrock.ReasonInvalid, 0}
 	}
 	if !now.Before(r.Deadline) {
 		return Verdict{Refuse, citronrock.ReasonDeadline, 0}
 	}
-	if after := r.tenant.admit(now, g.alive); after > 0 {
+	if after := g.tenants.Admit(now, r.tenant); after > 0 {
 		return Verdict{Refuse, citronrock.ReasonLimit, g.After(after)}
 	}
 	return Verdict{State: Run}
--- a/internal/core/admit/gate_test.go
+++ b/internal/core/admit/gate_test.go
@@ -362,7 +362,7 @@
 		inside := map[*Request]bool{}
 		for range 400 {
 			now = now.Add(time.Duration(rnd.IntN(50)) * time.Millisecond)
-			r := request([]string{"free", "heavy"}[rnd.IntN(2)], "drafts", rnd.Uint32N(9), 0)
+			r := request([]string{"free", "heavy", "slow", "few"}[rnd.IntN(2)], "drafts", rnd.Uint32N(9), 0)
 			r.Deadline = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond)
 			switch rnd.IntN(5) {
 			case 0:
@@ -392,15 +392,16 @@
 				return fmt.Sprintf("%d wait, %d inside", g.Waiting(), len(inside))
 			}
 		}
-		for name, t := range g.tenants {
+		for _, name := range []string{"free", "heavy", "slow", "few"} {
+			t := g.tenants.Find(name)
 			waiting := 0
 			for r := range inside {
 				if r.Tenant == name {
 					waiting++
 				}
 			}
-			if t.open != waiting {
-				return fmt.Sprintf("%s has %d open, %d wait", name, t.open, waiting)
+			if t.Active() != waiting {
+				return fmt.Sprintf("%s has %d open, %d wait", name, t.Active(), waiting)
 			}
 		}
 		return ""
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"citronrock.example/citronrock/internal/core/tenant"
+
 	"slices"
 	"strings"
 	"time"
@@ -34,7 +36,7 @@
 
 // lane holds the waiting requests of one tenant, earliest deadline first.
 type lane struct {
-	tenant *tenant
+	tenant *tenant.Tenant
 	name   string
 	items  []*Request
 	bytes  int
@@ -207,7 +209,7 @@
 	l := s.level(r.Priority)
 	n := l.lane(r)
 	l.served = n.served
-	n.served += float64(r.Tokens+r.Max) / n.tenant.weight
+	n.served += float64(r.Tokens+r.Max) / n.tenant.Weight
 	s.remove(r)
 }
 
--- a/internal/core/flow/machine.go
+++ b/internal/core/flow/machine.go
@@ -14,6 +14,7 @@
 	"citronrock.example/citronrock/internal/core/admit"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/core/tenant"
 	"citronrock.example/citronrock/internal/wire/peer"
 	"citronrock.example/citronrock/internal/wire/platfm"
 )
@@ -32,6 +33,9 @@
 // WithStrikes gives the records of suspect requests.
 func WithStrikes(s Strikes) Option { return func(m *Machine) { m.strikes = s } }
 
+// WithTenants gives limits that calls to plain services share.
+func WithTenants(l *tenant.Limits) Option { return func(m *Machine) { m.tenants = l } }
+
 // WithSeed sets the seed of all random choices in place of one made from the
 // name and the incarnation.
 func WithSeed(seed uint64) Option { return func(m *Machine) { m.seed = seed } }
@@ -43,6 +47,7 @@
 	rnd     *rand.Rand
 	strikes Strikes
 	gate    *admit.Gate
+	tenants *tenant.Limits
 
 	services map[string]*service
 	engines  map[string]*engine
@@ -101,6 +106,9 @@
 	}
 	m.rnd = rand.New(rand.NewPCG(m.seed, m.seed>>32))
 	m.gate = admit.New(m.rnd)
+	if m.tenants != nil {
+		m.gate.SetTenants(m.tenants)
+	}
 	return m
 }
 
--- a/internal/daemon/call/call.go
+++ b/internal/daemon/call/call.go
@@ -13,6 +13,7 @@
 	"citronrock.example/citronrock/internal/conf/policy"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/once"
+	"citronrock.example/citronrock/internal/core/tenant"
 	"citronrock.example/citronrock/internal/wire/caller"
 )
 
@@ -77,8 +78,8 @@
 	return func(c *Caller) { c.dial = d }
 }
 
-// WithTenants replaces the limits of tenants.
-func WithTenants(t Tenants) Option {
+// WithTenants gives limits that generate requests share.
+func WithTenants(t *tenant.Limits) Option {
 	return func(c *Caller) { c.state.tenants = t }
 }
 
@@ -115,7 +116,7 @@
 		limits:  once.Defaults(),
 		state: state{
 			rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			tenants:  NewTenants(),
+			tenants:  tenant.New(),
 			waits:    map[once.ID]*wait{},
 			forwards: map[*forward]bool{},
 		},
@@ -171,7 +172,7 @@
 	} else {
 		a = c.run(ctx, j)
 	}
-	c.control.Do(func(time.Time) { c.state.tenants.Release(j.tenant) })
+	c.control.Do(func(time.Time) { c.state.leave(j.tenant) })
 	c.sample(j, start, a)
 	if a.refusal != nil {
 		return nil, a.refusal
@@ -194,7 +195,7 @@
 		if refusal = c.state.count(now, r.GetTenant()); refusal != nil {
 			return
 		}
-		c.state.tenants.Release(r.GetTenant())
+		c.state.leave(r.GetTenant())
 		for range count {
 			reply.Tokens = append(reply.Tokens, c.state.table.Issue(now, r.GetTenant()))
 		}
--- a/internal/daemon/call/job.go
+++ b/internal/daemon/call/job.go
@@ -140,22 +140,31 @@
 }
 
 // count counts an open call against the limits of its tenant.
-func (s *state) count(now time.Time, tenant string) *citronrock.Error {
+func (s *state) count(now time.Time, name string) *citronrock.Error {
 	switch {
 	case s.doc == nil:
 		return unconfigured()
-	case !s.tenants.Known(tenant):
-		return invalid("tenant %q is not in the document; correct the name", tenant)
+	case !s.tenants.Known(name):
+		return invalid("tenant %q is not in the document; correct the name", name)
 	case s.drained:
 		return stopped()
 	}
-	if after, ok := s.tenants.Admit(now, tenant); !ok {
-		remedy := fmt.Sprintf("tenant %s is at its limit of rate or open requests; wait", tenant)
+	t := s.tenants.Find(name)
+	if after := s.tenants.Admit(now, t); after > 0 {
+		remedy := fmt.Sprintf("tenant %s is at its limit of rate or open requests; wait", name)
 		return refuse(citronrock.NotRun, citronrock.ReasonLimit, remedy, after)
 	}
+	t.Open()
 	return nil
 }
 
+// leave ends an open call. A tenant that has left the document has no count.
+func (s *state) leave(name string) {
+	if t := s.tenants.Find(name); t != nil {
+		t.Close()
+	}
+}
+
 func unconfigured() *citronrock.Error {
 	return refuse(citronrock.NotRun, citronrock.ReasonConfig, "no valid document has been read yet; try again", time.Second)
 }
--- a/internal/daemon/call/state.go
+++ b/internal/daemon/call/state.go
@@ -14,13 +14,14 @@
 	"citronrock.example/citronrock/internal/core/limit"
 	"citronrock.example/citronrock/internal/core/once"
 	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/core/tenant"
 )
 
 // state is owned by the control goroutine.
 type state struct {
 	doc      *policy.Document
 	services map[string]*service
-	tenants  Tenants
+	tenants  *tenant.Limits
 	rnd      *rand.Rand
 	drained  bool
 	made     uint64
--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -23,6 +23,7 @@
 	"citronrock.example/citronrock/internal/core/flow"
 	"citronrock.example/citronrock/internal/core/node"
 	"citronrock.example/citronrock/internal/core/order"
+	"citronrock.example/citronrock/internal/core/tenant"
 	"citronrock.example/citronrock/internal/daemon/admin"
 	"citronrock.example/citronrock/internal/daemon/call"
 	"citronrock.example/citronrock/internal/daemon/edge"
@@ -129,11 +130,12 @@
 	name := d.settings.Name
 	d.engines = &engines{name: name, number: d.number, clients: map[string]*client{}}
 	d.cell = cell.New(name, d.number)
-	d.flow = flow.New(name, d.number, flow.WithStrikes(d.cell.Strikes()), flow.WithSeed(d.number))
+	limits := tenant.New()
+	d.flow = flow.New(name, d.number, flow.WithStrikes(d.cell.Strikes()), flow.WithTenants(limits), flow.WithSeed(d.number))
 	d.loop = loop.New(node.New(name, d.flow, d.cell, order.New(d.cell, d.number)), d.act,
 		loop.WithPaused(d.paused), loop.WithAfter(d.after))
 	d.watch = watch.New(d.engines.find, d.loop.Post)
-	d.calls = call.New(call.WithName(name, d.number), call.WithControl(d.loop), call.WithPeers(d),
+	d.calls = call.New(call.WithName(name, d.number), call.WithControl(d.loop), call.WithPeers(d), call.WithTenants(limits),
 		call.WithDialer(func(_ policy.Service, s policy.Server) citronrock.Plain { return plain.New(s.Address) }))
 	d.exec = exec.New(name, d.loop, d.engines, d, d.cell.Owner, func(s *peer.Strike) { d.group.Strike(s) })
 	d.edge = edge.New(name, d.number, d.loop.Post, d.exec, d.calls, d.meter)
