--- a/internal/daemon/edge/server_test.go
+++ b/internal/daemon/edge/server_test.go
@@ -60,7 +60,8 @@
 			}
 			defer func() { _ = resp.Body.Close() }()
 			select {
-			case <-ended:
+			case err := <-ended:
+				t.Logf("the write ended with: %v", err)
 			case <-time.After(20 * time.Second):
 				t.Fatal("the answer to a silent caller goes on")
 			}
