Know the next owner after handing a cell over

assign set the holder of a cell and then called disown, which clears it. A daemon that lost a cell to another, as when a paused owner returns, had no owner to ask until the next change of membership; its requests were refused locally every 200 ms and ended at their deadline. The holder is now set last.

TestFormerOwnerKnowsNext fails without the change.

--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -220,13 +220,16 @@
 		if len(names) == 0 {
 			names = all
 		}
-		g.holder = owner.First(g.name, names)
-		switch mine := g.holder == m.name; {
+		holder := owner.First(g.name, names)
+		switch mine := holder == m.name; {
 		case mine && !g.owned:
 			m.adopt(at, g)
 		case !mine && g.owned:
 			m.disown(g)
 		}
+		// After disown, which forgets the holder: this daemon's own requests go
+		// to the next owner.
+		g.holder = holder
 	}
 }
 
--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// Guards against a daemon that hands a cell over, as after another's pause, and
+// then has no owner to ask for its own requests.
+func TestFormerOwnerKnowsNext(t *testing.T) {
+	alive := map[string]uint64{"a": 1, "b": 1, "me": 7}
+	for self := range alive {
+		m := New(self, alive[self])
+		r := &rig{m: m, now: start}
+		r.do(event.Published{Document: newRig(engines(1, 3)).document})
+		r.do(event.Members{Alive: map[string]uint64{self: alive[self]}})
+		if o := m.Owner("c"); o != self {
+			t.Errorf("%s alone takes %q for the owner", self, o)
+		}
+		r.do(event.Members{Alive: alive})
+		if m.Owner("c") == "" {
+			t.Errorf("%s knows no owner after the handover", self)
+		}
+	}
+}
+
 // Guards against a new owner that grants what the old one has granted already.
 func TestTakeoverGrantsAQuarter(t *testing.T) {
 	r := newRig(engines(1, 2))
