Write the shared part of the listing verbs once

Change: cli/lists parses their flags and reads the daemons; each verb keeps its help and its rows. Conclusion: one place for the flags of lists.

--- a/internal/cli/engine/engine.go
+++ b/internal/cli/engine/engine.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
-	"net/netip"
 
 	"citronrock.example/citronrock/internal/cli/deps"
-	"citronrock.example/citronrock/internal/cli/flags"
+	"citronrock.example/citronrock/internal/cli/lists"
 	"citronrock.example/citronrock/internal/cli/table"
+	"citronrock.example/citronrock/internal/daemon/admin"
 )
 
 const usage = "citronrock engines [--daemon ADDRESS[,ADDRESS...]] [--json]"
@@ -21,42 +21,18 @@
   citronrock engines --daemon 127.0.0.1:7201,127.0.0.1:7202
   CITRONROCK_DAEMON=127.0.0.1:7201 citronrock engines --json`
 
-// Options are the streams and parsed flags of the verb.
-type Options struct {
-	deps    *deps.Factory
-	daemons []netip.AddrPort
-	json    bool
-}
-
 // New parses the arguments.
-func New(f *deps.Factory, args []string) (*Options, error) {
-	o := &Options{deps: f}
-	var daemons string
-	set := flags.New(usage, help)
-	set.String(&daemons, "daemon", "ADDRESS", "admin addresses of daemons, or CITRONROCK_DAEMON")
-	set.Bool(&o.json, "json", "print the status of the daemons as JSON")
-	if err := set.Parse(args, f.Out); err != nil {
-		return nil, err
-	}
-	var err error
-	o.daemons, err = f.Addresses("daemon", daemons, "CITRONROCK_DAEMON")
-	return o, err
+func New(f *deps.Factory, args []string) (*lists.Options, error) {
+	return lists.New(f, args, usage, help)
 }
 
 // Run reads and prints the list.
-func Run(ctx context.Context, o *Options) error {
-	all, err := o.deps.Statuses(ctx, o.daemons)
-	if err != nil {
-		return err
-	}
-	if o.json {
-		return table.JSON(o.deps.Out, all)
-	}
-	t := table.New("name", "cell", "role", "state", "owner", "pieces", "free", "busy", "queue")
-	for _, s := range all {
-		for _, e := range s.Engines {
-			t.Add(e.Name, e.Cell, e.Role, e.State, s.Name, e.Pieces, e.Free, e.Busy, e.Queue)
+func Run(ctx context.Context, o *lists.Options) error {
+	return lists.Run(ctx, o, table.New("name", "cell", "role", "state", "owner", "pieces", "free", "busy", "queue"), func(t *table.Table, all []*admin.Status) {
+		for _, s := range all {
+			for _, e := range s.Engines {
+				t.Add(e.Name, e.Cell, e.Role, e.State, s.Name, e.Pieces, e.Free, e.Busy, e.Queue)
+			}
 		}
-	}
-	return t.Print(o.deps.Out, o.deps.Terminal)
+	})
 }
