--- a/internal/bench/load/plan_test.go
+++ b/internal/bench/load/plan_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -174,3 +176,22 @@
 		t.Error("the text does not follow the fingerprint")
 	}
 }
+
+// Guards against progress that is told once only, or after the run has ended.
+func TestProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		classes := []Class{{Name: "c"}}
+		r := newResult(1, time.Minute, classes)
+		var told [][2]int
+		stop := r.watch(func(sent, ended int) { told = append(told, [2]int{sent, ended}) })
+		r.sent.Add(3)
+		time.Sleep(1500 * time.Millisecond)
+		r.add(&ended{class: &classes[0], outcome: Answered})
+		time.Sleep(time.Second)
+		stop()
+		time.Sleep(time.Minute)
+		if want := [][2]int{{3, 0}, {3, 1}}; !slices.Equal(told, want) {
+			t.Errorf("told %v, want %v", told, want)
+		}
+	})
+}
