Serve both sides of a partition; count the grace from the lost connection

Requests carried the owner's fencing number: the owner with the later takeover locked the other side's requests out of engines that check. Reports now come at most once a second, and the grace of orphans began only with the first report after the death was known.

Change: engines report the number of the last order that they accepted; grants repeat it, and only orders raise it. Engines report how long a run has had no connection, and the grace of 3 s counts from then. Streams of reports that are open keep their pace when their number changes. Test fleets take ports below the range of outgoing connections. TestFenceGrowsWithTakeover checks the number of orders now, which is the one that has to grow.

Ruled out: numbers of both owners made equal, which needs messages between the sides. Conclusion: fencing protects orders; requests are protected by the engine's own refusal.

--- a/internal/bench/fleet/plan.go
+++ b/internal/bench/fleet/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -93,15 +94,23 @@
 	}
 }
 
-// ports hands out loopback addresses that are free for TCP and UDP. Another
-// process may take one before it is used; the start fails then.
+// Range of the ports that fleets use.
+const (
+	lowPort  = 10_000
+	highPort = 32_000
+)
+
+// ports hands out loopback addresses that are free for TCP and UDP. They lie
+// below the range from which the kernel takes the ports of outgoing connections,
+// since with some hundred processes those took chosen ports before their use.
+// Another fleet may still take one; the start fails then.
 type ports struct{ given map[uint16]bool }
 
 func (p *ports) next() (netip.AddrPort, error) {
 	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort)))
 		if err != nil {
-			return netip.AddrPort{}, eris.Wrap(err, "no free port")
+			continue
 		}
 		a := l.Addr().(*net.TCPAddr).AddrPort()
 		u, err := net.ListenPacket("udp", a.String())
--- a/internal/core/cell/cell.go
+++ b/internal/core/cell/cell.go
@@ -199,8 +199,7 @@
 	return m.epoch.Add(wake)
 }
 
-// fence returns the fencing number of this daemon's orders.
-// fence returns the fencing number of an owned cell. It carries the time of the
+// fence returns the fencing number of orders to an owned cell. It carries the time of the
 // takeover and not the owner's start, which may lie before that of the owner it
 // follows; engines that check would then refuse the new owner's orders.
 func (m *Machine) fence(g *group) uint64 {
--- a/internal/core/cell/own_test.go
+++ b/internal/core/cell/own_test.go
@@ -9,6 +9,7 @@
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/wire/engine"
 	"citronrock.example/citronrock/internal/wire/platfm"
+	"google.golang.org/protobuf/types/known/durationpb"
 )
 
 // Guards against two daemons that take themselves for the owner, and against
@@ -287,15 +288,17 @@
 		listed   bool
 		attached bool
 		want     time.Duration // zero for never
+		idle     time.Duration
 	}{
-		"leaving":             {map[string]uint64{"me": 7, "edge": 3}, true, false, 0},
-		"not heard of":        {map[string]uint64{"me": 7, "edge": 0}, true, false, 0},
-		"newer than known":    {map[string]uint64{"me": 7, "edge": 2}, true, false, 0},
-		"process died":        {map[string]uint64{"me": 7}, true, false, grace},
-		"process restarted":   {map[string]uint64{"me": 7, "edge": 4}, true, false, grace},
-		"partitioned":         {map[string]uint64{"me": 7}, true, true, attachedGrace},
-		"not listed":          {map[string]uint64{"me": 7}, false, false, attachedGrace},
-		"restarted, attached": {map[string]uint64{"me": 7, "edge": 4}, true, true, attachedGrace},
+		"leaving":             {map[string]uint64{"me": 7, "edge": 3}, true, false, 0, 0},
+		"not heard of":        {map[string]uint64{"me": 7, "edge": 0}, true, false, 0, 0},
+		"newer than known":    {map[string]uint64{"me": 7, "edge": 2}, true, false, 0, 0},
+		"process died":        {map[string]uint64{"me": 7}, true, false, grace, 0},
+		"process restarted":   {map[string]uint64{"me": 7, "edge": 4}, true, false, grace, 0},
+		"connection lost":     {map[string]uint64{"me": 7}, true, false, grace / 3, grace * 2 / 3},
+		"partitioned":         {map[string]uint64{"me": 7}, true, true, attachedGrace, 0},
+		"not listed":          {map[string]uint64{"me": 7}, false, false, attachedGrace, 0},
+		"restarted, attached": {map[string]uint64{"me": 7, "edge": 4}, true, true, attachedGrace, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -309,7 +312,7 @@
 			begin, cancelled := r.now, time.Duration(0)
 			for cancelled == 0 && r.now.Sub(begin) < 2*attachedGrace {
 				out := r.report("d0", func(e *engine.Report) {
-					e.Running = []*engine.Running{{Request: "q", Instance: "edge", Incarnation: 3, Pieces: 1, State: stateDecode, Attached: c.attached}}
+					e.Running = []*engine.Running{{Request: "q", Instance: "edge", Incarnation: 3, Pieces: 1, State: stateDecode, Attached: c.attached, Idle: durationpb.New(c.idle)}}
 				})
 				for _, a := range out {
 					if _, ok := a.(event.Cancel); ok {
@@ -335,8 +338,13 @@
 		r.do(event.Published{Document: r.document})
 		r.do(event.Listed{Revision: 1, Instances: []*platfm.Instance{{Name: "me", Kind: "daemon", Domain: "gent", State: "live"}}})
 		r.do(event.Members{Alive: map[string]uint64{"me": incarnation}})
+		r.sleep(term)
 		r.reportAll()
-		return r.ask(ask("a", 1000)).Fence
+		number, ok := r.m.Fence("c")
+		if !ok {
+			t.Fatal("the owner may not order")
+		}
+		return number
 	}
 	late := uint64(start.UnixNano())
 	first, second := fence(late, 0), fence(late-uint64(time.Hour), grace)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -366,7 +366,7 @@
 		First:   millis(r.ready - at),
 		Free:    l.free,
 		Queue:   millis(l.queue),
-		Fence:   m.fence(r.group),
+		Fence:   max(r.prefill.fence, r.decode.fence),
 	}}
 }
 
--- a/internal/core/cell/refuse.go
+++ b/internal/core/cell/refuse.go
@@ -87,6 +87,5 @@
 		Request: e.Ask.GetRequest(),
 		Reason:  string(why),
 		After:   millis(after),
-		Fence:   m.fence(m.groups[e.Ask.GetCell()]),
 	}}
 }
--- a/internal/core/cell/report.go
+++ b/internal/core/cell/report.go
@@ -158,9 +158,14 @@
 		if u.orphans == nil {
 			u.orphans = map[string]orphan{}
 		}
-		u.orphans[run.GetRequest()] = orphan{since: at, wait: wait}
+		since := at
+		if wait == grace {
+			// The grace period runs while the daemon is still suspected.
+			since -= run.GetIdle().AsDuration()
+		}
+		u.orphans[run.GetRequest()] = orphan{since: since, wait: wait}
 		m.orphans++
-		m.schedule(at + wait)
+		m.schedule(max(since+wait, at))
 	}
 	if found < len(u.orphans) {
 		m.dropOrphans(u, r)
@@ -208,7 +213,7 @@
 		if at-o.since < o.wait || o.sent && at-o.last < recancel {
 			continue
 		}
-		out = append(out, event.Cancel{Request: request, Engine: u.name, Fence: m.fence(u.group), Fresh: o.sent})
+		out = append(out, event.Cancel{Request: request, Engine: u.name, Fence: u.fence, Fresh: o.sent})
 		m.count.Cancels++
 		o.last, o.sent = at, true
 		u.orphans[request] = o
--- a/internal/core/cell/unit.go
+++ b/internal/core/cell/unit.go
@@ -24,7 +24,10 @@
 	// back is when the engine came back, zero when it was never away.
 	back time.Duration
 
-	serving              string
+	serving string
+	// fence is the fencing number of the last order that the engine accepted.
+	// Requests repeat it: two owners in a partition must not lock each other out.
+	fence                uint64
 	pieces, base         uint32
 	slots, busy          uint32
 	speed, link          float64
@@ -119,7 +122,7 @@
 	u.slots, u.busy = r.GetSlots(), r.GetBusy()
 	u.speed, u.link = float64(r.GetSpeed()), float64(r.GetLink())
 	u.gap = r.GetGap().AsDuration()
-	u.serving = r.GetModel()
+	u.serving, u.fence = r.GetModel(), r.GetFence()
 	if r.GetRole() != "" {
 		u.role = r.GetRole()
 	}
--- a/internal/daemon/start/fleet_test.go
+++ b/internal/daemon/start/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -71,14 +72,19 @@
 	client   *http.Client
 }
 
+// free returns a free address below the range of outgoing connections.
 func free(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(22_000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().(*net.TCPAddr).AddrPort()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 func newFleet(t testing.TB, daemons int) *fleet {
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -43,7 +43,8 @@
 func (w *Watch) Set(names []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.pace(len(names))
+	// Streams that are open keep their pace; the engines of a cell come together.
+	w.every = min(max(reportEach*time.Duration(len(names)), reportEach), reportMost)
 	want := make(map[string]bool, len(names))
 	for _, n := range names {
 		want[n] = true
@@ -59,20 +60,6 @@
 	}
 }
 
-// pace sets the time between reports for n engines. Streams with another one are
-// closed, to be opened again.
-func (w *Watch) pace(n int) {
-	every := min(max(reportEach*time.Duration(n), reportEach), reportMost)
-	if every == w.every {
-		return
-	}
-	w.every = every
-	for name, cancel := range w.running {
-		cancel()
-		delete(w.running, name)
-	}
-}
-
 // Close ends all streams and waits for them.
 func (w *Watch) Close() {
 	w.Set(nil)
--- a/internal/stand/engine/decode.go
+++ b/internal/stand/engine/decode.go
@@ -101,6 +101,7 @@
 	defer e.mu.Unlock()
 	if n.stream == s {
 		n.stream = nil
+		n.left = time.Now()
 	}
 }
 
--- a/internal/stand/engine/entry.go
+++ b/internal/stand/engine/entry.go
@@ -42,6 +42,16 @@
 	finish   string
 	done     bool
 	stream   *stream
+	// left is when the last stream was detached.
+	left time.Time
+}
+
+// idle is the time since the last stream was detached.
+func (n *entry) idle() time.Duration {
+	if n.stream != nil || n.left.IsZero() {
+		return 0
+	}
+	return time.Since(n.left)
 }
 
 // stream is one Decode call that is attached to an entry.
@@ -137,15 +147,14 @@
 	return e.fenced(o)
 }
 
-// fenced refuses a number lower than the highest seen, if the engine checks.
-// The caller holds mu.
+// fenced refuses a number lower than that of the last accepted order, if the
+// engine checks. The caller holds mu.
 func (e *Engine) fenced(o *wire.Origin) error {
 	f := o.GetFence()
 	if e.set.Checks && f < e.fence {
 		return connect.NewError(connect.CodeFailedPrecondition,
 			fmt.Errorf("fencing number %d is lower than %d", f, e.fence))
 	}
-	e.fence = max(e.fence, f)
 	return nil
 }
 
@@ -234,6 +243,7 @@
 	default:
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("unknown role %q", r.Role))
 	}
+	e.fence = max(e.fence, r.Origin.GetFence())
 	if r.Role != "" {
 		e.role = r.Role
 	}
--- a/internal/stand/engine/report.go
+++ b/internal/stand/engine/report.go
@@ -68,7 +68,7 @@
 	r := &wire.Report{
 		Engine: e.set.Name, Incarnation: e.incarnation, Model: e.model, Role: e.role,
 		Pieces: e.set.Pieces, Free: e.free, Slots: e.set.Slots, Busy: e.busy,
-		Speed: e.set.Speed, Gap: durationpb.New(e.gap()), Link: e.set.Link, Checks: e.set.Checks,
+		Speed: e.set.Speed, Gap: durationpb.New(e.gap()), Link: e.set.Link, Checks: e.set.Checks, Fence: e.fence,
 	}
 	for _, j := range e.queue {
 		r.Queue += j.left
@@ -80,6 +80,7 @@
 		r.Running = append(r.Running, &wire.Running{
 			Request: n.id, Instance: n.origin.GetInstance(), Incarnation: n.origin.GetIncarnation(),
 			Pieces: n.pieces, State: n.state(), Attached: n.stream != nil || n.job != nil,
+			Idle: durationpb.New(n.idle()),
 		})
 	}
 	sort.Slice(r.Running, func(i, j int) bool { return r.Running[i].Request < r.Running[j].Request })
