Recognize an engine's death while its listener still closes

A process that ends closes its connections and its listener one after the other. The probe that tells a crash from a broken connection was accepted in between, so the crash brought no strike and the prompt went on to a third and a fourth engine. The probe is now held for up to 50 ms, or until the engine ends it, and a second one decides. A resume on an engine that lives starts up to 50 ms later after a broken stream.

Ruled out: strikes lost in gossip and double counting; the owner and the peers recorded each death that the edge reported. The log of the failing run shows two probes accepted within a millisecond of the unexpected EOF.

--- a/internal/back/engine/engine.go
+++ b/internal/back/engine/engine.go
@@ -221,6 +221,11 @@
 	return out
 }
 
+// dying bounds the time in which a process that ends has closed its connections
+// and not its listener yet. In a fleet of processes, a probe within a millisecond
+// of the break was accepted by an engine that was ending.
+const dying = 50 * time.Millisecond
+
 // lost refines FaultBroken to FaultCrashed when the engine refuses connections,
 // since a process that listens no more has died.
 func (c *Client) lost(ctx context.Context, err error, connected bool) event.Fault {
@@ -228,17 +233,27 @@
 	if f != event.FaultBroken || ctx.Err() != nil {
 		return f
 	}
+	if c.gone(ctx, dying) || c.gone(ctx, 0) {
+		return event.FaultCrashed
+	}
+	return f
+}
+
+// gone reports whether the engine refuses a new connection. An accepted one is
+// held for the given time, or until the engine ends it.
+func (c *Client) gone(ctx context.Context, hold time.Duration) bool {
 	probe, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := dialer.DialContext(probe, "tcp", c.url[len("http://"):])
-	if err == nil {
-		conn.Close()
-		return f
+	if err != nil {
+		return refused(err)
 	}
-	if refused(err) {
-		return event.FaultCrashed
+	defer conn.Close()
+	if hold > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(hold))
+		_, _ = conn.Read(make([]byte, 1))
 	}
-	return f
+	return false
 }
 
 // Cancel ends a request on the engine.
