--- a/internal/bench/proof/rig_test.go
+++ b/internal/bench/proof/rig_test.go
@@ -84,6 +84,7 @@
 	plan.Daemons = n
 	plan.Document.Engines = plan.Document.Engines[2:7]
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+	// PROOF_LOGS names a directory that keeps the logs of all processes.
 	work := t.TempDir()
 	if dir := os.Getenv("PROOF_LOGS"); dir != "" {
 		work = filepath.Join(dir, t.Name())
