--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -44,6 +44,7 @@
 	First(service, tenant string, d time.Duration)
 	Gaps(service, tenant string, gaps []time.Duration)
 	Answer(service, tenant, outcome, reason string, took time.Duration)
+	Waste(service string, tokens int64)
 }
 
 // Edge implements the Router service of the caller protocol.
@@ -90,7 +91,10 @@
 	r.Tenant, r.Service, r.Prompt = arrive.Tenant, arrive.Service, req.Msg.Prompt
 	r.Pieces, r.Started, r.Deadline = arrive.Pieces, begin, arrive.Deadline
 	e.exec.Open(r)
-	defer e.exec.Shut(r)
+	defer func() {
+		e.exec.Shut(r)
+		e.meter.Waste(r.Service, int64(r.Waste()))
+	}()
 	e.post(arrive)
 	s := &stream{edge: e, request: r, out: out, next: arrive.From, begin: begin, last: begin}
 	if err := s.run(ctx); err != nil {
--- a/internal/daemon/exec/exec.go
+++ b/internal/daemon/exec/exec.go
@@ -206,7 +206,11 @@
 		return
 	}
 	x.attempt(r.ctx, a.Engine, prefillLimit, func(ctx context.Context, c citronrock.Engine) event.Event {
-		return c.Prefill(ctx, a, r.Prompt, r.Pieces)
+		done := c.Prefill(ctx, a, r.Prompt, r.Pieces)
+		if done.Fault == event.FaultNone {
+			r.prefilled(done.Tokens - min(done.Cached, done.Tokens))
+		}
+		return done
 	}, unsent)
 }
 
--- a/internal/daemon/exec/exec_test.go
+++ b/internal/daemon/exec/exec_test.go
@@ -48,7 +48,9 @@
 	citronrock.Engine
 	mu     sync.Mutex
 	orders []string
-	decode func(ctx context.Context, a event.Decode, emit func(*engine.DecodeChunk) error) event.Ended
+	// tokens and cached are the outcome of prefills.
+	tokens, cached uint32
+	decode         func(ctx context.Context, a event.Decode, emit func(*engine.DecodeChunk) error) event.Ended
 }
 
 func (b *backend) note(name string) {
@@ -64,7 +66,7 @@
 
 func (b *backend) Prefill(_ context.Context, a event.Prefill, _ string, _ []uint64) event.Prefilled {
 	b.note("prefill")
-	return event.Prefilled{Request: a.Request, Engine: a.Engine}
+	return event.Prefilled{Request: a.Request, Engine: a.Engine, Tokens: b.tokens, Cached: b.cached}
 }
 
 func (b *backend) Move(_ context.Context, a event.Move, _ string) event.Moved {
@@ -262,3 +264,41 @@
 		t.Errorf("%d tokens are kept, want 9 for a request of 4; %v", n, failed)
 	}
 }
+
+// Guards against wasted prefill that is not counted, and against used prefill that
+// is.
+func TestWaste(t *testing.T) {
+	prefill, decode := event.Prefill{Request: "r", Engine: "e1"}, event.Decode{Request: "r", Engine: "e1", Stream: 1}
+	cases := map[string]struct {
+		actions []event.Action
+		want    uint32
+	}{
+		"none":              {nil, 0},
+		"used":              {[]event.Action{prefill, decode}, 0},
+		"no output":         {[]event.Action{prefill}, 60},
+		"first one lost":    {[]event.Action{prefill, prefill, decode}, 60},
+		"second after loss": {[]event.Action{prefill, decode, prefill, decode}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, control, b, r := setup(t, func(*control) {})
+			b.tokens, b.cached = 100, 40
+			b.decode = func(_ context.Context, a event.Decode, emit func(*engine.DecodeChunk) error) event.Ended {
+				_ = emit(&engine.DecodeChunk{Request: "r"})
+				return event.Ended{Request: "r", Stream: a.Stream}
+			}
+			for _, a := range c.actions {
+				x.Act(a)
+				for done := false; !done; {
+					switch (<-control.posted).(type) {
+					case event.Prefilled, event.Ended:
+						done = true
+					}
+				}
+			}
+			if got := r.Waste(); got != c.want {
+				t.Errorf("%d tokens are wasted, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/exec/request.go
+++ b/internal/daemon/exec/request.go
@@ -32,9 +32,12 @@
 	answer chan event.Answer
 	limit  int
 
-	mu     sync.Mutex
-	tokens []*engine.DecodeChunk
-	cancel context.CancelFunc
+	mu sync.Mutex
+	// computed are the prefill tokens computed for the request, used those that
+	// output came from, last those of a prefill without output yet.
+	computed, last, used uint32
+	tokens               []*engine.DecodeChunk
+	cancel               context.CancelFunc
 }
 
 // NewRequest returns a request whose attempts end with ctx. The tokens of an
@@ -84,6 +87,8 @@
 		return errFull
 	}
 	r.tokens = append(r.tokens, c)
+	r.used += r.last
+	r.last = 0
 	select {
 	case r.ready <- struct{}{}:
 	default:
@@ -91,6 +96,22 @@
 	return nil
 }
 
+// prefilled counts a finished prefill.
+func (r *Request) prefilled(tokens uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.computed += tokens
+	r.last = tokens
+}
+
+// Waste returns the prefill tokens that no output came from, for an ended
+// request.
+func (r *Request) Waste() uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.computed - r.used
+}
+
 // stream returns the context of a new decode stream and ends the one before, so
 // that its late tokens are not read any more.
 func (r *Request) stream() context.Context {
