Log requests that end without a whole answer

Cause: the log had no line about a request, so that an operator could not follow one that a caller reports. Change: the edge writes a line with the request's identity for each unknown or failed one; refusals as not run are in the metrics only, as they may be many. The pause is logged once, by group. Conclusion: lost answers can be found by their identity.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/policy"
@@ -55,17 +56,28 @@
 	exec   *exec.Exec
 	calls  Calls
 	meter  Meter
+	log    hclog.Logger
 	doc    atomic.Pointer[policy.Document]
 	drain  atomic.Bool
 	active atomic.Int64
 }
 
+// Option changes an Edge under construction.
+type Option func(*Edge)
+
+// WithLogger sets the logger; by default nothing is logged.
+func WithLogger(log hclog.Logger) Option { return func(e *Edge) { e.log = log } }
+
 // New returns an edge of the daemon with that name and incarnation.
-func New(name string, incarnation uint64, post func(event.Event), x *exec.Exec, calls Calls, m Meter) *Edge {
-	return &Edge{
+func New(name string, incarnation uint64, post func(event.Event), x *exec.Exec, calls Calls, m Meter, opts ...Option) *Edge {
+	e := &Edge{
 		prefix: fmt.Sprintf("%s-%x-", name, incarnation),
-		post:   post, exec: x, calls: calls, meter: m,
+		post:   post, exec: x, calls: calls, meter: m, log: hclog.NewNullLogger(),
+	}
+	for _, o := range opts {
+		o(e)
 	}
+	return e
 }
 
 // Publish replaces the document.
--- a/internal/daemon/edge/fail.go
+++ b/internal/daemon/edge/fail.go
@@ -32,6 +32,10 @@
 		}
 	}
 	e.meter.Answer(service, tenant, outcome, reason, time.Since(begin))
+	if typed != nil && typed.Kind != citronrock.NotRun {
+		e.log.Warn("request ended without a whole answer", "request", request, "service", service,
+			"tenant", tenant, "kind", outcome, "reason", reason, "remedy", typed.Remedy)
+	}
 	return connectError(err, request)
 }
 
--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -138,7 +138,7 @@
 	d.calls = call.New(call.WithName(name, d.number), call.WithControl(d.loop), call.WithPeers(d), call.WithTenants(limits),
 		call.WithDialer(func(_ policy.Service, s policy.Server) citronrock.Plain { return plain.New(s.Address) }))
 	d.exec = exec.New(name, d.loop, d.engines, d, d.cell.Owner, func(s *peer.Strike) { d.group.Strike(s) })
-	d.edge = edge.New(name, d.number, d.loop.Post, d.exec, d.calls, d.meter)
+	d.edge = edge.New(name, d.number, d.loop.Post, d.exec, d.calls, d.meter, edge.WithLogger(d.log))
 }
 
 // join starts the links to peers and the platform.
@@ -164,8 +164,8 @@
 
 func (d *Daemon) act(a event.Action) { d.exec.Act(a) }
 
+// paused runs on the control goroutine after a pause, which group logs.
 func (d *Daemon) paused(gap time.Duration) {
-	d.log.Warn("the process was not run; what it held is void until confirmed", "gap", gap.String())
 	d.meter.Pause()
 	d.group.Paused(gap)
 	d.calls.Paused(gap)
