--- a/internal/daemon/meter/meter.go
+++ b/internal/daemon/meter/meter.go
@@ -13,6 +13,7 @@
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 )
 
 // maxTenants bounds the tenants with series of their own; the rest share the
@@ -52,7 +53,8 @@
 		return nil, err
 	}
 	m := &Meter{
-		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithResource(
+			resource.NewSchemaless(attribute.String("service.name", "citronrockd")))),
 		registry: registry,
 		tenants:  map[string]struct{}{},
 	}
