Let the weight of wasted prefill raise the reserved output

Cause: the key waste of a service was read and checked, but no decision used it. Change: the quantile of observed output lengths that an owner reserves goes from 0.8 at waste = 0 to 0.98 at waste = 1. Answers that outgrow their reservation may be preempted and prefilled again. Kept, as it is what the key can do at the owner; a stronger use is open.

--- a/internal/core/cell/output.go
+++ b/internal/core/cell/output.go
@@ -34,6 +34,18 @@
 	return o
 }
 
+// wasteShare is the part of the range above the base quantile that a service
+// uses whose weight of wasted prefill is 1.
+const wasteShare = 0.9
+
+// weigh sets the quantile from the base and the service's weight of wasted
+// prefill against goodput, from 0 to 1. An answer that outgrows its reservation
+// may be preempted, and its prefill is then computed again; a higher quantile
+// avoids that and lets fewer answers run at a time.
+func (o *output) weigh(base, waste float64) {
+	o.quantile = base + (1-base)*wasteShare*waste
+}
+
 // add counts a complete answer.
 func (o *output) add(tokens uint32) {
 	if o.sketch == nil || tokens == 0 {
--- a/internal/core/cell/own.go
+++ b/internal/core/cell/own.go
@@ -84,6 +84,7 @@
 	for _, s := range d.Service {
 		models[s.Name] = s.Model
 		sizes[s.Name] = s.Cache
+		m.output(s.Name).weigh(m.quantile, s.Waste)
 	}
 	for _, e := range d.Engines {
 		m.define(e, models[e.Service], previous[e.Name], groups)
