Allow a prefill for the order in the engine's queue; order readiness

The owner lets prefills start up to 2 s early, so that an engine's queue may have another order than the plan. Change: the deadline of a prefill is three times the expected time plus 2.5 s (before: plus 0.5 s, at least 1 s). The status that readiness follows is set after the document and the list have been passed on. Conclusion: a frozen prefill engine is noticed 1.5 to 2 s later; silent connections are still closed by pings after 3 s. A request that has shunned all engines of a role still waits for its deadline (open).

--- a/internal/core/flow/step.go
+++ b/internal/core/flow/step.go
@@ -20,9 +20,10 @@
 	// another reservation can use it.
 	moveLeast = 250 * time.Millisecond
 	moveMost  = 500 * time.Millisecond
-	// prefillSlack is added to three times the expected time.
-	prefillSlack = 500 * time.Millisecond
-	prefillLeast = time.Second
+	// prefillSlack is added to three times the expected time. Owners let prefills
+	// start up to 2 s before their planned start, so that the order in an
+	// engine's queue may differ from the plan by as much.
+	prefillSlack = 2500 * time.Millisecond
 )
 
 // accept takes a grant into use and holds the memory.
@@ -65,7 +66,7 @@
 }
 
 func (r *request) prefillWait() time.Duration {
-	return max(3*r.grant.run+prefillSlack, prefillLeast)
+	return 3*r.grant.run + prefillSlack
 }
 
 func (r *request) moveWait() time.Duration {
--- a/internal/peer/group/step.go
+++ b/internal/peer/group/step.go
@@ -105,14 +105,15 @@
 	switch v := o.Item.Value.(type) {
 	case *document:
 		g.store.PutDocument(o.Item.Number, v.body)
-		g.update(func(s *Status) { s.Version = o.Item.Number })
 		g.on.document(v.parsed)
+		// Readiness follows from the status, so that it must come last.
+		g.update(func(s *Status) { s.Version = o.Item.Number })
 	case *view.Roster:
 		l := v.Value.(event.Listed)
 		g.store.PutList(l.Revision, l.Instances)
 		g.link.SetPeers(addresses(l))
-		g.update(func(s *Status) { s.Revision = l.Revision })
 		g.on.listed(l)
+		g.update(func(s *Status) { s.Revision = l.Revision })
 	}
 }
 
