--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -12,6 +12,7 @@
 
 	"citronrock.example/citronrock/internal/bench/delay"
 	"citronrock.example/citronrock/internal/bench/demo"
+	"citronrock.example/citronrock/internal/bench/procs"
 )
 
 func main() {
@@ -36,16 +37,25 @@
 	latency.Int(&slow.Streams, "", "streams", "concurrent streams, up to 600")
 	latency.Duration(&slow.Gap, "", "gap", "time between tokens")
 	latency.String(&slow.Case, "", "case", "the only case to run")
+	pace := procs.Defaults()
+	bench := flaggy.NewSubcommand("bench")
+	bench.Description = "measure goodput and wasted prefill of both workloads, with daemons and without"
+	bench.String(&pace.Bin, "", "bin", "directory of the programs")
+	bench.String(&pace.Work, "", "work", "directory for settings and logs")
+	bench.UInt64(&pace.Seed, "", "seed", "seed of the load")
+	bench.Duration(&pace.Time, "", "time", "time of arrivals in each case")
+	bench.String(&pace.Load, "", "load", "the only workload to run, agentschap or xenho")
 	parser := flaggy.NewParser("fleet")
 	parser.Description = "a fleet of stand-ins and daemons on this machine"
 	parser.AttachSubcommand(run, 1)
 	parser.AttachSubcommand(latency, 1)
+	parser.AttachSubcommand(bench, 1)
 	if err := parser.Parse(); err != nil {
 		fmt.Fprintf(os.Stderr, "fleet: %v; see fleet --help\n", err)
 		os.Exit(2)
 	}
-	if !run.Used && !latency.Used {
-		parser.ShowHelpWithMessage("name one of the verbs demo and latency")
+	if !run.Used && !latency.Used && !bench.Used {
+		parser.ShowHelpWithMessage("name one of the verbs demo, latency and bench")
 		os.Exit(2)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -54,6 +64,9 @@
 	if latency.Used {
 		name, work = "measurement", func() error { return delay.Run(ctx, slow, os.Stdout) }
 	}
+	if bench.Used {
+		name, work = "bench", func() error { return procs.Run(ctx, pace, os.Stdout) }
+	}
 	if err := work(); err != nil {
 		fmt.Fprintf(os.Stderr, "fleet: the %s failed: %v\n", name, err)
 		os.Exit(1)
