--- a/internal/core/tenant/bench_test.go
+++ b/internal/core/tenant/bench_test.go
@@ -12,28 +12,32 @@
 // planned is the number of client accounts at the planned size.
 const planned = 11_000
 
-func accounts() []policy.Tenant {
-	list := make([]policy.Tenant, planned)
+func accounts(n int) []policy.Tenant {
+	list := make([]policy.Tenant, n)
 	for i := range list {
 		list[i] = policy.Tenant{Name: fmt.Sprintf("account-%05d", i), Rate: 10, Burst: 20, Open: 40, Weight: 1}
 	}
 	return list
 }
 
-// BenchmarkPublish measures a change of the document with the planned number of
-// accounts, and the memory that their limits take.
+// BenchmarkPublish measures a change of the document by the number of accounts,
+// and the memory that their limits take.
 func BenchmarkPublish(b *testing.B) {
-	list := accounts()
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	l := tenant.New()
-	l.Publish(list)
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	for b.Loop() {
-		l.Publish(list)
+	for _, n := range []int{100, 1000, planned} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			list := accounts(n)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			l := tenant.New()
+			l.Publish(list)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				l.Publish(list)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/account")
+			runtime.KeepAlive(l)
+		})
 	}
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/planned, "B/account")
-	runtime.KeepAlive(l)
 }
