Answer a request that may use no engine any more

Cause: a request never returns to an engine that it has cancelled. Once it had cancelled all engines of a role it was refused every half second until its deadline (20 s in TestAnswersWholeAndOwn), though only a new request could use them. Change: after six such refusals in a row (3 s, for engines to return) it is answered as failed, with the time to come back. Ruled out: using cancelled engines again; outcomes carry no attempt number, so that a late one would be taken for a new one.

--- a/internal/core/flow/ask.go
+++ b/internal/core/flow/ask.go
@@ -19,6 +19,9 @@
 	maxAsks     = 10
 	maxRefusals = 64
 	maxTries    = 4
+	// maxBarren bounds the refusals in a row for lack of an engine that a request
+	// may still use. Owners say half a second, so that engines get 3 s to return.
+	maxBarren = 6
 )
 
 // ask sends an Ask to the owner of a cell.
@@ -133,7 +136,7 @@
 		m.otherCell(r, cell)
 	}
 	m.gate.Answered(m.now, r.cell, &r.admit, g)
-	r.phase, r.asks = resting, 0
+	r.phase, r.asks, r.barren = resting, 0, 0
 	if r.decode != g.GetDecode() {
 		m.leaveDecode(r)
 	}
@@ -239,12 +242,27 @@
 	}
 	r.refused = r.refused[:0]
 	after := time.Duration(g.GetAfter()) * time.Millisecond
+	if m.barren(r, g) {
+		m.fail(r, citronrock.ReasonBackend, m.gate.After(time.Second))
+		return
+	}
 	if r.refusals < maxRefusals && m.waitAgain(r, after) {
 		return
 	}
 	m.fail(r, citronrock.ReasonOverload, m.gate.Back(m.now, &r.admit, after))
 }
 
+// barren tells that a request has no engine left that it may use. The same
+// content in a new request may use them all.
+func (m *Machine) barren(r *request, g *peer.Grant) bool {
+	if g.GetReason() != string(citronrock.ReasonBackend) || len(r.avoid) == 0 {
+		r.barren = 0
+		return false
+	}
+	r.barren++
+	return r.barren >= maxBarren
+}
+
 // suspectWait is when a suspect request may come again: as the owner says, or
 // after the life of a strike.
 func suspectWait(g *peer.Grant) time.Duration {
--- a/internal/core/flow/request.go
+++ b/internal/core/flow/request.go
@@ -79,7 +79,9 @@
 	// and idle those of them that brought no token.
 	tries, asks, refusals, resumes, idle int
 	avoid                                []string
-	refused                              []string
+	// barren counts the refusals in a row for lack of an engine not in avoid.
+	barren  int
+	refused []string
 }
 
 // grant is the owner's current reservation.
