Use flow.Open where the daemon waits for releases

Cause: flow had Pending beside Open, with the same two numbers summed. Change: the daemon's stop sums what Open returns; Pending goes. Conclusion: one way to ask what flow still holds.

--- a/internal/core/flow/machine.go
+++ b/internal/core/flow/machine.go
@@ -188,10 +188,6 @@
 	return wake
 }
 
-// Pending returns the number of requests and of engines that have not confirmed
-// a release yet.
-func (m *Machine) Pending() int { return len(m.requests) + len(m.releases) }
-
 // tick runs the timers that are due.
 func (m *Machine) tick() {
 	for len(m.timers) > 0 && m.timers[0].at <= m.at {
--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -287,9 +287,9 @@
 
 // pending returns the number of cancels that engines have not confirmed.
 func (d *Daemon) pending() int {
-	n := 0
-	d.loop.Do(func(time.Time) { n = d.flow.Pending() })
-	return n
+	requests, releases := 0, 0
+	d.loop.Do(func(time.Time) { requests, releases = d.flow.Open() })
+	return requests + releases
 }
 
 func (d *Daemon) close() {
