--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -285,7 +285,8 @@
 	return d.edge.Active() > 0 || d.executes.Load() > 0
 }
 
-// pending returns the number of cancels that engines have not confirmed.
+// pending returns the number of requests that the core holds and of cancels that
+// engines have not confirmed.
 func (d *Daemon) pending() int {
 	requests, releases := 0, 0
 	d.loop.Do(func(time.Time) { requests, releases = d.flow.Open() })
