--- /dev/null
+++ b/internal/cli/root/root.go
@@ -0,0 +1,124 @@
+// Package root finds the verb that was called and turns its outcome into an exit
+// code.
+package root
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"citronrock.example/citronrock/internal/cli/check"
+	"citronrock.example/citronrock/internal/cli/deps"
+	"citronrock.example/citronrock/internal/cli/diff"
+	"citronrock.example/citronrock/internal/cli/engine"
+	"citronrock.example/citronrock/internal/cli/flags"
+	"citronrock.example/citronrock/internal/cli/inst"
+	"citronrock.example/citronrock/internal/cli/reqs"
+	"citronrock.example/citronrock/internal/cli/show"
+	"citronrock.example/citronrock/internal/cli/status"
+	"citronrock.example/citronrock/internal/cli/vers"
+)
+
+// command is a verb: new parses its arguments and returns what runs it.
+type command struct {
+	name, text string
+	parse      func(f *deps.Factory, args []string) (func(context.Context) error, error)
+}
+
+// verb adapts the constructor and the run function of a package.
+func verb[O any](parse func(*deps.Factory, []string) (O, error), run func(context.Context, O) error) func(*deps.Factory, []string) (func(context.Context) error, error) {
+	return func(f *deps.Factory, args []string) (func(context.Context) error, error) {
+		o, err := parse(f, args)
+		if err != nil {
+			return nil, err
+		}
+		return func(ctx context.Context) error { return run(ctx, o) }, nil
+	}
+}
+
+// quick adapts a run function that needs no context.
+func quick[O any](run func(O) error) func(context.Context, O) error {
+	return func(_ context.Context, o O) error { return run(o) }
+}
+
+func commands() []command {
+	return []command{
+		{"config check", "check a document before it is published", verb(check.New, quick(check.Run))},
+		{"config diff", "show what a document would change", verb(diff.New, diff.Run)},
+		{"config show", "show the published document", verb(show.New, show.Run)},
+		{"status", "show the state of daemons", verb(status.New, status.Run)},
+		{"instances", "list the instances as daemons see them", verb(inst.New, inst.Run)},
+		{"engines", "list the engines with their load", verb(engine.New, engine.Run)},
+		{"requests", "list the requests in flight", verb(reqs.New, reqs.Run)},
+		{"version", "show the version of this program", verb(vers.New, quick(vers.Run))},
+	}
+}
+
+// Main runs the command line and returns the exit code: 0 for success, 1 when the
+// command failed, 2 when it was called wrongly.
+func Main(ctx context.Context, f *deps.Factory, args []string) int {
+	err := run(ctx, f, args)
+	var wrong *deps.UsageError
+	switch {
+	case err == nil, errors.Is(err, flags.ErrHelp):
+		return deps.ExitOK
+	case errors.As(err, &wrong):
+		fmt.Fprintln(f.Err, err)
+		return deps.ExitUsage
+	}
+	fmt.Fprintln(f.Err, err)
+	return deps.ExitFailed
+}
+
+func run(ctx context.Context, f *deps.Factory, args []string) error {
+	all := commands()
+	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+		fmt.Fprint(f.Out, overview(all))
+		return flags.ErrHelp
+	}
+	for _, c := range all {
+		words := strings.Fields(c.name)
+		if len(args) < len(words) || strings.Join(args[:len(words)], " ") != c.name {
+			continue
+		}
+		work, err := c.parse(f, args[len(words):])
+		if err != nil {
+			return err
+		}
+		return work(ctx)
+	}
+	return unknown(all, args)
+}
+
+func unknown(all []command, args []string) error {
+	var names []string
+	called := args[0]
+	for _, c := range all {
+		noun, _, double := strings.Cut(c.name, " ")
+		if double && noun == args[0] {
+			called = strings.Join(args[:min(2, len(args))], " ")
+		}
+		names = append(names, c.name)
+	}
+	what := fmt.Sprintf("unknown command %q", called)
+	if near := flags.Nearest(called, names); near != "" {
+		what += fmt.Sprintf("; did you mean %q?", near)
+	} else {
+		what += "; the commands are: " + strings.Join(names, ", ")
+	}
+	return &deps.UsageError{Usage: "citronrock COMMAND [ARGUMENTS]", What: what}
+}
+
+func overview(all []command) string {
+	var b strings.Builder
+	b.WriteString("Look at a fleet of citronrock daemons and prepare its document.\n\n")
+	b.WriteString("No command changes a running daemon; only a published document does.\n\n")
+	b.WriteString("usage: citronrock COMMAND [ARGUMENTS]\n\ncommands:\n")
+	for _, c := range all {
+		fmt.Fprintf(&b, "  %-14s %s\n", c.name, c.text)
+	}
+	b.WriteString("\nexit codes: 0 success, 1 the command failed or found a problem, 2 wrong usage\n")
+	b.WriteString("\nexamples:\n  citronrock config check fleet.toml\n  citronrock status --daemon 127.0.0.1:7201\n  citronrock status --help\n")
+	return b.String()
+}
