--- a/internal/back/engine/engine.go
+++ b/internal/back/engine/engine.go
@@ -255,8 +255,10 @@
 		out.Held = reply.Msg.Held
 		return out
 	}
-	// An engine that does not listen has lost all that it held.
-	out.Held = !refused(err)
+	if refused(err) {
+		// A process that listens no more has died with all that it held.
+		out.Held, out.Fault = false, event.FaultNone
+	}
 	return out
 }
 
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"citronrock.example/citronrock/internal/cli/check"
+	"citronrock.example/citronrock/internal/cli/consol"
 	"citronrock.example/citronrock/internal/cli/deps"
 	"citronrock.example/citronrock/internal/cli/diff"
 	"citronrock.example/citronrock/internal/cli/engine"
@@ -51,6 +52,7 @@
 		{"instances", "list the instances as daemons see them", verb(inst.New, inst.Run)},
 		{"engines", "list the engines with their load", verb(engine.New, engine.Run)},
 		{"requests", "list the requests in flight", verb(reqs.New, reqs.Run)},
+		{"console", "edit a document in a browser", verb(consol.New, consol.Run)},
 		{"version", "show the version of this program", verb(vers.New, quick(vers.Run))},
 	}
 }
--- a/internal/daemon/admin/admin.go
+++ b/internal/daemon/admin/admin.go
@@ -49,6 +49,8 @@
 type Cell struct {
 	Name  string `json:"name"`
 	Owner string `json:"owner"`
+	// Grants is the number of live grants, for the owner only.
+	Grants int `json:"grants"`
 }
 
 // Engine is an engine that this daemon accounts for.
@@ -61,8 +63,8 @@
 	Pieces uint32 `json:"pieces"`
 	Free   uint32 `json:"free"`
 	Busy   uint32 `json:"busy"`
-	// Queue is in prompt tokens.
-	Queue uint32 `json:"queue"`
+	// Queue is the prefill time ahead of a new request.
+	Queue time.Duration `json:"queue"`
 }
 
 // Request is a request in flight at this daemon.
--- a/internal/daemon/loop/loop.go
+++ b/internal/daemon/loop/loop.go
@@ -29,6 +29,8 @@
 	act     func(event.Action)
 	clock   citronrock.Clock
 	paused  func(time.Duration)
+	after   func()
+	pending []event.Event
 	in      chan item
 	stop    chan struct{}
 	done    chan struct{}
@@ -59,6 +61,10 @@
 // pause, with its length.
 func WithPaused(f func(time.Duration)) Option { return func(l *Loop) { l.paused = f } }
 
+// WithAfter adds a function that is called on the control goroutine after each
+// turn.
+func WithAfter(f func()) Option { return func(l *Loop) { l.after = f } }
+
 // New starts a loop for machine. It calls act on the control goroutine for each
 // action; act must not block.
 func New(machine citronrock.Machine, act func(event.Action), opts ...Option) *Loop {
@@ -67,6 +73,7 @@
 		act:     act,
 		clock:   systemClock{},
 		paused:  func(time.Duration) {},
+		after:   func() {},
 		in:      make(chan item, queueSize),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
@@ -90,6 +97,10 @@
 	}
 }
 
+// Inject queues an event on the control goroutine itself, where Post could wait
+// for its own reader. The event is applied in the same turn.
+func (l *Loop) Inject(e event.Event) { l.pending = append(l.pending, e) }
+
 // Do runs f on the control goroutine and waits for it.
 func (l *Loop) Do(f func(now time.Time)) bool {
 	ran := make(chan struct{})
@@ -138,11 +149,13 @@
 		now := l.clock.Now()
 		actions = l.notePause(now, actions[:0])
 		actions = l.apply(now, it, actions)
+		actions = l.flush(now, actions)
 		actions = l.tick(now, actions)
 		for i, a := range actions {
 			l.act(a)
 			actions[i] = nil
 		}
+		l.after()
 		timer.Reset(l.wait(now))
 	}
 }
@@ -169,6 +182,15 @@
 	return l.machine.Step(now, it.event, out)
 }
 
+func (l *Loop) flush(now time.Time, out []event.Action) []event.Action {
+	for i := 0; i < len(l.pending); i++ {
+		out = l.machine.Step(now, l.pending[i], out)
+	}
+	clear(l.pending)
+	l.pending = l.pending[:0]
+	return out
+}
+
 func (l *Loop) tick(now time.Time, out []event.Action) []event.Action {
 	if w := l.machine.Wake(); !w.IsZero() && !w.After(now) {
 		return l.machine.Step(now, event.Tick{}, out)
