--- a/internal/bench/load/plan_test.go
+++ b/internal/bench/load/plan_test.go
@@ -155,3 +155,22 @@
 		t.Fatalf("%d of %d answered", answered, n)
 	}
 }
+
+// Guards against prompts of a trace that share more or less than was recorded.
+func TestTracePrompts(t *testing.T) {
+	text := func(print uint64, tokens uint32, pieces ...uint64) string {
+		p := planned{tokens: tokens, pieces: pieces, print: print}
+		return p.prompt()
+	}
+	a, b := text(1, 4100, 11, 12), text(2, 4100, 11, 13)
+	if engine.Tokens(a) != 4100 || engine.Tokens(b) != 4100 || engine.Tokens(text(3, 7)) != 7 {
+		t.Errorf("lengths %d, %d", engine.Tokens(a), engine.Tokens(b))
+	}
+	x, y := engine.Pieces(a), engine.Pieces(b)
+	if len(x) != 2 || len(y) != 2 || x[0] != y[0] || x[1] == y[1] {
+		t.Errorf("pieces %v and %v, want the first equal and the second different", x, y)
+	}
+	if a != text(1, 4100, 11, 12) || a == text(4, 4100, 11, 12) {
+		t.Error("the text does not follow the fingerprint")
+	}
+}
--- a/internal/bench/load/tally.go
+++ b/internal/bench/load/tally.go
@@ -1,9 +1,12 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -60,6 +63,11 @@
 	First [3]float64 `json:"first"`
 	Gap   [3]float64 `json:"gap"`
 
+	// FirstBins and GapBins are the histograms behind First and Gap: pairs of a
+	// value in milliseconds, exact to 1%, and a count, in ascending order.
+	FirstBins [][2]float64 `json:"firstbins"`
+	GapBins   [][2]float64 `json:"gapbins"`
+
 	first, gap *ddsketch.DDSketch
 }
 
@@ -76,6 +84,7 @@
 	// the hash of path and body that stand-ins count runs by.
 	Once map[string]map[string]Outcome `json:"-"`
 
+	sent     atomic.Int64
 	mu       sync.Mutex
 	order    []string
 	services map[string]string
@@ -130,6 +139,8 @@
 	for _, f := range r.Classes {
 		f.First = quantiles(f.first)
 		f.Gap = quantiles(f.gap)
+		f.FirstBins = bins(f.first)
+		f.GapBins = bins(f.gap)
 	}
 }
 
@@ -140,6 +151,57 @@
 	return out
 }
 
+func bins(s *ddsketch.DDSketch) [][2]float64 {
+	out := [][2]float64{}
+	s.ForEach(func(value, count float64) bool {
+		out = append(out, [2]float64{value, count})
+		return false
+	})
+	slices.SortFunc(out, func(a, b [2]float64) int { return cmp.Compare(a[0], b[0]) })
+	return out
+}
+
+// Order returns the names of the classes in the order of the workload.
+func (r *Result) Order() []string { return r.order }
+
+// Service returns the service of a class.
+func (r *Result) Service(class string) string { return r.services[class] }
+
+// watch calls f each second until the returned function is called.
+func (r *Result) watch(f func(sent, ended int)) (stop func()) {
+	if f == nil {
+		return func() {}
+	}
+	over, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		t := time.NewTicker(time.Second)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				f(int(r.sent.Load()), r.ended())
+			case <-over:
+				return
+			}
+		}
+	}()
+	return func() {
+		close(over)
+		<-done
+	}
+}
+
+func (r *Result) ended() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, f := range r.Classes {
+		n += f.Requests
+	}
+	return n
+}
+
 // Goodput returns the good requests a second, over the run and in the worst
 // tenth of it, of the named classes or of all.
 func (r *Result) Goodput(classes ...string) (mean, worst float64) {
--- /dev/null
+++ b/internal/bench/load/trace.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronrock.example/citronrock/internal/conf/policy"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/trace/record"
+)
+
+// Trace holds the arrivals of a recorded trace. A trace has no prompts: texts of
+// the same lengths are made, equal where the recorded hashes are equal, so that
+// prefixes are shared as they were.
+type Trace struct {
+	classes []Class
+	planned []planned
+}
+
+type planned struct {
+	at       time.Duration
+	class    int
+	tokens   uint32
+	output   uint32
+	pieces   []uint64
+	print    uint64
+	deadline time.Duration
+}
+
+// ReadTrace reads the arrivals of a trace. There is one class for each tenant and
+// service, with the latency targets of the document before its first arrival.
+func ReadTrace(in io.Reader) (*Trace, error) {
+	r, err := record.NewReader(in)
+	if err != nil {
+		return nil, err
+	}
+	t := &Trace{}
+	var doc *policy.Document
+	var first time.Time
+	for {
+		at, e, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		switch e := e.(type) {
+		case event.Published:
+			doc = e.Document
+		case event.Arrive:
+			if first.IsZero() {
+				first = at
+			}
+			t.planned = append(t.planned, planned{
+				at: at.Sub(first), class: t.class(doc, e), tokens: e.Tokens, output: e.Max,
+				pieces: e.Pieces, print: e.Print, deadline: e.Deadline.Sub(at),
+			})
+		}
+	}
+	if len(t.planned) == 0 {
+		return nil, eris.New("the trace has no arrivals; record one of a daemon under load")
+	}
+	return t, nil
+}
+
+func (t *Trace) class(doc *policy.Document, e event.Arrive) int {
+	name := e.Tenant + "/" + e.Service
+	for i := range t.classes {
+		if t.classes[i].Name == name {
+			return i
+		}
+	}
+	c := Class{Name: name, Tenant: e.Tenant, Service: e.Service, Weight: 1, First: time.Second, Gap: time.Second}
+	if doc != nil {
+		if s := doc.FindService(e.Service); s != nil {
+			c.First, c.Gap = time.Duration(s.First), time.Duration(s.Gap)
+		}
+	}
+	t.classes = append(t.classes, c)
+	return len(t.classes) - 1
+}
+
+// span is the time of the last arrival, at least a second, since rates of shorter
+// runs mean nothing.
+func (t *Trace) span() time.Duration { return max(time.Second, t.planned[len(t.planned)-1].at) }
+
+func (t *Trace) arrivals(seed uint64) func() (arrival, bool) {
+	n := 0
+	return func() (arrival, bool) {
+		if n == len(t.planned) {
+			return arrival{}, false
+		}
+		p := &t.planned[n]
+		n++
+		class := t.classes[p.class]
+		class.Deadline = p.deadline
+		return arrival{
+			number: uint64(n), at: p.at, class: &class, prompt: p.prompt(), output: p.output,
+			pick: picker(seed, uint64(n)),
+		}, true
+	}
+}
+
+// prompt makes a text whose whole pieces depend on the recorded hashes only.
+func (p *planned) prompt() string {
+	const bytesPerToken = 4
+	var out []byte
+	for _, hash := range p.pieces {
+		out = append(out, exact(fmt.Sprintf("%016x ", hash), policy.PieceTokens*bytesPerToken)...)
+	}
+	rest := int(p.tokens)*bytesPerToken - len(out)
+	return string(append(out, exact(fmt.Sprintf("%016x ", p.print), max(0, rest))...))
+}
+
+// exact repeats text to size bytes.
+func exact(text string, size int) string { return fill(text, size)[:size] }
--- /dev/null
+++ b/internal/cli/load/load.go
@@ -0,0 +1,218 @@
+// Package load implements "citronrock load".
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"citronrock.example/citronrock/internal/bench/load"
+	"citronrock.example/citronrock/internal/cli/deps"
+	"citronrock.example/citronrock/internal/cli/flags"
+	"citronrock.example/citronrock/internal/cli/table"
+)
+
+const usage = "citronrock load [TRACE] --caller ADDRESS[,ADDRESS...] [--workload NAME] [--rate N] [--time T] [--count N] [--open N] [--seed N] [--repeats N] [--remote] [--json] [--out FILE] [--plot FILE]"
+
+const help = `Send load to daemons and check the answers.
+
+Requests arrive at the times of a recorded trace, or at random with the mean rate and
+the mix of a named workload, whether or not earlier ones were answered. Answers are
+compared with those of the stand-in engines and servers. The load goes to loopback
+addresses only, unless --remote is given. The exit code is 1 when an answer was wrong
+or no request was answered.
+
+examples:
+  citronrock load --caller 127.0.0.1:7001 --workload agentschap --rate 20 --time 15s
+  citronrock load trace.jsonl --caller 127.0.0.1:7001,127.0.0.1:7002 --json
+  citronrock load --caller 127.0.0.1:7001 --out report.json --plot first.png`
+
+// Bounds of a run.
+const (
+	maxTime  = time.Hour
+	maxCount = 10_000_000
+	maxOpen  = 100_000
+	maxRate  = 100_000
+)
+
+var workloads = map[string]func() []load.Class{"agentschap": load.Agentschap, "xenho": load.XeNho}
+
+// Options are the streams and parsed flags of the verb.
+type Options struct {
+	deps                       *deps.Factory
+	daemons                    []string
+	trace, workload, out, plot string
+	rate                       float64
+	span                       time.Duration
+	count, open, seed, repeats int
+	remote, json               bool
+}
+
+// New parses the arguments.
+func New(f *deps.Factory, args []string) (*Options, error) {
+	o := &Options{
+		deps: f, workload: "agentschap", rate: 20, span: 10 * time.Second,
+		count: 100_000, open: 2000, seed: 1, repeats: 3,
+	}
+	var callers string
+	set := flags.New(usage, help)
+	set.String(&callers, "caller", "ADDRESS", "callers' addresses of daemons, or CITRONROCK_CALLER")
+	set.String(&o.workload, "workload", "NAME", "agentschap or xenho; agentschap unless given")
+	set.Float(&o.rate, "rate", "N", "mean arrivals a second; 20 unless given; not used with a trace")
+	set.Duration(&o.span, "time", "TIME", "time in which requests arrive, up to 1h; 10s unless given")
+	set.Int(&o.count, "count", "N", "number of arrivals at most; 100000 unless given")
+	set.Int(&o.open, "open", "N", "requests open at a time at most; 2000 unless given")
+	set.Int(&o.seed, "seed", "N", "seed of the random numbers; 1 unless given")
+	set.Int(&o.repeats, "repeats", "N", "repeats of a request that was not answered; 3 unless given")
+	set.Bool(&o.remote, "remote", "allow addresses that are not loopback addresses")
+	set.Bool(&o.json, "json", "print the report as JSON")
+	set.String(&o.out, "out", "FILE", "write the report as JSON to a file")
+	set.String(&o.plot, "plot", "FILE", "write a plot of first-token times as PNG to a file")
+	set.Positional(&o.trace, "TRACE", false)
+	if err := set.Parse(args, f.Out); err != nil {
+		return nil, err
+	}
+	if err := o.check(); err != nil {
+		return nil, &deps.UsageError{Usage: usage, What: err.Error()}
+	}
+	addrs, err := f.Addresses("caller", callers, "CITRONROCK_CALLER")
+	if err != nil {
+		return nil, err
+	}
+	return o, o.allow(addrs)
+}
+
+func (o *Options) check() error {
+	switch {
+	case workloads[o.workload] == nil:
+		return fmt.Errorf("unknown workload %q; the workloads are agentschap and xenho", o.workload)
+	case !(o.rate > 0 && o.rate <= maxRate):
+		return fmt.Errorf("rate %g is out of range; give a number above 0, up to %d", o.rate, maxRate)
+	case o.span <= 0 || o.span > maxTime:
+		return fmt.Errorf("time %s is out of range; give a time above 0, up to %s", o.span, maxTime)
+	case o.count < 1 || o.count > maxCount:
+		return fmt.Errorf("count %d is out of range; give a number from 1 to %d", o.count, maxCount)
+	case o.open < 1 || o.open > maxOpen:
+		return fmt.Errorf("open %d is out of range; give a number from 1 to %d", o.open, maxOpen)
+	case o.seed < 0:
+		return fmt.Errorf("seed %d is negative; give a number from 0", o.seed)
+	case o.repeats < 0 || o.repeats > 100:
+		return fmt.Errorf("repeats %d is out of range; give a number from 0 to 100", o.repeats)
+	}
+	return nil
+}
+
+// allow keeps load from machines that nobody meant to test.
+func (o *Options) allow(addrs []netip.AddrPort) error {
+	for _, a := range addrs {
+		if !o.remote && !a.Addr().Unmap().IsLoopback() {
+			return &deps.UsageError{
+				Usage: usage,
+				What:  fmt.Sprintf("%s is not a loopback address; give --remote to send load there", a),
+			}
+		}
+		o.daemons = append(o.daemons, a.String())
+	}
+	return nil
+}
+
+// Run sends the load and prints the report. After an interrupt it reports on what
+// was sent until then.
+func Run(ctx context.Context, o *Options) error {
+	trace, err := o.read()
+	if err != nil {
+		return err
+	}
+	result, err := load.Run(ctx, o.daemons, func(s *load.Settings) {
+		s.Seed, s.Classes, s.Rate, s.Time = uint64(o.seed), workloads[o.workload](), o.rate, o.span
+		s.Count, s.Open, s.Repeats, s.Trace = o.count, o.open, o.repeats, trace
+		s.Progress = func(sent, ended int) {
+			fmt.Fprintf(o.deps.Err, "%d requests sent, %d ended\n", sent, ended)
+		}
+	})
+	if result == nil {
+		return err
+	}
+	return errors.Join(err, o.report(result), verdict(result))
+}
+
+func (o *Options) read() (*load.Trace, error) {
+	if o.trace == "" {
+		return nil, nil
+	}
+	in, err := os.Open(o.trace)
+	if err != nil {
+		return nil, fmt.Errorf("can't read the trace: %w; name a readable file", err)
+	}
+	defer func() { _ = in.Close() }()
+	t, err := load.ReadTrace(in)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", o.trace, err)
+	}
+	return t, nil
+}
+
+func (o *Options) report(r *load.Result) error {
+	if o.out != "" {
+		if err := write(o.out, r); err != nil {
+			return err
+		}
+	}
+	if o.plot != "" {
+		if err := plotFirst(o.plot, r); err != nil {
+			return fmt.Errorf("can't write the plot: %w", err)
+		}
+	}
+	for _, line := range r.Wrongs {
+		fmt.Fprintln(o.deps.Err, line)
+	}
+	if o.json {
+		return table.JSON(o.deps.Out, r)
+	}
+	return o.print(r)
+}
+
+func write(file string, r *load.Result) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("can't write the report: %w; name a file in a writable directory", err)
+	}
+	return errors.Join(table.JSON(f, r), f.Close())
+}
+
+func (o *Options) print(r *load.Result) error {
+	t := table.New("class", "service", "requests", "answered", "notrun", "unknown", "failed", "wrong",
+		"repeats", "good", "good/s", "worst/s", "first p50", "first p99", "gap p50", "gap p99")
+	for _, name := range r.Order() {
+		f := r.Classes[name]
+		mean, worst := r.Goodput(name)
+		t.Add(name, r.Service(name), f.Requests, f.Outcomes[load.Answered], f.Outcomes[load.NotRun],
+			f.Outcomes[load.Unknown], f.Outcomes[load.Failed], f.Outcomes[load.Wrong], f.Repeats, f.Good,
+			fmt.Sprintf("%.2f", mean), fmt.Sprintf("%.2f", worst), millis(f.First[0]), millis(f.First[2]),
+			millis(f.Gap[0]), millis(f.Gap[2]))
+	}
+	if err := t.Print(o.deps.Out, o.deps.Terminal); err != nil {
+		return err
+	}
+	if r.Unsent > 0 {
+		fmt.Fprintf(o.deps.Err, "%d arrivals were not sent, since %d requests were open\n", r.Unsent, o.open)
+	}
+	return nil
+}
+
+func millis(v float64) string { return fmt.Sprintf("%.1fms", v) }
+
+func verdict(r *load.Result) error {
+	requests, answered := r.All(load.Answered)
+	_, wrong := r.All(load.Wrong)
+	switch {
+	case wrong > 0:
+		return fmt.Errorf("%d of %d answers were wrong; see the lines above", wrong, requests)
+	case answered == 0:
+		return fmt.Errorf("none of %d requests was answered; check the addresses, the tenant and the services", requests)
+	}
+	return nil
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -15,6 +15,7 @@
 	"citronrock.example/citronrock/internal/cli/engine"
 	"citronrock.example/citronrock/internal/cli/flags"
 	"citronrock.example/citronrock/internal/cli/inst"
+	"citronrock.example/citronrock/internal/cli/load"
 	"citronrock.example/citronrock/internal/cli/replay"
 	"citronrock.example/citronrock/internal/cli/reqs"
 	"citronrock.example/citronrock/internal/cli/show"
@@ -54,6 +55,7 @@
 		{"engines", "list the engines with their load", verb(engine.New, engine.Run)},
 		{"requests", "list the requests in flight", verb(reqs.New, reqs.Run)},
 		{"console", "edit a document in a browser", verb(consol.New, consol.Run)},
+		{"load", "send load to daemons and check the answers", verb(load.New, load.Run)},
 		{"replay", "replay a recorded trace through the decision core", verb(replay.New, quick(replay.Run))},
 		{"version", "show the version of this program", verb(vers.New, quick(vers.Run))},
 	}
