--- /dev/null
+++ b/edge.go
@@ -0,0 +1,66 @@
+package citronrock
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/plan"
+)
+
+// Backends sends clients' requests to backend servers. Errors are of type
+// *entry.Fault and tell whether the request may have run.
+type Backends interface {
+	// Send forwards a call and returns when the header of the answer is there.
+	Send(ctx context.Context, to fleet.Server, c *entry.Call, o entry.Options) (*entry.Reply, error)
+	// Prefill makes a prefill engine read the prompt of a call. The call does not
+	// run.
+	Prefill(ctx context.Context, to fleet.Server, c *entry.Call, o entry.Options) (*entry.Cache, error)
+	// Free releases a KV cache that will not be used.
+	Free(ctx context.Context, cache *entry.Cache) error
+}
+
+// Ingress translates between clients and the router.
+type Ingress interface {
+	// Read decodes the header of a request. The error is an *Error of the kind
+	// NotRun.
+	Read(r *http.Request) (*entry.Call, error)
+	// Refuse answers a request with a failure of the router's own. Call may be
+	// nil.
+	Refuse(w http.ResponseWriter, c *entry.Call, status int, after time.Duration, text string)
+}
+
+// Changes are the published changes after a revision.
+type Changes struct {
+	// Document is the newest configuration, nil when it did not change.
+	Document *plan.Document
+	Servers  []fleet.Server
+	Removed  []Removal
+	// Revision is what to ask for next.
+	Revision uint64
+}
+
+// Removal is the removal of a backend server's entry.
+type Removal struct {
+	ID       string
+	Revision uint64
+}
+
+// State is everything that is published.
+type State struct {
+	// Document is nil when nothing is published yet.
+	Document *plan.Document
+	Servers  []fleet.Server
+	Revision uint64
+}
+
+// Store reads what the platform and the operators publish.
+type Store interface {
+	// Load reads everything.
+	Load(ctx context.Context) (*State, error)
+	// Watch returns the changes after a revision. It waits up to wait for the
+	// first one. ErrHistory means that Load is needed.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+}
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,9 @@
 package citronrock
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // Kind tells what is known about the run of a request that has failed.
 type Kind int
@@ -59,3 +62,7 @@
 func (e *Error) Error() string {
 	return e.Kind.String() + " (" + string(e.Reason) + "): " + e.Remedy
 }
+
+// ErrHistory is returned by Store.Watch when the changes after a revision are no
+// longer kept.
+var ErrHistory = errors.New("the store no longer has these changes; read everything again")
--- /dev/null
+++ b/internal/conf/site/site.go
@@ -0,0 +1,48 @@
+// Package site holds what the platform tells a router process about itself, its
+// neighbours and the contract.
+package site
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are the settings of one router process.
+type Settings struct {
+	Name   string
+	Domain string
+	// Front is where clients connect, Ready where the balancer asks for
+	// readiness, Admin where operators read status and metrics.
+	Front, Ready, Admin netip.AddrPort
+	// Peer is the address for datagrams between daemons.
+	Peer netip.AddrPort
+	// Seeds are peer addresses of some daemons. They may be stale.
+	Seeds []netip.AddrPort
+	// Store is the platform's store.
+	Store netip.AddrPort
+	// Memory is the limit of the process in bytes, zero for none.
+	Memory int64
+	Bounds Bounds
+}
+
+// Bounds are the figures of the contract.
+type Bounds struct {
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+	// Retry is the share of requests that may be sent once more over all
+	// daemons, and Slack a number that may be in addition, in each Window.
+	Retry  float64
+	Slack  int
+	Window time.Duration
+	// Contact is the time after a disturbance until bounds hold again.
+	Contact time.Duration
+}
+
+// Defaults of bounds that the settings do not name.
+const (
+	DefaultGrace   = 8 * time.Second
+	DefaultRetry   = 0.1
+	DefaultSlack   = 10
+	DefaultWindow  = 10 * time.Second
+	DefaultContact = 3 * time.Second
+)
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -41,6 +41,11 @@
 	FaultFailed
 )
 
+// String returns the name that logs use.
+func (f Fault) String() string {
+	return [...]string{"none", "unsent", "refused", "broken", "stalled", "crashed", "failed"}[f]
+}
+
 // Arrive reports a new generate request at this daemon.
 type Arrive struct {
 	Request  string
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -19,6 +19,11 @@
 	return &Budget{share: share, limit: limit, level: limit}
 }
 
+// SetLimit changes the largest number of unused retries.
+func (b *Budget) SetLimit(limit float64) {
+	b.limit, b.level = limit, min(b.level, limit)
+}
+
 // Sent counts a first attempt.
 func (b *Budget) Sent() { b.level = min(b.limit, b.level+b.share) }
 
--- /dev/null
+++ b/internal/front/entry/entry.go
@@ -0,0 +1,112 @@
+// Package entry holds the types of a client's request on its way through the
+// router.
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/event"
+)
+
+// Call is a client's request as the edge received it.
+type Call struct {
+	// ID is the client's name for this attempt. Answers are checked against it.
+	ID     string
+	Method string
+	Host   string
+	// Path is as received, without the query. Target is what is forwarded.
+	Path, Target string
+	// Header holds what is forwarded to the backend server.
+	Header http.Header
+	Body   []byte
+
+	Received time.Time
+	// Wait is how long the client waits from Received on, zero when it does not
+	// say.
+	Wait time.Duration
+
+	// Prompt, Output and Hint count tokens: of the prompt, the largest output
+	// and the output that the client expects. Zero when the client does not say.
+	Prompt, Output, Hint int
+	// Subject is the part of the prompt that belongs to this request alone.
+	Subject string
+	// After is the ID of the last event that the client has, empty for none.
+	After string
+}
+
+// Options are what the router adds to a call.
+type Options struct {
+	// Left is the time after which the backend server has to give up.
+	Left time.Duration
+	// Cache is the prefilled KV cache to go on from, nil for none.
+	Cache *Cache
+	// After is the ID of the last event that the client has.
+	After string
+}
+
+// Cache is a prefilled KV cache that waits at the engine that made it.
+type Cache struct {
+	Source netip.AddrPort
+	Handle string
+	// Tokens is the length of the prompt.
+	Tokens int
+	Made   time.Time
+}
+
+// Reply is the answer of a backend server.
+type Reply struct {
+	Status int
+	// Header holds what is passed to the client.
+	Header http.Header
+	Body   io.Reader
+	// Sealed answers bear the backend server's signature.
+	Sealed bool
+	// Length is the length of the body in bytes, -1 when it is not known.
+	Length int64
+	Close  func()
+}
+
+// Fault is a request without an answer for the client. It is the error type of
+// senders.
+type Fault struct {
+	Fault event.Fault
+	// Misdirected tells that another server answered at the address.
+	Misdirected bool
+	// Full tells that the server had no room.
+	Full bool
+	Err  error
+}
+
+// Error returns the cause.
+func (f *Fault) Error() string { return f.Err.Error() }
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.Err }
+
+// CopyHeader passes the header of an answer to a client. Without a content type
+// in the answer none is added.
+func CopyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if len(from["Content-Type"]) == 0 {
+		to["Content-Type"] = nil
+	}
+}
+
+// SetLength sets the length of a body in bytes.
+func SetLength(h http.Header, n int) { h.Set("Content-Length", strconv.Itoa(n)) }
+
+// Promise tells whether clients take a status as the word that a request has not
+// run and never will.
+func Promise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/front/router/router.go
@@ -0,0 +1,270 @@
+// Package router assembles a router process: it follows the store, finds the
+// other daemons, serves clients and stops without cutting off requests.
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/conf/site"
+	"citronrock.example/citronrock/internal/daemon/meter"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/front/serve"
+	"citronrock.example/citronrock/internal/front/stream"
+	"citronrock.example/citronrock/internal/front/unary"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/peer/beat"
+	"citronrock.example/citronrock/internal/peer/gram"
+	"citronrock.example/citronrock/internal/room/grant"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/plan"
+)
+
+const (
+	// startWait is the time after which a client is asked to come back while no
+	// configuration is known.
+	startWait = 300 * time.Millisecond
+	// defaultWait is the time limit of a client that names none on a route that
+	// names none.
+	defaultWait = 30 * time.Second
+	// noticeTime is how long a stopping daemon takes new connections: the balancer
+	// needs two failed questions, a second apart, to move them elsewhere.
+	noticeTime = 2500 * time.Millisecond
+	// endSpare is the part of the grace period that is kept for the end itself.
+	endSpare = 400 * time.Millisecond
+)
+
+// Router is one router process.
+type Router struct {
+	settings *site.Settings
+	ingress  citronrock.Ingress
+	log      *lines.Log
+	meter    *meter.Meter
+	start    time.Time
+
+	socket   *gram.Socket
+	beats    *beat.Node
+	table    *fleet.Table
+	grants   *grant.Node
+	follower *follow.Follower
+	server   *serve.Server
+	ready    *http.Server
+	admin    *http.Server
+	unary    *unary.Handler
+	stream   *stream.Handler
+	stopping atomic.Bool
+}
+
+// Parts are what a router needs from the platform's adapter.
+type Parts struct {
+	Store    citronrock.Store
+	Backends citronrock.Backends
+	Ingress  citronrock.Ingress
+	Log      *lines.Log
+	Meter    *meter.Meter
+}
+
+// Start begins to serve.
+func Start(s *site.Settings, p Parts) (*Router, error) {
+	r := &Router{settings: s, ingress: p.Ingress, log: p.Log, meter: p.Meter, start: time.Now()}
+	p.Log.Info("start", "domain", s.Domain, "front", s.Front.String(), "peer", s.Peer.String(),
+		"seeds", len(s.Seeds), "store", s.Store.String(), "pid", os.Getpid())
+	var err error
+	if r.socket, err = gram.Listen(s.Peer, p.Log); err != nil {
+		return nil, err
+	}
+	self := beat.Member{Addr: s.Peer, Domain: s.Domain, Start: r.start.UnixNano()}
+	r.beats = beat.Start(r.socket, self, s.Seeds, p.Log)
+	r.table = fleet.New(fleet.WithChanged(func() {
+		if r.grants != nil {
+			r.grants.Refresh()
+		}
+	}))
+	r.grants = grant.Start(self, r.socket, r.beats, r.table, p.Log)
+	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
+	r.unary = &unary.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress, Quota: budget, Log: p.Log}
+	r.stream = &stream.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress,
+		Granter: r.grants, Quota: budget, Log: p.Log,
+		Wasted: func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }}
+	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
+		r.closePeers()
+		return nil, err
+	}
+	r.follower = follow.Start(p.Store, r.table, p.Log, follow.WithApply(r.apply))
+	if err := r.listenReady(); err != nil {
+		r.follower.Close()
+		r.closePeers()
+		return nil, err
+	}
+	return r, nil
+}
+
+// apply takes a configuration before it is in force.
+func (r *Router) apply(d *plan.Document) {
+	r.server.SetLimits(d.Limits)
+	rooms := map[string]grant.Room{}
+	for name, s := range d.Services {
+		if s.Engine != nil {
+			rooms[name] = grant.Room{Slots: s.Engine.Slots, Tokens: s.Engine.Tokens}
+		}
+	}
+	r.grants.SetServices(rooms)
+}
+
+// Ready tells whether the balancer may send clients here.
+func (r *Router) Ready() bool { return !r.stopping.Load() && r.follower.Document() != nil }
+
+func (r *Router) refuse(w http.ResponseWriter, c *entry.Call, o *lines.Outcome, text string) {
+	r.ingress.Refuse(w, c, o.Status, o.After, text)
+}
+
+// handle serves one request of a client.
+func (r *Router) handle(w http.ResponseWriter, req *http.Request) {
+	received := time.Now()
+	c, err := r.ingress.Read(req)
+	if c == nil {
+		c = &entry.Call{}
+	}
+	c.Received = received
+	o := lines.Outcome{Request: c.ID}
+	if err != nil {
+		o.Status, o.Result, o.Reason = http.StatusBadRequest, "refused", string(citronrock.ReasonInvalid)
+		r.refuse(w, c, &o, err.Error())
+	} else {
+		o = r.route(w, req, c)
+	}
+	o.Took = time.Since(received)
+	r.log.End(o)
+	r.meter.Answer(o.Service, o.Route, o.Result, o.Reason, o.Took)
+	if o.First > 0 {
+		r.meter.First(o.Service, o.Route, o.First)
+	}
+	if o.Result == "broken" || o.Result == "gone" {
+		panic(http.ErrAbortHandler) // closes the connection without a complete answer
+	}
+}
+
+// route finds the service of a call and passes it on.
+func (r *Router) route(w http.ResponseWriter, req *http.Request, c *entry.Call) lines.Outcome {
+	o := lines.Outcome{Request: c.ID}
+	d := r.follower.Document()
+	if d == nil {
+		o.Status, o.Result, o.Reason, o.After = http.StatusServiceUnavailable, "refused", string(citronrock.ReasonConfig), startWait
+		r.refuse(w, c, &o, "no configuration is known yet; try again soon")
+		return o
+	}
+	o.Version = d.Version
+	route := d.Match(c.Host, c.Path)
+	if route == nil {
+		o.Status, o.Result, o.Reason = http.StatusNotFound, "refused", "route"
+		r.refuse(w, c, &o, "no route of this host matches the path")
+		return o
+	}
+	o.Route = route.Name
+	if status := r.readBody(w, req, c, d.Limits); status != 0 {
+		o.Status, o.Result, o.Reason = status, "refused", "body"
+		if status == 0 {
+			return o
+		}
+		r.refuse(w, c, &o, http.StatusText(status))
+		return o
+	}
+	o.Service = route.Pick(c.ID)
+	service, ok := d.Services[o.Service]
+	if !ok {
+		o.Status, o.Result, o.Reason, o.After = http.StatusServiceUnavailable, "refused", "service", time.Second
+		r.refuse(w, c, &o, "the service of this route is not configured")
+		return o
+	}
+	return r.dispatch(w, req, c, route, service, o)
+}
+
+func (r *Router) dispatch(w http.ResponseWriter, req *http.Request, c *entry.Call, route *plan.Route, service plan.Service, o lines.Outcome) lines.Outcome {
+	wait := c.Wait
+	if route.Timeout > 0 && (wait == 0 || route.Timeout < wait) {
+		wait = route.Timeout
+	}
+	if wait == 0 {
+		wait = defaultWait
+	}
+	deadline := c.Received.Add(wait)
+	ctx, cancel := context.WithDeadline(req.Context(), deadline)
+	defer cancel()
+	var out lines.Outcome
+	if route.Kind == plan.Stream {
+		out = r.stream.Serve(ctx, w, c, route, service, deadline)
+	} else {
+		out = r.unary.Serve(ctx, w, c, route, service.Name, deadline)
+	}
+	out.Request, out.Route, out.Service, out.Version, out.Left = o.Request, o.Route, o.Service, o.Version, time.Until(deadline)
+	return out
+}
+
+// readBody reads the body of a request within the published limits. It returns
+// the status of a failure, 0 for none.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, c *entry.Call, l plan.Limits) int {
+	if req.ContentLength == 0 {
+		return 0
+	}
+	control := http.NewResponseController(w)
+	wait := defaultWait
+	if l.HeaderWait > 0 {
+		wait = l.HeaderWait
+	}
+	_ = control.SetReadDeadline(time.Now().Add(wait)) // connections of net/http have one
+	body := req.Body
+	if l.Body > 0 {
+		body = http.MaxBytesReader(w, req.Body, int64(l.Body))
+	}
+	var err error
+	c.Body, err = io.ReadAll(body)
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
+// Seeds takes changed seeds after a reload of the settings.
+func (r *Router) Seeds(seeds []netip.AddrPort) { r.beats.Seeds(seeds) }
+
+// Stop serves the requests in flight, and those that still come, and ends
+// within the grace period.
+func (r *Router) Stop() {
+	r.stopping.Store(true)
+	r.log.Info("stop", "open", r.server.Open())
+	r.beats.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), max(r.settings.Bounds.Grace-endSpare, time.Second))
+	defer cancel()
+	r.server.Stop(ctx, noticeTime)
+	r.follower.Close()
+	r.closePeers()
+	r.ready.Close()
+	if r.admin != nil {
+		r.admin.Close()
+	}
+	r.log.Info("stopped", "open", r.server.Open(), "took", lines.Ms(time.Since(r.start)))
+}
+
+func (r *Router) closePeers() {
+	if r.grants != nil {
+		r.grants.Close()
+	}
+	r.beats.Close()
+	r.socket.Close()
+}
--- /dev/null
+++ b/internal/front/stream/job.go
@@ -0,0 +1,357 @@
+package stream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/room/grant"
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/plan"
+)
+
+const (
+	// rounds is the number of grants that one request may use.
+	rounds = 4
+	// latePatience is the share of the latency target that an ask may be queued
+	// beyond the time at which the answer is on time.
+	latePatience = 0.5
+	// backPatience is the same for a client that came back.
+	backPatience = 2.0
+	// prefillTimeout bounds a prefill. It is far above the time that the longest
+	// prompt takes at a busy engine, and below the patience of clients.
+	prefillTimeout = 1500 * time.Millisecond
+	// offerFor is the share of the time for which a KV cache is kept during which
+	// it is offered to a second engine.
+	offerFor = 0.7
+	// stallFor is the number of longest pauses after which a stream that may be
+	// resumed is taken for dead, and stallFloor the shortest such time.
+	stallFor   = 4
+	stallFloor = 1200 * time.Millisecond
+	// freeTimeout bounds the release of a KV cache.
+	freeTimeout = 400 * time.Millisecond
+	// answerLimit bounds an answer other than a stream in bytes.
+	answerLimit = 1 << 20
+)
+
+// job is one generation on its way.
+type job struct {
+	*Handler
+	call     *entry.Call
+	route    *plan.Route
+	service  plan.Service
+	deadline time.Time
+	out      http.ResponseWriter
+	outcome  lines.Outcome
+
+	lease *grant.Lease
+	// leased is when the lease was granted.
+	leased time.Time
+	cache  *entry.Cache
+	// begun is set once part of the answer was sent to the client, maybe is set
+	// while a run that may have happened forbids another one.
+	begun, maybe bool
+	sends, runs  int
+	events       int
+	last         string
+	without      []string
+}
+
+// step is what follows a part of the work.
+type step int
+
+const (
+	finish step = iota
+	again
+)
+
+func (j *job) run(ctx context.Context) {
+	for range rounds {
+		if !j.acquire(ctx) {
+			return
+		}
+		next := j.prefill(ctx)
+		if next == finish && j.outcome.Result == "" {
+			next = j.decode(ctx)
+		}
+		if next == finish {
+			return
+		}
+		if ctx.Err() != nil {
+			j.fail(ctx, "deadline")
+			return
+		}
+	}
+	j.fail(ctx, "attempts")
+}
+
+// release gives back what the request holds.
+func (j *job) release(ctx context.Context) {
+	j.endLease(false)
+	j.dropCache(ctx)
+}
+
+func (j *job) endLease(full bool) {
+	if j.lease != nil {
+		j.lease.Close(full)
+		j.lease = nil
+	}
+}
+
+// dropCache frees a KV cache that no engine took.
+func (j *job) dropCache(ctx context.Context) {
+	cache := j.cache
+	if cache == nil {
+		return
+	}
+	j.cache = nil
+	j.Wasted(j.service.Name, cache.Tokens)
+	if time.Since(cache.Made) > j.service.Engine.Handle {
+		return // it has expired
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTimeout)
+		defer cancel()
+		if err := j.Backends.Free(ctx, cache); err != nil {
+			j.Log.Info("cache not freed", "request", j.call.ID, "handle", cache.Handle, "error", err.Error())
+		}
+	}()
+}
+
+// fail ends the request without an answer. What may have run is not said to
+// have not run.
+func (j *job) fail(ctx context.Context, reason string) {
+	o := &j.outcome
+	o.Reason = reason
+	late := ctx.Err() != nil
+	switch {
+	case j.begun:
+		o.Result, o.Status = "broken", 0
+	case j.maybe && late:
+		o.Result, o.Status = "unknown", http.StatusGatewayTimeout
+	case j.maybe:
+		o.Result, o.Status = "unknown", http.StatusBadGateway
+	default:
+		o.Result, o.Status = "refused", http.StatusServiceUnavailable
+		if o.After == 0 {
+			o.After = time.Second
+		}
+	}
+}
+
+// acquire obtains engines from the owner of the ledger.
+func (j *job) acquire(ctx context.Context) bool {
+	if j.service.Engine == nil {
+		s, ok := j.Table.Choose(time.Now(), j.service.Name, j.Domain, j.without)
+		if !ok {
+			j.fail(ctx, "server")
+			return false
+		}
+		j.lease, j.leased = grant.Unaccounted(s.ID), time.Now()
+		return true
+	}
+	elapsed := time.Since(j.call.Received)
+	slack := j.route.Target - elapsed - j.lead(j.service.Name)
+	ask := ledger.Ask{Service: j.service.Name, Prompt: prompt(j.call), Expect: j.expect(j.route.Name, j.call),
+		Slack: slack, Patience: max(slack, 0) + time.Duration(latePatience*float64(j.route.Target)),
+		Back:    time.Duration(backPatience * float64(j.route.Target)),
+		Subject: subject(j.call), Read: j.cache != nil, Begun: j.begun, Without: j.without, Rank: j.route.Rank}
+	if limit := time.Until(j.deadline) / 2; ask.Back > limit {
+		ask.Back = limit
+	}
+	asked := time.Now()
+	lease, err := j.Granter.Acquire(ctx, ask)
+	var refusal *grant.Refusal
+	switch {
+	case err == nil:
+		j.lease, j.leased = lease, time.Now()
+		j.Log.Info(lines.Grant, "request", j.call.ID, "service", ask.Service, "owner", lease.Owner.String(),
+			"decode", lease.Decode, "prefill", lease.Prefill, "wait", lines.Ms(time.Since(asked)),
+			"load", lease.Load, "prompt", ask.Prompt, "expect", ask.Expect, "slack", lines.Ms(slack))
+		return true
+	case errors.As(err, &refusal):
+		j.outcome.After = refusal.After
+		j.Log.Info("refusal", "request", j.call.ID, "service", ask.Service, "owner", refusal.Owner.String(),
+			"reason", refusal.Reason, "predicted", lines.Ms(refusal.Wait), "ahead", refusal.Ahead,
+			"load", refusal.Load, "waited", lines.Ms(time.Since(asked)), "slack", lines.Ms(slack))
+		j.fail(ctx, refusal.Reason)
+	default:
+		j.fail(ctx, "owner")
+	}
+	return false
+}
+
+// exclude leaves an engine out of the following rounds.
+func (j *job) exclude(id string) { j.without = append(j.without, id) }
+
+// attempt logs a sending that gave no answer.
+func (j *job) attempt(part string, s fleet.Server, begun time.Time, f *entry.Fault) {
+	j.Log.Info(lines.Attempt, "request", j.call.ID, "service", j.service.Name, "part", part, "server", s.ID,
+		"entry", s.Revision, "send", j.sends, "fault", f.Fault.String(), "full", f.Full, "error", f.Error(),
+		"took", lines.Ms(time.Since(begun)))
+}
+
+// asFault returns the fault of an error of a sender.
+func asFault(err error) *entry.Fault {
+	var f *entry.Fault
+	if errors.As(err, &f) {
+		return f
+	}
+	return &entry.Fault{Fault: event.FaultBroken, Err: err}
+}
+
+// prefill has the prompt read, unless it is or the decode engine has to do it.
+// A prefill does not run the request, so that it may be repeated.
+func (j *job) prefill(ctx context.Context) step {
+	if j.lease.Prefill == "" || j.cache != nil {
+		j.lease.Wrote()
+		return finish
+	}
+	s, ok := j.Table.Get(time.Now(), j.lease.Prefill)
+	if !ok {
+		return j.elsewhere(ctx, j.lease.Prefill, false, true)
+	}
+	cut, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	if j.sends == 0 {
+		j.Quota.Sent(j.service.Name)
+	}
+	j.sends++
+	begun := time.Now()
+	note := j.Table.Begin(s.ID)
+	cache, err := j.Backends.Prefill(cut, s, j.call, entry.Options{Left: time.Until(j.deadline)})
+	if err == nil {
+		note(time.Now(), fleet.OK, time.Since(begun))
+		j.cache = cache
+		j.lease.Wrote()
+		return finish
+	}
+	f := asFault(err)
+	note(time.Now(), outcome(ctx, f), 0)
+	j.attempt("prefill", s, begun, f)
+	if f.Misdirected {
+		j.Table.Misdirected(time.Now(), s)
+	}
+	return j.elsewhere(ctx, s.ID, false, f.Fault == event.FaultUnsent || j.Quota.Take(j.service.Name))
+}
+
+// elsewhere prepares another round without an engine.
+func (j *job) elsewhere(ctx context.Context, id string, full, allowed bool) step {
+	j.endLease(full)
+	if !allowed {
+		j.fail(ctx, "budget")
+		return finish
+	}
+	j.exclude(id)
+	return again
+}
+
+// outcome tells what a fault showed about its server.
+func outcome(ctx context.Context, f *entry.Fault) fleet.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return fleet.Unknown
+	case f.Fault == event.FaultUnsent:
+		return fleet.Unreachable
+	case f.Fault == event.FaultRefused:
+		return fleet.Busy
+	case f.Fault == event.FaultStalled:
+		return fleet.Silent
+	}
+	return fleet.Broken
+}
+
+// decode has the answer made and passes it on.
+func (j *job) decode(ctx context.Context) step {
+	s, ok := j.Table.Get(time.Now(), j.lease.Decode)
+	if !ok {
+		return j.elsewhere(ctx, j.lease.Decode, false, true)
+	}
+	if j.sends == 0 {
+		j.Quota.Sent(j.service.Name)
+	}
+	j.sends++
+	begun := time.Now()
+	note := j.Table.Begin(s.ID)
+	cut, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	reply, err := j.Backends.Send(cut, s, j.call, entry.Options{Left: time.Until(j.deadline), Cache: j.cache, After: j.last})
+	if err != nil {
+		f := asFault(err)
+		note(time.Now(), outcome(ctx, f), 0)
+		j.attempt("decode", s, begun, f)
+		return j.undecoded(ctx, s, f)
+	}
+	defer reply.Close()
+	j.cache = nil // taken by the engine
+	j.runs++
+	j.maybe = true
+	j.outcome.Server = s.ID
+	if reply.Status != http.StatusOK {
+		note(time.Now(), fleet.Failed, 0)
+		return j.other(ctx, s, reply)
+	}
+	f := j.relay(ctx, cancel, s, reply)
+	if f == nil {
+		note(time.Now(), fleet.OK, 0)
+		j.outcome.Result, j.outcome.Status = "ok", http.StatusOK
+		return finish
+	}
+	note(time.Now(), outcome(ctx, f), 0)
+	j.attempt("stream", s, begun, f)
+	return j.interrupted(ctx, s, f)
+}
+
+// undecoded follows a decode request without an answer.
+func (j *job) undecoded(ctx context.Context, s fleet.Server, f *entry.Fault) step {
+	if f.Misdirected {
+		j.Table.Misdirected(time.Now(), s)
+	}
+	switch f.Fault {
+	case event.FaultUnsent, event.FaultRefused:
+		// The KV cache is still there for another engine, if it is young enough.
+		if j.cache != nil && time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
+			j.dropCache(ctx)
+		}
+		return j.elsewhere(ctx, s.ID, f.Full, f.Fault == event.FaultUnsent || j.Quota.Take(j.service.Name))
+	}
+	j.cache = nil // the engine may have taken it
+	j.runs++
+	j.maybe = true
+	return j.interrupted(ctx, s, f)
+}
+
+// interrupted follows a run that broke off.
+func (j *job) interrupted(ctx context.Context, s fleet.Server, f *entry.Fault) step {
+	may := j.route.Resume && j.runs < j.route.Attempts && ctx.Err() == nil
+	if may && j.Quota.Take(j.service.Name) {
+		j.endLease(false)
+		j.exclude(s.ID)
+		return again
+	}
+	j.fail(ctx, f.Fault.String())
+	return finish
+}
+
+// other passes on an answer that is no stream.
+func (j *job) other(ctx context.Context, s fleet.Server, reply *entry.Reply) step {
+	var body bytes.Buffer
+	_, err := body.ReadFrom(io.LimitReader(reply.Body, answerLimit))
+	if err != nil || entry.Promise(reply.Status) || j.begun {
+		j.outcome.Server = ""
+		return j.interrupted(ctx, s, &entry.Fault{Fault: event.FaultFailed, Err: errors.New("engine answers " + http.StatusText(reply.Status))})
+	}
+	j.outcome.Result, j.outcome.Reason, j.outcome.Status = "failed", "server", reply.Status
+	entry.CopyHeader(j.out.Header(), reply.Header)
+	entry.SetLength(j.out.Header(), body.Len())
+	j.out.WriteHeader(reply.Status)
+	_, _ = j.out.Write(body.Bytes()) // a failed write shows that the client left
+	return finish
+}
--- /dev/null
+++ b/internal/front/stream/relay.go
@@ -0,0 +1,85 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// errStall ends a stream without events.
+var errStall = errors.New("no event in time")
+
+// relay passes the events of a run on to the client, each one as it comes. It
+// returns nil after the last one.
+func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, s fleet.Server, reply *entry.Reply) *entry.Fault {
+	var stall *time.Timer
+	limit := max(stallFor*j.route.Gap, stallFloor)
+	if j.route.Resume && j.runs < j.route.Attempts {
+		stall = time.AfterFunc(limit, func() { cancel(errStall) })
+		defer stall.Stop()
+	}
+	events := newReader(reply.Body)
+	flush := http.NewResponseController(j.out)
+	for {
+		bytes, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return j.ended(reply)
+		}
+		if err != nil {
+			fault := event.FaultBroken
+			if stall != nil && ctx.Err() == nil && !stall.Stop() {
+				fault, err = event.FaultStalled, errStall
+			}
+			return &entry.Fault{Fault: fault, Err: err}
+		}
+		if stall != nil {
+			stall.Reset(limit)
+		}
+		if !j.begun {
+			j.begin(reply)
+		}
+		if _, err = j.out.Write(bytes); err == nil {
+			err = flush.Flush()
+		}
+		if err != nil {
+			return &entry.Fault{Fault: event.FaultBroken, Err: err}
+		}
+		if id != "" {
+			j.last = id
+		}
+		j.events++
+		j.lease.Made(j.made())
+	}
+}
+
+// made is the output so far in tokens.
+func (j *job) made() int {
+	if j.service.Engine == nil {
+		return j.events
+	}
+	return j.events * max(j.service.Engine.Stride, 1)
+}
+
+// begin sends the header of the first run's answer.
+func (j *job) begin(reply *entry.Reply) {
+	j.begun = true
+	j.outcome.First = time.Since(j.call.Received)
+	j.learnLead(j.service.Name, time.Since(j.leased))
+	entry.CopyHeader(j.out.Header(), reply.Header)
+	j.out.WriteHeader(http.StatusOK)
+}
+
+// ended follows the regular end of a stream.
+func (j *job) ended(reply *entry.Reply) *entry.Fault {
+	if !j.begun {
+		j.begin(reply)
+	}
+	j.learn(j.route.Name, j.call, j.events*max(j.service.Engine.Stride, 1))
+	return nil
+}
--- /dev/null
+++ b/internal/front/stream/stream.go
@@ -0,0 +1,159 @@
+// Package stream serves generations: it obtains engines, has the prompt read,
+// and passes the events of the answer on as they come. Where a route allows it,
+// a stream that breaks goes on at another engine.
+package stream
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/room/grant"
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/plan"
+)
+
+// Granter obtains engines.
+type Granter interface {
+	Acquire(ctx context.Context, a ledger.Ask) (*grant.Lease, error)
+}
+
+// Handler serves streams.
+type Handler struct {
+	Domain   string
+	Table    *fleet.Table
+	Backends citronrock.Backends
+	Ingress  citronrock.Ingress
+	Granter  Granter
+	Quota    *quota.Quota
+	Log      *lines.Log
+	// Wasted takes the tokens of prompts that were read in vain.
+	Wasted func(service string, tokens int)
+
+	mu    sync.Mutex
+	sizes map[string]*size
+	leads map[string]time.Duration
+}
+
+// Parameters of the estimates.
+const (
+	// firstShare stands for the share of the largest output that is made until
+	// answers have shown it.
+	firstShare = 0.5
+	// sizeWeight is the least weight of one answer in the mean share.
+	sizeWeight = 0.03
+	// firstLead stands for the time from a grant to the first event until answers
+	// have shown it, and leadWeight is the weight of one answer.
+	firstLead  = 300 * time.Millisecond
+	leadWeight = 0.1
+	// bytesPerToken stands for the size of a prompt that its client does not
+	// tell.
+	bytesPerToken = 4
+	// plainOutput is the expected output in tokens of a request that does not
+	// tell its largest output.
+	plainOutput = 500
+)
+
+// size is the mean output of a route as a share of the largest output.
+type size struct {
+	share float64
+	n     int
+}
+
+// expect estimates the output of a call in tokens.
+func (h *Handler) expect(route string, c *entry.Call) int {
+	if c.Output == 0 {
+		return plainOutput
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	share := firstShare
+	if s := h.sizes[route]; s != nil {
+		share = s.share
+	}
+	return int(share * float64(c.Output))
+}
+
+// learn takes the output of a complete answer in tokens.
+func (h *Handler) learn(route string, c *entry.Call, made int) {
+	if c.Output == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.sizes[route]
+	if s == nil {
+		s = &size{share: firstShare, n: 3}
+		if h.sizes == nil {
+			h.sizes = map[string]*size{}
+		}
+		h.sizes[route] = s
+	}
+	s.n++
+	s.share += (float64(made)/float64(c.Output) - s.share) * max(1/float64(s.n), sizeWeight)
+}
+
+// lead is the time from a grant to the first event.
+func (h *Handler) lead(service string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d, ok := h.leads[service]; ok {
+		return d
+	}
+	return firstLead
+}
+
+func (h *Handler) learnLead(service string, d time.Duration) {
+	was := h.lead(service)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leads == nil {
+		h.leads = map[string]time.Duration{}
+	}
+	h.leads[service] = was + time.Duration(leadWeight*float64(d-was))
+}
+
+// prompt is the length of a call's prompt in tokens.
+func prompt(c *entry.Call) int {
+	if c.Prompt > 0 {
+		return c.Prompt
+	}
+	return len(c.Body) / bytesPerToken
+}
+
+// subject is a hash that is the same when a client asks again.
+func subject(c *entry.Call) uint64 {
+	if c.Subject == "" {
+		return 0
+	}
+	d := fnv.New64a()
+	_, _ = d.Write([]byte(c.Host + c.Path + "\x00" + c.Subject))
+	return d.Sum64()
+}
+
+// Serve answers a call and returns how it ended. Ctx ends when the client
+// leaves or the deadline passes. A Result of "broken" means that the client's
+// connection must be closed, since part of an answer was sent.
+func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *entry.Call, r *plan.Route, s plan.Service, deadline time.Time) lines.Outcome {
+	j := &job{Handler: h, call: c, route: r, service: s, deadline: deadline, out: w, last: c.After}
+	j.run(ctx)
+	j.release(ctx)
+	o := &j.outcome
+	o.Sends, o.Events, o.Prompt = j.sends, j.events, prompt(c)
+	if errors.Is(context.Cause(ctx), context.Canceled) && o.Result != "ok" {
+		o.Result, o.Reason, o.Status = "gone", "client", 0
+		return *o
+	}
+	if o.Status != 0 && !j.begun && o.Server == "" {
+		h.Ingress.Refuse(w, c, o.Status, o.After, "the request was not answered: "+o.Result+", "+o.Reason)
+	}
+	return *o
+}
--- /dev/null
+++ b/internal/front/unary/unary.go
@@ -0,0 +1,250 @@
+// Package unary serves requests that have one answer: it chooses a backend
+// server, repeats what may be repeated and passes on only whole answers.
+package unary
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/plan"
+)
+
+const (
+	// repeatAfter is the share of the latency target after which an idempotent
+	// request without an answer is sent to another server. Few answers of sound
+	// servers take as long.
+	repeatAfter = 1.3
+	// spareSends is the number of servers beyond the route's attempts that may
+	// refuse a request before it runs.
+	spareSends = 2
+	// comeBack is the share of the remaining time after which a refused client is
+	// asked to come back. Clients keep to at most a third.
+	comeBack = 0.25
+	// answerLimit bounds an answer that is held in memory, in bytes.
+	answerLimit = 16 << 20
+)
+
+// Handler serves requests of plain services.
+type Handler struct {
+	Domain   string
+	Table    *fleet.Table
+	Backends citronrock.Backends
+	Ingress  citronrock.Ingress
+	Quota    *quota.Quota
+	Log      *lines.Log
+}
+
+// answer is a whole answer of a server.
+type answer struct {
+	*entry.Reply
+	body   []byte
+	server string
+}
+
+// job is one request on its way.
+type job struct {
+	*Handler
+	call     *entry.Call
+	route    *plan.Route
+	service  string
+	deadline time.Time
+	without  []string
+	sends    int
+	earlier  bool
+	// kept is a failure that a server reported for an idempotent request. It is
+	// passed on when no other server does better.
+	kept *answer
+}
+
+// Serve answers a call and returns how it ended. Ctx ends when the client
+// leaves or the deadline passes.
+func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *entry.Call, r *plan.Route, service string, deadline time.Time) lines.Outcome {
+	j := &job{Handler: h, call: c, route: r, service: service, deadline: deadline}
+	a, v := j.run(ctx)
+	out := lines.Outcome{Sends: j.sends}
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		out.Result, out.Reason = "gone", "client"
+		return out
+	}
+	if a != nil {
+		out.Server, out.Status, out.Result = a.server, a.Status, "ok"
+		if a.Status >= http.StatusInternalServerError {
+			out.Result, out.Reason = "failed", "server"
+		}
+		deliver(w, a)
+		return out
+	}
+	out.Reason = string(v.Reason)
+	switch {
+	case v.Kind == citronrock.NotRun:
+		out.Status, out.Result, out.After = http.StatusServiceUnavailable, "refused", v.After
+	case v.Reason == citronrock.ReasonDeadline:
+		out.Status, out.Result = http.StatusGatewayTimeout, "unknown"
+	default:
+		out.Status, out.Result = http.StatusBadGateway, "unknown"
+	}
+	h.Ingress.Refuse(w, c, out.Status, out.After, "the request was not answered: "+out.Result+", "+out.Reason)
+	return out
+}
+
+// run sends the call until there is an answer or the rules allow no more
+// sendings.
+func (j *job) run(ctx context.Context) (*answer, retry.Verdict) {
+	for {
+		server, ok := j.Table.Choose(time.Now(), j.service, j.Domain, j.without)
+		if !ok {
+			return j.kept, j.verdict(event.FaultRefused, nil)
+		}
+		a, fault := j.send(ctx, server)
+		if a != nil && fault == event.FaultNone {
+			return a, retry.Verdict{}
+		}
+		if a != nil {
+			j.kept = a
+		}
+		if ctx.Err() != nil {
+			v := j.verdict(fault, nil)
+			v.Reason = citronrock.ReasonDeadline
+			return j.kept, v
+		}
+		v := j.verdict(fault, j.budget(fault))
+		j.earlier = v.Earlier
+		if v.Next != retry.Send {
+			return j.kept, v
+		}
+		j.without = append(j.without, server.ID)
+	}
+}
+
+// budget returns the permission for one more sending after a fault. Only what
+// may have arrived at a server counts against the service's budget.
+func (j *job) budget(f event.Fault) func() bool {
+	limit := j.route.Attempts
+	if !retry.Received(f) {
+		limit += spareSends
+	}
+	if j.sends >= limit {
+		return nil
+	}
+	if f == event.FaultUnsent {
+		return func() bool { return true }
+	}
+	return func() bool { return j.Quota.Take(j.service) }
+}
+
+func (j *job) verdict(f event.Fault, budget func() bool) retry.Verdict {
+	left := time.Until(j.deadline)
+	return retry.Decide(retry.State{Fault: f, Earlier: j.earlier, Idempotent: j.route.Kind == plan.Idempotent,
+		Budget: budget, Left: left, After: max(time.Duration(comeBack*float64(left)), time.Millisecond)})
+}
+
+// send makes one attempt. A fault may come with an answer, when a server reports
+// a failure.
+func (j *job) send(ctx context.Context, s fleet.Server) (*answer, event.Fault) {
+	limit := j.deadline
+	if j.route.Kind == plan.Idempotent && j.sends+1 < j.route.Attempts && j.kept == nil {
+		if early := time.Now().Add(time.Duration(repeatAfter * float64(j.route.Target))); early.Before(limit) {
+			limit = early
+		}
+	}
+	cut, cancel := context.WithDeadlineCause(ctx, limit, errSlow)
+	defer cancel()
+	if j.sends == 0 {
+		j.Quota.Sent(j.service)
+	}
+	j.sends++
+	begun := time.Now()
+	note := j.Table.Begin(s.ID)
+	a, fault, err := j.exchange(cut, s)
+	took := time.Since(begun)
+	note(time.Now(), health(ctx, a, fault), took)
+	if err != nil || fault != event.FaultNone {
+		text := "server reports a failure"
+		if err != nil {
+			text = err.Error()
+		}
+		j.Log.Info(lines.Attempt, "request", j.call.ID, "service", j.service, "server", s.ID, "entry", s.Revision,
+			"send", j.sends, "fault", fault.String(), "error", text, "took", lines.Ms(took))
+	}
+	return a, fault
+}
+
+// errSlow is the cause of the end of an attempt that another one replaces.
+var errSlow = errors.New("no answer in time for another attempt")
+
+// exchange sends the call and reads the whole answer.
+func (j *job) exchange(ctx context.Context, s fleet.Server) (*answer, event.Fault, error) {
+	reply, err := j.Backends.Send(ctx, s, j.call, entry.Options{Left: time.Until(j.deadline)})
+	if err != nil {
+		var f *entry.Fault
+		if !errors.As(err, &f) {
+			return nil, event.FaultBroken, err
+		}
+		if f.Misdirected {
+			j.Table.Misdirected(time.Now(), s)
+		}
+		if f.Fault == event.FaultBroken && ctx.Err() != nil {
+			return nil, event.FaultStalled, err
+		}
+		return nil, f.Fault, err
+	}
+	defer reply.Close()
+	var body bytes.Buffer
+	n, err := body.ReadFrom(io.LimitReader(reply.Body, answerLimit+1))
+	if err == nil && n > answerLimit {
+		err = errors.New("answer is larger than the router can hold")
+	}
+	if err != nil {
+		return nil, event.FaultBroken, err
+	}
+	a := &answer{Reply: reply, body: body.Bytes(), server: s.ID}
+	switch {
+	case entry.Promise(reply.Status):
+		// The server did not say that it has not run the request, so that this
+		// status must not reach the client.
+		return nil, event.FaultBroken, errors.New("status promises more than the server says: " + http.StatusText(reply.Status))
+	case reply.Status >= http.StatusInternalServerError && j.route.Kind == plan.Idempotent:
+		return a, event.FaultBroken, nil
+	}
+	return a, event.FaultNone, nil
+}
+
+// health tells what an attempt showed about its server.
+func health(ctx context.Context, a *answer, f event.Fault) fleet.Outcome {
+	switch {
+	case a != nil && a.Status < http.StatusInternalServerError:
+		return fleet.OK
+	case a != nil:
+		return fleet.Failed
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
+		return fleet.Unknown
+	}
+	switch f {
+	case event.FaultUnsent:
+		return fleet.Unreachable
+	case event.FaultRefused:
+		return fleet.Busy
+	case event.FaultStalled:
+		return fleet.Silent
+	}
+	return fleet.Broken
+}
+
+// deliver passes a whole answer to the client.
+func deliver(w http.ResponseWriter, a *answer) {
+	entry.CopyHeader(w.Header(), a.Header)
+	entry.SetLength(w.Header(), len(a.body))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.body) // a failed write shows that the client left
+}
--- /dev/null
+++ b/internal/peer/beat/node.go
@@ -0,0 +1,116 @@
+package beat
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/gram"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Node runs the membership of one daemon over a socket.
+type Node struct {
+	socket *gram.Socket
+	log    hclog.Logger
+
+	mu    sync.Mutex
+	table *Table
+	alive map[netip.AddrPort]int64
+
+	stop chan struct{}
+	done chan struct{}
+}
+
+// Start joins the other daemons and begins to send heartbeats.
+func Start(socket *gram.Socket, self Member, seeds []netip.AddrPort, log hclog.Logger) *Node {
+	n := &Node{socket: socket, log: log, table: New(self, seeds, uint64(self.Start)),
+		alive: map[netip.AddrPort]int64{}, stop: make(chan struct{}), done: make(chan struct{})}
+	socket.Handle(gram.Beat, n.receive)
+	go func() {
+		defer close(n.done)
+		n.run()
+	}()
+	return n
+}
+
+func (n *Node) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-n.stop:
+			return
+		case <-timer.C:
+		}
+		n.beat()
+		n.mu.Lock()
+		timer.Reset(n.table.Every())
+		n.mu.Unlock()
+	}
+}
+
+// beat sends one heartbeat and logs the daemons that were lost or found.
+func (n *Node) beat() {
+	now := time.Now()
+	n.mu.Lock()
+	sends := n.table.Tick(now)
+	current := make(map[netip.AddrPort]int64)
+	for _, m := range n.table.Alive(now) {
+		current[m.Addr] = m.Start
+	}
+	was := n.alive
+	n.alive = current
+	n.mu.Unlock()
+	for _, s := range sends {
+		n.socket.Send(s.To, gram.Beat, s.Gossip)
+	}
+	for addr, start := range current {
+		if was[addr] != start {
+			n.log.Info("daemon found", "peer", addr.String(), "start", start, "alive", len(current))
+		}
+	}
+	for addr, start := range was {
+		if _, ok := current[addr]; !ok {
+			n.log.Warn("daemon lost", "peer", addr.String(), "start", start, "alive", len(current))
+		}
+	}
+}
+
+func (n *Node) receive(_ netip.AddrPort, body []byte) {
+	var g Gossip
+	if !n.socket.Decode(body, &g) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Receive(time.Now(), g)
+}
+
+// Alive returns the live daemons, this one included.
+func (n *Node) Alive() []Seen {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Alive(time.Now())
+}
+
+// Seeds replaces the seeds.
+func (n *Node) Seeds(seeds []netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Seeds(seeds)
+}
+
+// Leave tells the others at once that this daemon stops.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.table.Leave()
+	n.mu.Unlock()
+	n.beat()
+}
+
+// Close ends the heartbeats.
+func (n *Node) Close() {
+	close(n.stop)
+	<-n.done
+}
--- /dev/null
+++ b/internal/peer/gram/gram.go
@@ -0,0 +1,129 @@
+// Package gram exchanges datagrams between daemons. A datagram is a version
+// byte, a kind byte and a CBOR message. Datagrams may be lost, doubled or
+// reordered; messages are made so that the next one repairs it.
+package gram
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+)
+
+// Kind tells messages apart.
+type Kind byte
+
+// Kinds of messages.
+const (
+	Beat Kind = iota + 1
+	Ask
+	Answer
+	Drop
+	Report
+	Strike
+)
+
+const (
+	// version changes with each incompatible change of a message.
+	version = 1
+	// largest is the size of a datagram in bytes; larger messages are refused.
+	largest = 16 << 10
+)
+
+// Handler takes a message. It must not block.
+type Handler func(from netip.AddrPort, body []byte)
+
+// Socket sends and receives datagrams.
+type Socket struct {
+	conn     *net.UDPConn
+	handlers [256]atomic.Pointer[Handler]
+	log      hclog.Logger
+	done     chan struct{}
+	in, out  atomic.Uint64
+	bad      atomic.Uint64
+}
+
+// Listen opens a socket and starts to receive.
+func Listen(addr netip.AddrPort, log hclog.Logger) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, eris.Wrapf(err, "can't listen for datagrams at %s; check that the port is free", addr)
+	}
+	s := &Socket{conn: conn, log: log, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		s.receive()
+	}()
+	return s, nil
+}
+
+// Handle sets the handler of a kind.
+func (s *Socket) Handle(k Kind, h Handler) { s.handlers[k].Store(&h) }
+
+// Send sends a message. Failures are counted and logged; the sender repeats
+// what matters.
+func (s *Socket) Send(to netip.AddrPort, k Kind, message any) {
+	body, err := cbor.Marshal(message)
+	if err != nil || len(body)+2 > largest {
+		s.log.Error("datagram not sent: message can't be encoded", "kind", int(k), "bytes", len(body), "error", err)
+		return
+	}
+	packet := append(make([]byte, 0, len(body)+2), version, byte(k))
+	packet = append(packet, body...)
+	if _, err := s.conn.WriteToUDPAddrPort(packet, to); err != nil {
+		s.log.Debug("datagram not sent", "to", to.String(), "error", err.Error())
+		return
+	}
+	s.out.Add(uint64(len(packet)))
+}
+
+func (s *Socket) receive() {
+	buffer := make([]byte, largest)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.log.Debug("datagram not received", "error", err.Error())
+			continue
+		}
+		s.in.Add(uint64(n))
+		if n < 2 || buffer[0] != version {
+			s.bad.Add(1)
+			continue
+		}
+		h := s.handlers[buffer[1]].Load()
+		if h == nil {
+			s.bad.Add(1)
+			continue
+		}
+		(*h)(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), append([]byte(nil), buffer[2:n]...))
+	}
+}
+
+// Decode reads a message and counts the ones that can't be read.
+func (s *Socket) Decode(body []byte, message any) bool {
+	if err := cbor.Unmarshal(body, message); err != nil {
+		s.bad.Add(1)
+		s.log.Warn("datagram ignored: can't be decoded", "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// Bytes returns the bytes received and sent since the start.
+func (s *Socket) Bytes() (in, out uint64) { return s.in.Load(), s.out.Load() }
+
+// Bad returns the number of datagrams that could not be read.
+func (s *Socket) Bad() uint64 { return s.bad.Load() }
+
+// Close ends the socket.
+func (s *Socket) Close() {
+	s.conn.Close()
+	<-s.done
+}
--- /dev/null
+++ b/internal/room/grant/lease.go
@@ -0,0 +1,206 @@
+package grant
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/gram"
+	"citronrock.example/citronrock/internal/room/ledger"
+)
+
+// Times of one ask.
+const (
+	// askAgain is the time after which an ask without a reply is sent again:
+	// twice the longest round trip within a region, with a margin for a busy
+	// owner.
+	askAgain = 40 * time.Millisecond
+	// queuedAgain is the time after which a queued ask is sent again, so that a
+	// lost answer is repeated.
+	queuedAgain = 100 * time.Millisecond
+	// tries is the number of sendings to an owner that does not reply.
+	tries = 2
+)
+
+// Errors of Acquire besides the context's.
+var (
+	// ErrOwner means that no daemon answered.
+	ErrOwner = errors.New("no owner of the service's ledger answered")
+)
+
+// Refusal is the error of Acquire when the owner refused.
+type Refusal struct {
+	ledger.Answer
+	Owner netip.AddrPort
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string {
+	return "refused by the owner of the ledger: " + r.Reason
+}
+
+// Lease is the right to use a slot and memory of a decode engine, and a place
+// in the queue of a prefill engine.
+type Lease struct {
+	// Answer tells the engines and what the owner based its decision on.
+	ledger.Answer
+	Owner netip.AddrPort
+
+	node   *Node
+	ask    ledger.Ask
+	made   atomic.Int64
+	phase  atomic.Uint32
+	closed atomic.Bool
+}
+
+// Unaccounted returns a lease of a server whose service has no ledger.
+func Unaccounted(server string) *Lease {
+	l := &Lease{Answer: ledger.Answer{Decode: server}}
+	l.closed.Store(true)
+	return l
+}
+
+func (l *Lease) run() ledger.Run {
+	return ledger.Run{Lease: l.ID, Decode: l.Decode, Prefill: l.Prefill, Prompt: l.ask.Prompt,
+		Expect: l.ask.Expect, Made: int(l.made.Load()), Phase: ledger.Phase(l.phase.Load())}
+}
+
+// Made tells how many tokens of output there are.
+func (l *Lease) Made(tokens int) { l.made.Store(int64(tokens)) }
+
+// Wrote tells that the prompt has been read.
+func (l *Lease) Wrote() { l.phase.Store(uint32(ledger.Writing)) }
+
+// Close gives back the lease. Full tells that the decode engine had no room.
+func (l *Lease) Close(full bool) {
+	if l.closed.Swap(true) {
+		return
+	}
+	l.node.do(func(now time.Time) {
+		m := l.node.mine(l.Service)
+		delete(m.leases, l.ID)
+		m.ended[l.ID] = now
+		m.until = now.Add(endedFor)
+		if full {
+			m.full[l.Decode] = now
+		}
+		if due := now.Add(reportPause); l.node.reportAt.After(due) {
+			l.node.reportAt = due
+			time.AfterFunc(reportPause+time.Millisecond, func() { l.node.do(l.node.tick) })
+		}
+	})
+}
+
+func (n *Node) mine(service string) *mine {
+	m := n.own[service]
+	if m == nil {
+		m = &mine{leases: map[uint64]*Lease{}, ended: map[uint64]time.Time{}, full: map[string]time.Time{}}
+		n.own[service] = m
+	}
+	return m
+}
+
+// Acquire asks for engines until it has an answer or ctx ends. The error is a
+// *Refusal, ErrOwner or the context's.
+func (n *Node) Acquire(ctx context.Context, a ledger.Ask) (*Lease, error) {
+	a.ID, a.Start, a.Domain = n.next.Add(1), n.start, n.domain
+	begun := time.Now()
+	p := &pending{ask: a, answers: make(chan ledger.Answer, 4)}
+	var to []netip.AddrPort
+	n.wait(func(now time.Time) {
+		n.pending[a.ID] = p
+		to, _ = n.owners(now, a.Service)
+	})
+	lease, err := n.exchange(ctx, begun, p, to)
+	if lease == nil {
+		n.abandon(p, to)
+	}
+	return lease, err
+}
+
+// exchange sends the ask to one owner after the other until one answers.
+func (n *Node) exchange(ctx context.Context, begun time.Time, p *pending, to []netip.AddrPort) (*Lease, error) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for at, sent := 0, 0; at < len(to); {
+		select {
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case a := <-p.answers:
+			switch a.Verdict {
+			case ledger.Granted:
+				return n.granted(p, a, to[at]), nil
+			case ledger.Refused:
+				return nil, &Refusal{Answer: a, Owner: to[at]}
+			case ledger.Queued:
+				sent = 0
+				timer.Reset(queuedAgain)
+			}
+		case <-timer.C:
+			if sent == tries {
+				n.shun(to[at], p)
+				at, sent = at+1, 0
+				timer.Reset(0)
+				continue
+			}
+			sent++
+			n.submit(to[at], p, begun)
+			timer.Reset(askAgain)
+		}
+	}
+	return nil, ErrOwner
+}
+
+// submit sends the ask with the time that is left for its grant.
+func (n *Node) submit(to netip.AddrPort, p *pending, begun time.Time) {
+	ask := p.ask
+	passed := time.Since(begun)
+	ask.Slack -= passed
+	ask.Patience -= passed
+	ask.Back -= passed
+	if to == n.self {
+		n.do(func(now time.Time) { n.send(n.ledger(ask.Service).Ask(now, n.self, ask)) })
+		return
+	}
+	n.socket.Send(to, gram.Ask, ask)
+}
+
+// shun passes over a daemon that does not answer.
+func (n *Node) shun(addr netip.AddrPort, p *pending) {
+	if addr == n.self {
+		return
+	}
+	n.log.Warn("owner does not answer", "owner", addr.String(), "service", p.ask.Service, "ask", p.ask.ID)
+	n.do(func(now time.Time) { n.shunned[addr] = now.Add(shunFor) })
+	n.socket.Send(addr, gram.Drop, drop{Service: p.ask.Service, Start: n.start, ID: p.ask.ID})
+}
+
+// granted registers the lease, so that reports list it.
+func (n *Node) granted(p *pending, a ledger.Answer, from netip.AddrPort) *Lease {
+	l := &Lease{Answer: a, Owner: from, node: n, ask: p.ask}
+	if a.Prefill == "" {
+		l.Wrote()
+	}
+	n.wait(func(time.Time) {
+		delete(n.pending, a.ID)
+		n.mine(a.Service).leases[a.ID] = l
+	})
+	return l
+}
+
+// abandon forgets an ask. Owners that may still grant it are told.
+func (n *Node) abandon(p *pending, to []netip.AddrPort) {
+	n.do(func(now time.Time) {
+		delete(n.pending, p.ask.ID)
+		if l := n.ledgers[p.ask.Service]; l != nil {
+			l.Drop(now, n.self, n.start, p.ask.ID)
+		}
+	})
+	for _, addr := range to[:min(len(to), 2)] {
+		if addr != n.self {
+			n.socket.Send(addr, gram.Drop, drop{Service: p.ask.Service, Start: n.start, ID: p.ask.ID})
+		}
+	}
+}
--- /dev/null
+++ b/internal/room/grant/node.go
@@ -0,0 +1,386 @@
+// Package grant obtains engines for requests from the daemon that owns the
+// ledger of a service, and serves the ledgers that this daemon owns.
+//
+// The owner is the first live daemon by rendezvous hashing of the service. All
+// daemons report what they run to the owner and to the daemon next in order, so
+// that the ledger there is ready when the owner dies.
+package grant
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/owner"
+	"citronrock.example/citronrock/internal/peer/beat"
+	"citronrock.example/citronrock/internal/peer/gram"
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Times of the exchange.
+const (
+	// reportEvery is the time between reports to the owners.
+	reportEvery = 200 * time.Millisecond
+	// reportPause joins the ends of several runs in one report.
+	reportPause = 3 * time.Millisecond
+	// tickEvery is the time between checks of the queues.
+	tickEvery = 20 * time.Millisecond
+	// endedFor is how long the end of a run is reported.
+	endedFor = time.Second
+	// fullFor is how long a refusal by an engine is reported.
+	fullFor = 250 * time.Millisecond
+	// shunFor is how long a daemon that does not answer asks is passed over.
+	shunFor = 500 * time.Millisecond
+)
+
+// Members tells which daemons are alive.
+type Members interface {
+	Alive() []beat.Seen
+}
+
+// Socket sends datagrams and passes on received ones.
+type Socket interface {
+	Send(to netip.AddrPort, k gram.Kind, message any)
+	Handle(k gram.Kind, h gram.Handler)
+	Decode(body []byte, message any) bool
+}
+
+// Node asks for grants and serves the ledgers of one daemon.
+type Node struct {
+	self    netip.AddrPort
+	start   int64
+	domain  string
+	socket  Socket
+	members Members
+	fleet   *fleet.Table
+	log     hclog.Logger
+
+	// commands run on the control goroutine, which owns what follows.
+	commands chan func(now time.Time)
+	stop     chan struct{}
+	done     chan struct{}
+	ledgers  map[string]*ledger.Ledger
+	rooms    map[string]Room
+	own      map[string]*mine
+	pending  map[uint64]*pending
+	number   uint64
+	shunned  map[netip.AddrPort]time.Time
+	reportAt time.Time
+
+	next atomic.Uint64
+	load sync.Map
+}
+
+// Room is the capacity of one engine of a service.
+type Room struct {
+	Slots, Tokens int
+}
+
+// mine is what this daemon runs at the engines of one service.
+type mine struct {
+	leases map[uint64]*Lease
+	ended  map[uint64]time.Time
+	full   map[string]time.Time
+	// until is when the last report is due after the last run ended.
+	until time.Time
+}
+
+// pending is an ask without a final answer.
+type pending struct {
+	ask     ledger.Ask
+	answers chan ledger.Answer
+}
+
+// Start begins to serve and to ask.
+func Start(self beat.Member, socket Socket, members Members, table *fleet.Table, log hclog.Logger) *Node {
+	n := &Node{self: self.Addr, start: self.Start, domain: self.Domain, socket: socket, members: members,
+		fleet: table, log: log, commands: make(chan func(time.Time), 256),
+		stop: make(chan struct{}), done: make(chan struct{}),
+		ledgers: map[string]*ledger.Ledger{}, rooms: map[string]Room{}, own: map[string]*mine{},
+		pending: map[uint64]*pending{}, shunned: map[netip.AddrPort]time.Time{}}
+	socket.Handle(gram.Ask, n.onAsk)
+	socket.Handle(gram.Answer, n.onAnswer)
+	socket.Handle(gram.Drop, n.onDrop)
+	socket.Handle(gram.Report, n.onReport)
+	go func() {
+		defer close(n.done)
+		n.run()
+	}()
+	return n
+}
+
+// Close ends the control goroutine.
+func (n *Node) Close() {
+	close(n.stop)
+	<-n.done
+}
+
+func (n *Node) run() {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-n.stop:
+			return
+		case f := <-n.commands:
+			f(time.Now())
+		case <-tick.C:
+			n.tick(time.Now())
+		}
+	}
+}
+
+// do runs f on the control goroutine. Datagrams that arrive while it is behind
+// are dropped, as if they were lost.
+func (n *Node) do(f func(now time.Time)) {
+	select {
+	case n.commands <- f:
+	default:
+		n.log.Warn("control message dropped: control goroutine is behind")
+	}
+}
+
+// wait runs f on the control goroutine and waits for its end.
+func (n *Node) wait(f func(now time.Time)) {
+	done := make(chan struct{})
+	select {
+	case n.commands <- func(now time.Time) { f(now); close(done) }:
+	case <-n.done:
+		return
+	}
+	select {
+	case <-done:
+	case <-n.done:
+	}
+}
+
+// SetServices takes the capacity of the engines by service. Services that are
+// not named have no ledger.
+func (n *Node) SetServices(rooms map[string]Room) {
+	n.wait(func(now time.Time) {
+		n.rooms = rooms
+		for service := range n.ledgers {
+			if _, ok := rooms[service]; !ok {
+				delete(n.ledgers, service)
+			}
+		}
+		n.refresh(now)
+	})
+}
+
+// Refresh takes the current entries of the backend servers.
+func (n *Node) Refresh() { n.do(n.refresh) }
+
+func (n *Node) refresh(now time.Time) {
+	for service, room := range n.rooms {
+		var engines []ledger.Engine
+		for _, s := range n.fleet.Usable(now, service) {
+			slots := room.Slots
+			if s.Slots > 0 {
+				slots = s.Slots
+			}
+			engines = append(engines, ledger.Engine{ID: s.ID, Domain: s.Domain, Stage: s.Stage,
+				Slots: slots, Tokens: room.Tokens})
+		}
+		n.ledger(service).SetEngines(engines)
+	}
+}
+
+func (n *Node) ledger(service string) *ledger.Ledger {
+	l := n.ledgers[service]
+	if l == nil {
+		l = ledger.New(service)
+		n.ledgers[service] = l
+	}
+	return l
+}
+
+// owners returns the daemons that may grant for a service, the first one first,
+// with this daemon as the last resort. Reports also go to daemons that are about
+// to become owners.
+func (n *Node) owners(now time.Time, service string) (ask, report []netip.AddrPort) {
+	all := n.members.Alive()
+	names := make([]string, 0, len(all))
+	mature := make([]string, 0, len(all))
+	for _, m := range all {
+		if m.Leaving || m.Addr != n.self && now.Before(n.shunned[m.Addr]) {
+			continue
+		}
+		names = append(names, m.Addr.String())
+		if m.Mature {
+			mature = append(mature, m.Addr.String())
+		}
+	}
+	if len(mature) == 0 {
+		mature = names
+	}
+	parse := func(list []string) []netip.AddrPort {
+		out := make([]netip.AddrPort, 0, len(list))
+		for _, s := range list {
+			out = append(out, netip.MustParseAddrPort(s))
+		}
+		return out
+	}
+	ask = parse(owner.Top(service, mature, 2))
+	report = slices.Clone(ask)
+	for _, a := range parse(owner.Top(service, names, 2)) {
+		if !slices.Contains(report, a) {
+			report = append(report, a)
+		}
+	}
+	if !slices.Contains(ask, n.self) {
+		ask = append(ask, n.self)
+	}
+	return ask, report
+}
+
+// tick serves the queues and sends what is due.
+func (n *Node) tick(now time.Time) {
+	for service, l := range n.ledgers {
+		n.send(l.Tick(now))
+		runs, queued, load := l.Load()
+		n.load.Store(service, Load{Runs: runs, Queued: queued, Share: load})
+	}
+	if now.After(n.reportAt) {
+		n.reportAt = now.Add(reportEvery)
+		n.refresh(now)
+		n.report(now)
+	}
+}
+
+// Load is the state of a ledger for display.
+type Load struct {
+	Runs, Queued int
+	Share        float64
+}
+
+// Loads returns the state of the ledgers at this daemon by service. It may be
+// 20 ms old.
+func (n *Node) Loads() map[string]Load {
+	out := map[string]Load{}
+	n.load.Range(func(k, v any) bool {
+		out[k.(string)] = v.(Load)
+		return true
+	})
+	return out
+}
+
+// report sends what this daemon runs.
+func (n *Node) report(now time.Time) {
+	for service, m := range n.own {
+		if len(m.leases) == 0 && now.After(m.until) {
+			delete(n.own, service)
+			continue
+		}
+		n.number++
+		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
+			Resting: n.fleet.Resting(now, service)}
+		for _, l := range m.leases {
+			r.Runs = append(r.Runs, l.run())
+		}
+		slices.SortFunc(r.Runs, func(a, b ledger.Run) int { return cmp.Compare(a.Lease, b.Lease) })
+		for id, at := range m.ended {
+			if now.Sub(at) > endedFor {
+				delete(m.ended, id)
+				continue
+			}
+			r.Ended = append(r.Ended, id)
+		}
+		for id, at := range m.full {
+			if now.Sub(at) > fullFor {
+				delete(m.full, id)
+				continue
+			}
+			r.Full = append(r.Full, id)
+		}
+		_, to := n.owners(now, service)
+		n.ledger(service).Report(now, n.self, r)
+		n.send(n.ledger(service).Tick(now))
+		for _, addr := range to {
+			if addr != n.self {
+				n.socket.Send(addr, gram.Report, r)
+			}
+		}
+	}
+}
+
+// send sends answers to the asking daemons.
+func (n *Node) send(answers []ledger.Answer) {
+	for _, a := range answers {
+		if a.To == n.self {
+			n.deliver(a)
+			continue
+		}
+		n.socket.Send(a.To, gram.Answer, a)
+	}
+}
+
+func (n *Node) deliver(a ledger.Answer) {
+	if p := n.pending[a.ID]; p != nil && a.Start == n.start {
+		select {
+		case p.answers <- a:
+		default:
+		}
+	}
+}
+
+func (n *Node) onAsk(from netip.AddrPort, body []byte) {
+	var a ledger.Ask
+	if !n.socket.Decode(body, &a) {
+		return
+	}
+	n.do(func(now time.Time) {
+		if _, ok := n.rooms[a.Service]; ok {
+			n.send(n.ledger(a.Service).Ask(now, from, a))
+		}
+	})
+}
+
+func (n *Node) onAnswer(from netip.AddrPort, body []byte) {
+	var a ledger.Answer
+	if !n.socket.Decode(body, &a) {
+		return
+	}
+	n.do(func(time.Time) {
+		delete(n.shunned, from)
+		n.deliver(a)
+	})
+}
+
+// drop tells an owner that an ask has no client any more.
+type drop struct {
+	Service string `cbor:"1,keyasint"`
+	Start   int64  `cbor:"2,keyasint"`
+	ID      uint64 `cbor:"3,keyasint"`
+}
+
+func (n *Node) onDrop(from netip.AddrPort, body []byte) {
+	var d drop
+	if !n.socket.Decode(body, &d) {
+		return
+	}
+	n.do(func(now time.Time) {
+		if l := n.ledgers[d.Service]; l != nil {
+			l.Drop(now, from, d.Start, d.ID)
+		}
+	})
+}
+
+func (n *Node) onReport(from netip.AddrPort, body []byte) {
+	var r ledger.Report
+	if !n.socket.Decode(body, &r) {
+		return
+	}
+	n.do(func(now time.Time) {
+		if _, ok := n.rooms[r.Service]; ok {
+			l := n.ledger(r.Service)
+			l.Report(now, from, r)
+			n.send(l.Tick(now))
+		}
+	})
+}
--- /dev/null
+++ b/internal/room/ledger/ledger.go
@@ -0,0 +1,367 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// Parameters of the ledger.
+const (
+	// fill is the share of an engine's memory that is granted. The rest absorbs
+	// outputs that are longer than expected.
+	fill = 0.95
+	// doubt is how long a grant counts before the report of its daemon has to
+	// list it.
+	doubt = 300 * time.Millisecond
+	// reportLife is how long a report counts when no newer one comes. Daemons
+	// report five times a second.
+	reportLife = 2 * time.Second
+	// fullFor is how long an engine that refused a granted request gets no other.
+	fullFor = 300 * time.Millisecond
+	// answeredFor is how long an answer is repeated to an ask that comes again.
+	answeredFor = 2 * time.Second
+	// refusedFor is how long a refused subject is known, so that it goes first
+	// when it comes back.
+	refusedFor = 20 * time.Second
+	// firstStay stands for the time that a run holds its memory until runs have
+	// ended.
+	firstStay = 4 * time.Second
+	// stayWeight is the weight of one run in the mean of that time.
+	stayWeight = 0.05
+	// shortestReturn and longestReturn bound the time after which a refused
+	// client is asked to come back. Clients keep to at most a third of the time
+	// that they have left.
+	shortestReturn = time.Second
+	longestReturn  = 4 * time.Second
+	// crossPrefill is the queue in tokens that a prefill engine in the decode
+	// engine's failure domain may have more than another: a transfer between
+	// domains takes twice as long and is charged.
+	crossPrefill = 6000
+	// crossDecode is the same for decode engines, as a share of their memory.
+	crossDecode = 0.03
+)
+
+type runKey struct {
+	edge  netip.AddrPort
+	start int64
+	lease uint64
+}
+
+// entry is a run with what the ledger itself knows about it.
+type entry struct {
+	Run
+	granted time.Time
+	// listed is set once a report has named the run.
+	listed bool
+}
+
+type waiting struct {
+	Ask
+	edge    netip.AddrPort
+	asked   time.Time
+	back    bool
+	heard   time.Time
+	lateAt  time.Time
+	refusal time.Time
+}
+
+type source struct {
+	start   int64
+	number  uint64
+	at      time.Time
+	resting []string
+}
+
+type answered struct {
+	Answer
+	at time.Time
+}
+
+// Ledger is the account of one service.
+type Ledger struct {
+	service  string
+	engines  map[string]Engine
+	runs     map[runKey]*entry
+	sources  map[netip.AddrPort]*source
+	queue    []*waiting
+	full     map[string]time.Time
+	answers  map[runKey]answered
+	refused  map[uint64]time.Time
+	stay     time.Duration
+	returnAt time.Time
+}
+
+// New returns an empty ledger.
+func New(service string) *Ledger {
+	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
+		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{},
+		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay}
+}
+
+// SetEngines replaces the engines that new work may go to.
+func (l *Ledger) SetEngines(engines []Engine) {
+	clear(l.engines)
+	for _, e := range engines {
+		l.engines[e.ID] = e
+	}
+}
+
+// Report takes the report of a daemon.
+func (l *Ledger) Report(now time.Time, edge netip.AddrPort, r Report) {
+	s := l.sources[edge]
+	if s != nil && (r.Start < s.start || r.Start == s.start && r.Number <= s.number) {
+		return
+	}
+	if s == nil || r.Start != s.start {
+		l.Forget(edge)
+		s = &source{start: r.Start}
+		l.sources[edge] = s
+	}
+	s.number, s.at, s.resting = r.Number, now, r.Resting
+	for _, id := range r.Full {
+		l.full[id] = now
+	}
+	listed := make(map[uint64]bool, len(r.Runs))
+	for _, run := range r.Runs {
+		listed[run.Lease] = true
+		k := runKey{edge, r.Start, run.Lease}
+		e := l.runs[k]
+		if e == nil {
+			e = &entry{granted: now}
+			l.runs[k] = e
+		}
+		e.Run, e.listed = run, true
+	}
+	for _, id := range r.Ended {
+		if !listed[id] {
+			l.end(now, runKey{edge, r.Start, id})
+		}
+	}
+	for k, e := range l.runs {
+		if k.edge == edge && !listed[k.lease] && (e.listed || now.Sub(e.granted) > doubt) {
+			l.end(now, k)
+		}
+	}
+}
+
+// end frees the memory of a run.
+func (l *Ledger) end(now time.Time, k runKey) {
+	e := l.runs[k]
+	if e == nil {
+		return
+	}
+	if e.Made > 0 {
+		l.stay += time.Duration(stayWeight * float64(now.Sub(e.granted)-l.stay))
+	}
+	delete(l.runs, k)
+}
+
+// Forget drops all that a daemon that died had.
+func (l *Ledger) Forget(edge netip.AddrPort) {
+	maps.DeleteFunc(l.runs, func(k runKey, _ *entry) bool { return k.edge == edge })
+	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return w.edge == edge })
+	delete(l.sources, edge)
+}
+
+// Ask takes an ask and returns the answers that are due: always one to this ask,
+// with the verdict Queued while it waits, and those to queued asks that could be
+// granted now.
+func (l *Ledger) Ask(now time.Time, edge netip.AddrPort, a Ask) []Answer {
+	k := runKey{edge, a.Start, a.ID}
+	if was, ok := l.answers[k]; ok {
+		return []Answer{was.Answer}
+	}
+	queued := Answer{To: edge, Service: l.service, Start: a.Start, ID: a.ID, Verdict: Queued}
+	for i, w := range l.queue {
+		if w.edge == edge && w.Start == a.Start && w.ID == a.ID {
+			w.heard = now
+			queued.Ahead = i
+			return []Answer{queued}
+		}
+	}
+	w := &waiting{Ask: a, edge: edge, asked: now, heard: now, lateAt: now.Add(a.Slack), refusal: now.Add(a.Patience)}
+	if at, ok := l.refused[a.Subject]; ok && a.Subject != 0 && now.Sub(at) < refusedFor {
+		w.back = true
+	}
+	if w.back || a.Begun || a.Read {
+		w.refusal = now.Add(a.Back)
+	}
+	l.queue = append(l.queue, w)
+	out := l.Tick(now)
+	if _, ok := l.answers[k]; ok {
+		return out
+	}
+	ahead := slices.Index(l.queue, w)
+	wait, reason := l.predict(w, ahead)
+	if reason == "" && !l.worthwhile(now, w, wait) {
+		reason = ReasonWait
+	}
+	if reason != "" {
+		l.queue = slices.Delete(l.queue, ahead, ahead+1)
+		return append(out, l.refuse(now, w, wait, reason))
+	}
+	queued.Ahead, queued.Wait = ahead, wait
+	return append(out, queued)
+}
+
+// worthwhile tells whether an ask with a predicted wait is queued. A request
+// that can't be on time is refused at once and told when to come back, so that
+// it doesn't take memory from requests that can. A client that came back, or
+// that has a part of its answer, is not sent away again while it has patience.
+func (l *Ledger) worthwhile(now time.Time, w *waiting, wait time.Duration) bool {
+	if w.back || w.Begun || w.Read {
+		return now.Add(wait).Before(w.refusal)
+	}
+	return now.Add(wait).Before(w.lateAt)
+}
+
+// Drop removes an ask whose client left.
+func (l *Ledger) Drop(now time.Time, edge netip.AddrPort, start int64, id uint64) {
+	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool {
+		return w.edge == edge && w.Start == start && w.ID == id
+	})
+	l.end(now, runKey{edge, start, id})
+}
+
+// Tick grants what has room, refuses asks that ran out of patience and forgets
+// what is old. It returns the answers to asks that were queued.
+func (l *Ledger) Tick(now time.Time) []Answer {
+	l.expire(now)
+	var out []Answer
+	l.order(now)
+	kept := l.queue[:0]
+	for _, w := range l.queue {
+		if d, p, ok := l.place(now, &w.Ask); ok {
+			out = append(out, l.grant(now, w, d, p))
+			continue
+		}
+		if now.After(w.refusal) {
+			wait, reason := l.predict(w, len(kept))
+			out = append(out, l.refuse(now, w, wait, cmp.Or(reason, ReasonTired)))
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(l.queue[len(kept):])
+	l.queue = kept
+	return out
+}
+
+// order sorts the queue: begun answers, then requests that can still be on
+// time, those with the least time first, then clients that came back, then the
+// others.
+func (l *Ledger) order(now time.Time) {
+	class := func(w *waiting) int {
+		switch {
+		case w.Begun || w.Read:
+			return 0
+		case now.Before(w.lateAt) && !w.back:
+			return 1
+		case w.back:
+			return 2
+		}
+		return 3
+	}
+	slices.SortStableFunc(l.queue, func(a, b *waiting) int {
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.Rank, b.Rank), a.lateAt.Compare(b.lateAt))
+	})
+}
+
+func (l *Ledger) expire(now time.Time) {
+	for edge, s := range l.sources {
+		if now.Sub(s.at) > reportLife {
+			l.Forget(edge)
+		}
+	}
+	for k, e := range l.runs {
+		if !e.listed && now.Sub(e.granted) > reportLife {
+			delete(l.runs, k)
+		}
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return now.Sub(w.heard) > reportLife })
+	maps.DeleteFunc(l.answers, func(_ runKey, a answered) bool { return now.Sub(a.at) > answeredFor })
+	maps.DeleteFunc(l.refused, func(_ uint64, at time.Time) bool { return now.Sub(at) > refusedFor })
+}
+
+func (l *Ledger) grant(now time.Time, w *waiting, decode, prefill string) Answer {
+	run := Run{Lease: w.ID, Decode: decode, Prefill: prefill, Prompt: w.Prompt, Expect: w.Expect}
+	if prefill == "" {
+		run.Phase = Writing
+	}
+	l.runs[runKey{w.edge, w.Start, w.ID}] = &entry{Run: run, granted: now}
+	delete(l.refused, w.Subject)
+	a := Answer{To: w.edge, Service: l.service, Start: w.Start, ID: w.ID, Verdict: Granted,
+		Decode: decode, Prefill: prefill, Wait: now.Sub(w.asked), Load: float32(l.load())}
+	l.answers[runKey{w.edge, w.Start, w.ID}] = answered{a, now}
+	return a
+}
+
+// refuse promises the client a time to come back. Times are handed out in the
+// order of refusals, spaced by the rate at which memory comes free, so that
+// refused clients don't return together.
+func (l *Ledger) refuse(now time.Time, w *waiting, wait time.Duration, reason string) Answer {
+	if w.Subject != 0 {
+		l.refused[w.Subject] = now
+	}
+	at := now.Add(max(wait, shortestReturn))
+	if next := l.returnAt.Add(l.spacing(w)); at.Before(next) {
+		at = next
+	}
+	if limit := now.Add(longestReturn); at.After(limit) {
+		at = limit
+	}
+	l.returnAt = at
+	a := Answer{To: w.edge, Service: l.service, Start: w.Start, ID: w.ID, Verdict: Refused,
+		After: at.Sub(now), Reason: reason, Wait: wait, Ahead: len(l.queue), Load: float32(l.load())}
+	l.answers[runKey{w.edge, w.Start, w.ID}] = answered{a, now}
+	return a
+}
+
+// spacing is the time in which the service frees the memory of one request.
+func (l *Ledger) spacing(w *waiting) time.Duration {
+	rate := l.rate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(w.Prompt+w.Expect) / rate * float64(time.Second))
+}
+
+// rate is the memory in tokens that comes free in a second while all engines
+// are in use.
+func (l *Ledger) rate() float64 {
+	total := 0
+	for _, e := range l.engines {
+		if e.Stage == fleet.Decode {
+			total += e.Tokens
+		}
+	}
+	return fill * float64(total) / l.stay.Seconds()
+}
+
+// load is the share of decode memory that runs will need.
+func (l *Ledger) load() float64 {
+	total, used := 0, 0
+	for _, e := range l.engines {
+		if e.Stage == fleet.Decode {
+			total += e.Tokens
+		}
+	}
+	for _, r := range l.runs {
+		used += r.Prompt + max(r.Expect, r.Made)
+	}
+	if total == 0 {
+		return 1
+	}
+	return float64(used) / float64(total)
+}
+
+// Load returns the number of runs and queued asks and the share of decode memory
+// in use.
+func (l *Ledger) Load() (runs, queued int, load float64) {
+	return len(l.runs), len(l.queue), l.load()
+}
--- /dev/null
+++ b/internal/room/ledger/peak.go
@@ -0,0 +1,40 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// block is the unit in which engines allot memory, in tokens.
+	block = 16
+	// overrun is the share of the expected output that a run is taken to have
+	// left at least, since output lengths are spread about the expectation.
+	overrun = 0.2
+)
+
+// growth is the memory that a run holds now and the tokens that it will add.
+type growth struct{ held, rest int }
+
+func (r *Run) growth() growth {
+	rest := max(r.Expect-r.Made, int(overrun*float64(r.Expect)))
+	return growth{held: (r.Prompt + r.Made + block - 1) / block * block, rest: rest}
+}
+
+// peak returns the largest memory in tokens that runs on one engine will need
+// together. An engine adds one token to each run in each step, so that the runs
+// grow at the same rate and the memory of a run is free when its rest is made.
+// The peak is reached just before the end of one of the runs.
+func peak(runs []growth) int {
+	slices.SortFunc(runs, func(a, b growth) int { return cmp.Compare(a.rest, b.rest) })
+	held := 0
+	for _, r := range runs {
+		held += r.held
+	}
+	top := held
+	for i, r := range runs {
+		top = max(top, held+(len(runs)-i)*r.rest)
+		held -= r.held
+	}
+	return top
+}
--- /dev/null
+++ b/internal/room/ledger/place.go
@@ -0,0 +1,137 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// resting collects the engines that a daemon reports as out of reach.
+func (l *Ledger) resting() map[string]bool {
+	out := map[string]bool{}
+	for _, s := range l.sources {
+		for _, id := range s.resting {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// usable returns the engines of a stage that an ask may use, in order of names.
+// Engines that daemons can't reach are left out, unless that leaves none.
+func (l *Ledger) usable(a *Ask, stage fleet.Stage) []Engine {
+	rest := l.resting()
+	var sound, doubtful []Engine
+	for _, e := range l.engines {
+		switch {
+		case e.Stage != stage || slices.Contains(a.Without, e.ID):
+		case rest[e.ID]:
+			doubtful = append(doubtful, e)
+		default:
+			sound = append(sound, e)
+		}
+	}
+	if len(sound) == 0 {
+		sound = doubtful
+	}
+	slices.SortFunc(sound, func(x, y Engine) int { return cmp.Compare(x.ID, y.ID) })
+	return sound
+}
+
+// place chooses a decode engine with room and the prefill engine with the
+// shortest queue. Prefill is empty when the ask needs none or none is there.
+func (l *Ledger) place(now time.Time, a *Ask) (decode, prefill string, ok bool) {
+	var best Engine
+	low := 0.0
+	for _, e := range l.usable(a, fleet.Decode) {
+		if now.Sub(l.full[e.ID]) < fullFor {
+			continue
+		}
+		need, slots := l.need(e.ID, a)
+		// A request that is larger than the share that is granted needs an engine
+		// of its own.
+		if slots > e.Slots || slots > 1 && float64(need) > fill*float64(e.Tokens) {
+			continue
+		}
+		cost := max(float64(need)/float64(e.Tokens), float64(slots)/float64(e.Slots))
+		if e.Domain != a.Domain {
+			cost += crossDecode
+		}
+		if !ok || cost < low {
+			best, low, ok = e, cost, true
+		}
+	}
+	if !ok || a.Read {
+		return best.ID, "", ok
+	}
+	return best.ID, l.reader(a, best), true
+}
+
+// need returns the peak of memory and the slots in use on an engine with an ask
+// added.
+func (l *Ledger) need(engine string, a *Ask) (tokens, slots int) {
+	added := Run{Prompt: a.Prompt, Expect: a.Expect}
+	list := []growth{added.growth()}
+	for _, r := range l.runs {
+		if r.Decode == engine {
+			list = append(list, r.growth())
+		}
+	}
+	return peak(list), len(list)
+}
+
+// reader returns the prefill engine with the fewest tokens to read before an
+// ask.
+func (l *Ledger) reader(a *Ask, decode Engine) string {
+	best, low := "", 0
+	for _, e := range l.usable(a, fleet.Prefill) {
+		cost := l.unread(e.ID)
+		if e.Domain != decode.Domain {
+			cost += crossPrefill
+		}
+		if best == "" || cost < low {
+			best, low = e.ID, cost
+		}
+	}
+	return best
+}
+
+// unread is the number of tokens in the queue of a prefill engine.
+func (l *Ledger) unread(engine string) int {
+	n := 0
+	for _, r := range l.runs {
+		if r.Prefill == engine && r.Phase == Reading {
+			n += r.Prompt
+		}
+	}
+	return n
+}
+
+// predict estimates how long an ask with a number of asks before it will wait.
+// A reason is returned when it can't be served at all.
+func (l *Ledger) predict(w *waiting, ahead int) (time.Duration, string) {
+	engines := l.usable(&w.Ask, fleet.Decode)
+	if len(engines) == 0 {
+		return longestReturn, ReasonEngine
+	}
+	large := 0
+	for _, e := range engines {
+		large = max(large, e.Tokens)
+	}
+	if w.Prompt > large {
+		return longestReturn, ReasonLarge
+	}
+	need := float64(w.Prompt + w.Expect)
+	for _, q := range l.queue[:min(ahead, len(l.queue))] {
+		if q != w {
+			need += float64(q.Prompt + q.Expect)
+		}
+	}
+	rate := l.rate()
+	if rate <= 0 {
+		return longestReturn, ReasonEngine
+	}
+	return time.Duration(need / rate * float64(time.Second)), ""
+}
--- /dev/null
+++ b/internal/room/ledger/types.go
@@ -0,0 +1,130 @@
+// Package ledger accounts for the memory and slots of the model engines of one
+// service and grants them to requests. One daemon keeps the ledger that grants;
+// all daemons that may follow it keep one too, from the same reports. It does no
+// I/O.
+package ledger
+
+import (
+	"net/netip"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// Engine is a model engine with its capacity.
+type Engine struct {
+	ID     string
+	Domain string
+	Stage  fleet.Stage
+	Slots  int
+	// Tokens is the capacity of the KV cache.
+	Tokens int
+}
+
+// Phase is how far a run has come.
+type Phase uint8
+
+// Phases of a run.
+const (
+	// Reading runs wait for their prefill or are in it.
+	Reading Phase = iota
+	// Writing runs have left the prefill engine.
+	Writing
+)
+
+// Run is a granted request as its daemon reports it.
+type Run struct {
+	// Lease is the ID of the ask that was granted.
+	Lease uint64 `cbor:"1,keyasint"`
+	// Decode and Prefill are engines; Prefill is empty when the cache exists.
+	Decode  string `cbor:"2,keyasint"`
+	Prefill string `cbor:"3,keyasint,omitempty"`
+	// Prompt, Expect and Made count tokens: of the prompt, of the output that is
+	// expected and of the output so far.
+	Prompt int   `cbor:"4,keyasint"`
+	Expect int   `cbor:"5,keyasint"`
+	Made   int   `cbor:"6,keyasint,omitempty"`
+	Phase  Phase `cbor:"7,keyasint,omitempty"`
+}
+
+// Report is everything that one daemon has running at the engines of a service.
+type Report struct {
+	Service string `cbor:"1,keyasint"`
+	// Start is the daemon's incarnation, Number orders its reports.
+	Start  int64  `cbor:"2,keyasint"`
+	Number uint64 `cbor:"3,keyasint"`
+	Runs   []Run  `cbor:"4,keyasint"`
+	// Ended are leases that ended lately.
+	Ended []uint64 `cbor:"5,keyasint,omitempty"`
+	// Resting are engines that the daemon can't reach.
+	Resting []string `cbor:"6,keyasint,omitempty"`
+	// Full are engines that refused a granted request lately.
+	Full []string `cbor:"7,keyasint,omitempty"`
+}
+
+// Ask is a request for engines.
+type Ask struct {
+	Service string `cbor:"1,keyasint"`
+	Start   int64  `cbor:"2,keyasint"`
+	// ID is unique in one incarnation of the asking daemon.
+	ID uint64 `cbor:"3,keyasint"`
+	// Domain is the failure domain of the asking daemon.
+	Domain string `cbor:"4,keyasint,omitempty"`
+	Prompt int    `cbor:"5,keyasint"`
+	Expect int    `cbor:"6,keyasint"`
+	// Slack is how long the grant may take if the answer is to be on time.
+	Slack time.Duration `cbor:"7,keyasint"`
+	// Patience is how long the grant may take at all, Back the same for a client
+	// that came back after a refusal or has part of its answer.
+	Patience time.Duration `cbor:"8,keyasint"`
+	Back     time.Duration `cbor:"14,keyasint"`
+	// Subject is a hash of what is asked for, the same when a client comes back.
+	Subject uint64 `cbor:"9,keyasint,omitempty"`
+	// Read tells that the prompt is read, so that no prefill engine is wanted.
+	Read bool `cbor:"10,keyasint,omitempty"`
+	// Begun tells that the client has had a part of the answer.
+	Begun bool `cbor:"11,keyasint,omitempty"`
+	// Without are engines that failed this request.
+	Without []string `cbor:"12,keyasint,omitempty"`
+	// Rank is the importance of the route, 0 is the highest.
+	Rank int `cbor:"13,keyasint,omitempty"`
+}
+
+// Verdict is the outcome of an ask.
+type Verdict uint8
+
+// Verdicts on asks.
+const (
+	// Queued asks wait.
+	Queued Verdict = iota
+	Granted
+	Refused
+)
+
+// Reasons of refusals.
+const (
+	ReasonWait   = "wait"   // the answer would be late
+	ReasonTired  = "tired"  // the ask has waited for its patience
+	ReasonEngine = "engine" // no engine of a stage can be used
+	ReasonLarge  = "large"  // no engine is large enough
+)
+
+// Answer is the reply to an ask.
+type Answer struct {
+	To      netip.AddrPort `cbor:"-"`
+	Service string         `cbor:"1,keyasint"`
+	Start   int64          `cbor:"2,keyasint"`
+	ID      uint64         `cbor:"3,keyasint"`
+	Verdict Verdict        `cbor:"4,keyasint"`
+	Decode  string         `cbor:"5,keyasint,omitempty"`
+	// Prefill is empty when the decode engine has to read the prompt itself.
+	Prefill string `cbor:"6,keyasint,omitempty"`
+	// After is the time after which a refused request has a place.
+	After  time.Duration `cbor:"7,keyasint,omitempty"`
+	Reason string        `cbor:"8,keyasint,omitempty"`
+	// Wait is the predicted or actual wait, Ahead the number of asks before it
+	// and Load the share of decode memory in use, for the log.
+	Wait  time.Duration `cbor:"9,keyasint,omitempty"`
+	Ahead int           `cbor:"10,keyasint,omitempty"`
+	Load  float32       `cbor:"11,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/route/fleet/fleet.go
@@ -0,0 +1,235 @@
+// Package fleet keeps what is known about the backend servers: the entries that
+// they publish, and what requests show about them.
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Stage is the part of a generation that an engine carries out.
+type Stage uint8
+
+// Stages of engines.
+const (
+	// Plain servers have no stage.
+	Plain Stage = iota
+	Prefill
+	Decode
+)
+
+// String returns the name that logs use.
+func (s Stage) String() string {
+	return [...]string{"plain", "prefill", "decode"}[s]
+}
+
+// Server is the published entry of one backend server.
+type Server struct {
+	ID      string
+	Service string
+	Addr    netip.AddrPort
+	// Domain is the failure domain.
+	Domain string
+	Slots  int
+	Stage  Stage
+	// Leaving servers get no new work.
+	Leaving bool
+	// Born is the start of the server's process. An entry with an earlier start
+	// never replaces one with a later start.
+	Born time.Time
+	// Revision is the version of the entry in the platform's store.
+	Revision uint64
+}
+
+// key names one process of a backend server.
+type key struct {
+	id   string
+	born int64
+}
+
+func (s *Server) key() key { return key{s.ID, s.Born.UnixMilli()} }
+
+// Times of the table.
+const (
+	// returnGrace is how long a server whose entry vanished around an outage of
+	// the store is kept in use: live servers write their entries again within
+	// two seconds of the store's return.
+	returnGrace = 1700 * time.Millisecond
+	// outageMemory is how long after its end an outage can explain that an entry
+	// vanished.
+	outageMemory = 2500 * time.Millisecond
+	// misdirectedFor is how long a server is left out after its address was
+	// answered by another one. A new process of it is used at once.
+	misdirectedFor = 30 * time.Second
+)
+
+type record struct {
+	Server
+	// goneAt is when the entry vanished, zero while it is there.
+	goneAt time.Time
+	health health
+	// open is the number of requests of this daemon at the server.
+	open int
+}
+
+// Table holds the backend servers. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	servers map[string]*record
+	wrong   map[key]time.Time
+	// outageEnd is when the store last came back.
+	outageEnd time.Time
+	outage    bool
+	changed   func()
+}
+
+// Option changes a setting of a table.
+type Option func(*Table)
+
+// WithChanged sets a function that is called after the set of servers changed.
+func WithChanged(f func()) Option { return func(t *Table) { t.changed = f } }
+
+// New returns an empty table.
+func New(opts ...Option) *Table {
+	t := &Table{servers: map[string]*record{}, wrong: map[key]time.Time{}, changed: func() {}}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
+}
+
+// Outage tells the table whether the store can be read.
+func (t *Table) Outage(now time.Time, down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage && !down {
+		t.outageEnd = now
+	}
+	t.outage = down
+}
+
+// Put takes a published entry. It reports whether it changed the table.
+func (t *Table) Put(s Server) bool {
+	t.mu.Lock()
+	r := t.servers[s.ID]
+	if r != nil && (s.Born.Before(r.Born) || s.Revision < r.Revision) {
+		t.mu.Unlock()
+		return false
+	}
+	fresh := r == nil || r.key() != s.key() || r.Addr != s.Addr
+	if fresh {
+		t.servers[s.ID] = &record{Server: s}
+	} else {
+		same := r.Server
+		same.Revision = s.Revision
+		fresh = same != s || !r.goneAt.IsZero()
+		r.Server, r.goneAt = s, time.Time{}
+	}
+	t.mu.Unlock()
+	if fresh {
+		t.changed()
+	}
+	return fresh
+}
+
+// Remove takes the removal of an entry. A server that vanished around an outage
+// stays in use for a short while, since it may only have been unable to renew
+// its entry.
+func (t *Table) Remove(now time.Time, id string, revision uint64) bool {
+	t.mu.Lock()
+	r := t.servers[id]
+	if r == nil || revision < r.Revision || !r.goneAt.IsZero() {
+		t.mu.Unlock()
+		return false
+	}
+	if now.Sub(t.outageEnd) < outageMemory && !r.Leaving {
+		r.goneAt, r.Revision = t.outageEnd, revision
+	} else {
+		delete(t.servers, id)
+	}
+	t.mu.Unlock()
+	t.changed()
+	return true
+}
+
+// Reset replaces all entries, after a full read of the store at a revision.
+func (t *Table) Reset(now time.Time, all []Server, revision uint64) {
+	seen := make(map[string]bool, len(all))
+	for _, s := range all {
+		seen[s.ID] = true
+		t.Put(s)
+	}
+	t.mu.Lock()
+	var lost []string
+	for id, r := range t.servers {
+		if !seen[id] && r.Revision <= revision {
+			lost = append(lost, id)
+		}
+	}
+	t.mu.Unlock()
+	for _, id := range lost {
+		t.Remove(now, id, revision)
+	}
+}
+
+// Misdirected records that another server answered at the address of s.
+func (t *Table) Misdirected(now time.Time, s Server) {
+	t.mu.Lock()
+	t.wrong[s.key()] = now
+	t.mu.Unlock()
+	t.changed()
+}
+
+// usable tells whether new work may go to a server. The lock is held.
+func (t *Table) usable(now time.Time, r *record) bool {
+	if r.Leaving || !r.goneAt.IsZero() && now.Sub(r.goneAt) > returnGrace {
+		return false
+	}
+	at, wrong := t.wrong[r.key()]
+	return !wrong || now.Sub(at) > misdirectedFor
+}
+
+// Usable returns the servers of a service that may get new work, in order of
+// their names.
+func (t *Table) Usable(now time.Time, service string) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Server
+	for id, r := range t.servers {
+		if !r.goneAt.IsZero() && now.Sub(r.goneAt) > returnGrace {
+			delete(t.servers, id)
+			continue
+		}
+		if r.Service == service && t.usable(now, r) {
+			out = append(out, r.Server)
+		}
+	}
+	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Get returns the entry of a server while it may get new work.
+func (t *Table) Get(now time.Time, id string) (Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.servers[id]
+	if r == nil || !t.usable(now, r) {
+		return Server{}, false
+	}
+	return r.Server, true
+}
+
+// All returns every known entry, for display.
+func (t *Table) All() []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Server, 0, len(t.servers))
+	for _, r := range t.servers {
+		out = append(out, r.Server)
+	}
+	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
