Close kept connections once the balancer had time to move clients

The server waited for a quiet moment, which a kept connection can prevent for good.

Ruled out: late new connections; the balancer had moved them by then.

TestStopClosesKeptConnections failed before.

--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -25,11 +25,8 @@
 	// idleSpare is added to the published idle time, so that a client that keeps
 	// to it never meets a closed connection.
 	idleSpare = 2 * time.Second
-	// quietEnd is the time without a new connection or request after which a
-	// stopping server ends.
-	quietEnd = 500 * time.Millisecond
-	// pollEnd is the time between checks whether a stopping server may end.
-	pollEnd = 50 * time.Millisecond
+	// acceptAgain is the pause after a connection could not be accepted.
+	acceptAgain = 50 * time.Millisecond
 )
 
 // Server serves clients at one address. The limits of a configuration apply to
@@ -46,7 +43,6 @@
 
 	open     atomic.Int64
 	stopping atomic.Bool
-	last     atomic.Int64
 	done     chan struct{}
 }
 
@@ -97,10 +93,9 @@
 		}
 		if err != nil {
 			s.log.Warn("connection of a client not accepted", "error", err.Error())
-			time.Sleep(pollEnd)
+			time.Sleep(acceptAgain)
 			continue
 		}
-		s.last.Store(time.Now().UnixNano())
 		s.mu.Lock()
 		f := s.current
 		s.mu.Unlock()
@@ -136,10 +131,7 @@
 // also named a length.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.open.Add(1)
-	defer func() {
-		s.last.Store(time.Now().UnixNano())
-		s.open.Add(-1)
-	}()
+	defer s.open.Add(-1)
 	if s.stopping.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -149,36 +141,28 @@
 // Open returns the number of requests in flight.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
-// Stop serves on until the balancer has moved new connections elsewhere and all
-// requests are answered. It returns after soon at the earliest, so that the
-// balancer can notice, and when ctx ends at the latest.
-func (s *Server) Stop(ctx context.Context, soon time.Duration) {
+// Stop serves on for the notice, so that the balancer can move new connections
+// elsewhere. It then closes the listener and kept connections without a request,
+// and returns when all requests are answered, when ctx ends at the latest.
+func (s *Server) Stop(ctx context.Context, notice time.Duration) {
 	s.stopping.Store(true)
-	begun := time.Now()
-	poll := time.NewTicker(pollEnd)
-	defer poll.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			s.close()
-			return
-		case <-poll.C:
-		}
-		quiet := time.Since(time.Unix(0, s.last.Load())) > quietEnd
-		if time.Since(begun) > soon && s.open.Load() == 0 && quiet {
-			s.close()
-			return
-		}
+	select {
+	case <-ctx.Done():
+	case <-time.After(notice):
 	}
-}
-
-func (s *Server) close() {
 	s.listener.Close()
+	<-s.done
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.current.Close()
+	var all sync.WaitGroup
 	for _, server := range s.servers {
-		server.Close()
+		all.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				s.log.Warn("requests cut off at the end of the grace period", "open", s.Open(), "error", err.Error())
+				server.Close()
+			}
+		})
 	}
-	<-s.done
+	all.Wait()
 }
