Let few daemons read the store and strong ones own ledgers

Gossip lost 2.4 live daemons a second at 84 daemons.

Change: reports once a second in large fleets, with the output between them extrapolated; owners have at least half of the strongest daemon's power; two or three daemons read the store and tell the others; gossip carries more members and waits longer. Leases are given back also when the control goroutine is behind.

--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -20,6 +20,8 @@
 	Seeds []netip.AddrPort
 	// Store is the platform's store.
 	Store netip.AddrPort
+	// Power is the share of a processor in hundredths.
+	Power uint32
 	// Memory is the limit of the process in bytes, zero for none.
 	Memory int64
 	Bounds Bounds
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -36,7 +36,7 @@
 // Peer is another daemon.
 type Peer struct {
 	Addr   netip.AddrPort `json:"addr"`
-	Domain string         `json:"domain"`
+	Power  uint32         `json:"power"`
 	Start  int64          `json:"start"`
 	Mature bool           `json:"mature"`
 }
@@ -72,7 +72,7 @@
 }
 
 func peer(m beat.Seen) Peer {
-	return Peer{Addr: m.Addr, Domain: m.Domain, Start: m.Start, Mature: m.Mature}
+	return Peer{Addr: m.Addr, Power: m.Power, Start: m.Start, Mature: m.Mature}
 }
 
 // listenReady serves readiness, and status and metrics where the settings name
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -26,6 +26,7 @@
 	"citronrock.example/citronrock/internal/room/grant"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/notice"
 	"citronrock.example/citronrock/internal/route/plan"
 )
 
@@ -82,14 +83,14 @@
 	if r.socket, err = gram.Listen(s.Peer, p.Log); err != nil {
 		return nil, err
 	}
-	self := beat.Member{Addr: s.Peer, Domain: s.Domain, Start: r.start.UnixNano()}
+	self := beat.Member{Addr: s.Peer, Power: s.Power, Start: r.start.UnixNano()}
 	r.beats = beat.Start(r.socket, self, s.Seeds, p.Log)
 	r.table = fleet.New(fleet.WithChanged(func() {
 		if r.grants != nil {
 			r.grants.Refresh()
 		}
 	}))
-	r.grants = grant.Start(self, r.socket, r.beats, r.table, p.Log)
+	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
 	r.unary = &unary.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress, Quota: budget, Log: p.Log}
 	r.stream = &stream.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress,
@@ -99,7 +100,7 @@
 		r.closePeers()
 		return nil, err
 	}
-	r.follower = follow.Start(p.Store, r.table, p.Log, follow.WithApply(r.apply))
+	r.follower = follow.Start(p.Store, r.table, notice.New(s.Peer, r.socket, r.beats), p.Log, follow.WithApply(r.apply))
 	if err := r.listenReady(); err != nil {
 		r.follower.Close()
 		r.closePeers()
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -18,13 +18,14 @@
 	// heartbeats in a row mean that a daemon is dead.
 	closeEvery = 200 * time.Millisecond
 	closeDead  = 900 * time.Millisecond
-	// wideEvery, wideFanout and wideDead apply to more daemons. News reach all of
-	// 100 daemons in about four rounds.
+	// wideEvery, wideFanout and wideDead apply to more daemons. In wideDead a
+	// daemon receives about 50 messages, so that at 100 daemons it misses all news
+	// of a live one less than once in a thousand years.
 	wideEvery  = 300 * time.Millisecond
 	wideFanout = 3
-	wideDead   = 3 * time.Second
-	// sample is the number of members in one message, about 600 bytes.
-	sample = 24
+	wideDead   = 5 * time.Second
+	// sample is the number of members in one message, about 800 bytes.
+	sample = 32
 	// seedEvery is the number of rounds after which a seed is told again though
 	// it is not known to be alive, so that separated groups meet.
 	seedEvery = 5
@@ -38,8 +39,8 @@
 // Member is a daemon as told by gossip.
 type Member struct {
 	Addr netip.AddrPort `cbor:"1,keyasint"`
-	// Domain is the failure domain.
-	Domain string `cbor:"2,keyasint,omitempty"`
+	// Power is the share of a processor in hundredths.
+	Power uint32 `cbor:"2,keyasint,omitempty"`
 	// Start is the incarnation, the Unix time of the start in nanoseconds.
 	Start int64 `cbor:"3,keyasint"`
 	// Count grows with each heartbeat.
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -25,6 +25,7 @@
 	Drop
 	Report
 	Strike
+	Notice
 )
 
 const (
--- a/internal/room/grant/lease.go
+++ b/internal/room/grant/lease.go
@@ -78,7 +78,7 @@
 	if l.closed.Swap(true) {
 		return
 	}
-	l.node.do(func(now time.Time) {
+	l.node.must(func(now time.Time) {
 		m := l.node.mine(l.Service)
 		delete(m.leases, l.ID)
 		m.ended[l.ID] = now
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -24,8 +24,12 @@
 
 // Times of the exchange.
 const (
-	// reportEvery is the time between reports to the owners.
-	reportEvery = 200 * time.Millisecond
+	// reportFirst is the time between reports to the owners in a small fleet. It
+	// grows with the fleet by reportEach for each daemon up to reportLimit, so that
+	// the load of an owner stays.
+	reportFirst = 200 * time.Millisecond
+	reportEach  = 20 * time.Millisecond
+	reportLimit = time.Second
 	// reportPause joins the ends of several runs in one report.
 	reportPause = 3 * time.Millisecond
 	// tickEvery is the time between checks of the queues.
@@ -71,6 +75,8 @@
 	number   uint64
 	shunned  map[netip.AddrPort]time.Time
 	reportAt time.Time
+	// peers is the number of live daemons.
+	peers int
 
 	next atomic.Uint64
 	load sync.Map
@@ -97,8 +103,8 @@
 }
 
 // Start begins to serve and to ask.
-func Start(self beat.Member, socket Socket, members Members, table *fleet.Table, log hclog.Logger) *Node {
-	n := &Node{self: self.Addr, start: self.Start, domain: self.Domain, socket: socket, members: members,
+func Start(self beat.Member, domain string, socket Socket, members Members, table *fleet.Table, log hclog.Logger) *Node {
+	n := &Node{self: self.Addr, start: self.Start, domain: domain, socket: socket, members: members,
 		fleet: table, log: log, commands: make(chan func(time.Time), 256),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		ledgers: map[string]*ledger.Ledger{}, rooms: map[string]Room{}, own: map[string]*mine{},
@@ -145,6 +151,15 @@
 	}
 }
 
+// must runs f on the control goroutine, however far that is behind. It must not
+// be called there.
+func (n *Node) must(f func(now time.Time)) {
+	select {
+	case n.commands <- f:
+	case <-n.done:
+	}
+}
+
 // wait runs f on the control goroutine and waits for its end.
 func (n *Node) wait(f func(now time.Time)) {
 	done := make(chan struct{})
@@ -201,18 +216,26 @@
 }
 
 // owners returns the daemons that may grant for a service, the first one first,
-// with this daemon as the last resort. Reports also go to daemons that are about
-// to become owners.
+// with this daemon as the last resort. Daemons with less than half the power of
+// the strongest are not chosen. Reports also go to daemons that are about to
+// become owners.
 func (n *Node) owners(now time.Time, service string) (ask, report []netip.AddrPort) {
 	all := n.members.Alive()
+	n.peers = len(all)
+	strongest := uint32(0)
+	for _, m := range all {
+		strongest = max(strongest, m.Power)
+	}
 	names := make([]string, 0, len(all))
 	mature := make([]string, 0, len(all))
 	for _, m := range all {
 		if m.Leaving || m.Addr != n.self && now.Before(n.shunned[m.Addr]) {
 			continue
 		}
-		names = append(names, m.Addr.String())
-		if m.Mature {
+		if 2*m.Power >= strongest {
+			names = append(names, m.Addr.String())
+		}
+		if m.Mature && 2*m.Power >= strongest {
 			mature = append(mature, m.Addr.String())
 		}
 	}
@@ -247,7 +270,7 @@
 		n.load.Store(service, Load{Runs: runs, Queued: queued, Share: load})
 	}
 	if now.After(n.reportAt) {
-		n.reportAt = now.Add(reportEvery)
+		n.reportAt = now.Add(min(max(reportFirst, reportEach*time.Duration(n.peers)), reportLimit))
 		n.refresh(now)
 		n.report(now)
 	}
@@ -378,9 +401,7 @@
 	}
 	n.do(func(now time.Time) {
 		if _, ok := n.rooms[r.Service]; ok {
-			l := n.ledger(r.Service)
-			l.Report(now, from, r)
-			n.send(l.Tick(now))
+			n.ledger(r.Service).Report(now, from, r)
 		}
 	})
 }
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -19,8 +19,17 @@
 	// list it.
 	doubt = 300 * time.Millisecond
 	// reportLife is how long a report counts when no newer one comes. Daemons
-	// report five times a second.
-	reportLife = 2 * time.Second
+	// report once a second at least.
+	reportLife = 2500 * time.Millisecond
+	// placeEvery is the time after which queued asks are tried again though
+	// nothing has ended: outputs that grow as expected make room, too.
+	placeEvery = 60 * time.Millisecond
+	// firstPace stands for the tokens that a run makes in a second until reports
+	// have shown it, paceWeight is the weight of one report.
+	firstPace  = 500
+	paceWeight = 0.02
+	// paceSpan is the shortest time between two reports that shows the pace.
+	paceSpan = 150 * time.Millisecond
 	// fullFor is how long an engine that refused a granted request gets no other.
 	fullFor = 300 * time.Millisecond
 	// answeredFor is how long an answer is repeated to an ask that comes again.
@@ -56,8 +65,18 @@
 type entry struct {
 	Run
 	granted time.Time
-	// listed is set once a report has named the run.
-	listed bool
+	// listed is set once a report has named the run, which was at reported.
+	listed   bool
+	reported time.Time
+}
+
+// at returns the run with the output that it probably has by now.
+func (e *entry) at(now time.Time, pace float64) Run {
+	r := e.Run
+	if r.Made > 0 {
+		r.Made += int(pace * now.Sub(e.reported).Seconds())
+	}
+	return r
 }
 
 type waiting struct {
@@ -94,23 +113,41 @@
 	refused  map[uint64]time.Time
 	stay     time.Duration
 	returnAt time.Time
+	// pace is the number of tokens that a run makes in a second.
+	pace float64
+	// dirty is set when a queued ask may have got room.
+	dirty  bool
+	placed time.Time
 }
 
 // New returns an empty ledger.
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{},
-		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay}
+		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace}
 }
 
 // SetEngines replaces the engines that new work may go to.
 func (l *Ledger) SetEngines(engines []Engine) {
+	if l.same(engines) {
+		return
+	}
+	l.dirty = true
 	clear(l.engines)
 	for _, e := range engines {
 		l.engines[e.ID] = e
 	}
 }
 
+func (l *Ledger) same(engines []Engine) bool {
+	for _, e := range engines {
+		if l.engines[e.ID] != e {
+			return false
+		}
+	}
+	return len(engines) == len(l.engines)
+}
+
 // Report takes the report of a daemon.
 func (l *Ledger) Report(now time.Time, edge netip.AddrPort, r Report) {
 	s := l.sources[edge]
@@ -135,7 +172,8 @@
 			e = &entry{granted: now}
 			l.runs[k] = e
 		}
-		e.Run, e.listed = run, true
+		l.learn(now, e, run)
+		e.Run, e.listed, e.reported = run, true, now
 	}
 	for _, id := range r.Ended {
 		if !listed[id] {
@@ -149,6 +187,15 @@
 	}
 }
 
+// learn takes the pace of a run from two of its reports.
+func (l *Ledger) learn(now time.Time, e *entry, run Run) {
+	span := now.Sub(e.reported)
+	if !e.listed || e.Made == 0 || span < paceSpan {
+		return
+	}
+	l.pace += (float64(run.Made-e.Made)/span.Seconds() - l.pace) * paceWeight
+}
+
 // end frees the memory of a run.
 func (l *Ledger) end(now time.Time, k runKey) {
 	e := l.runs[k]
@@ -159,13 +206,21 @@
 		l.stay += time.Duration(stayWeight * float64(now.Sub(e.granted)-l.stay))
 	}
 	delete(l.runs, k)
+	l.dirty = true
 }
 
 // Forget drops all that a daemon that died had.
 func (l *Ledger) Forget(edge netip.AddrPort) {
-	maps.DeleteFunc(l.runs, func(k runKey, _ *entry) bool { return k.edge == edge })
 	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return w.edge == edge })
+	l.drop(edge)
+}
+
+// drop drops the runs of a daemon whose reports ended. Its asks stay: a daemon
+// without runs reports nothing.
+func (l *Ledger) drop(edge netip.AddrPort) {
+	maps.DeleteFunc(l.runs, func(k runKey, e *entry) bool { return k.edge == edge && e.listed })
 	delete(l.sources, edge)
+	l.dirty = true
 }
 
 // Ask takes an ask and returns the answers that are due: always one to this ask,
@@ -192,6 +247,7 @@
 		w.refusal = now.Add(a.Back)
 	}
 	l.queue = append(l.queue, w)
+	l.dirty = true
 	out := l.Tick(now)
 	if _, ok := l.answers[k]; ok {
 		return out
@@ -232,6 +288,10 @@
 // what is old. It returns the answers to asks that were queued.
 func (l *Ledger) Tick(now time.Time) []Answer {
 	l.expire(now)
+	if len(l.queue) == 0 || !l.dirty && now.Sub(l.placed) < placeEvery {
+		return nil
+	}
+	l.dirty, l.placed = false, now
 	var out []Answer
 	l.order(now)
 	kept := l.queue[:0]
@@ -275,7 +335,7 @@
 func (l *Ledger) expire(now time.Time) {
 	for edge, s := range l.sources {
 		if now.Sub(s.at) > reportLife {
-			l.Forget(edge)
+			l.drop(edge)
 		}
 	}
 	for k, e := range l.runs {
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -45,11 +45,12 @@
 func (l *Ledger) place(now time.Time, a *Ask) (decode, prefill string, ok bool) {
 	var best Engine
 	low := 0.0
+	grown := l.grown(now)
 	for _, e := range l.usable(a, fleet.Decode) {
 		if now.Sub(l.full[e.ID]) < fullFor {
 			continue
 		}
-		need, slots := l.need(e.ID, a)
+		need, slots := need(grown[e.ID], a)
 		// A request that is larger than the share that is granted needs an engine
 		// of its own.
 		if slots > e.Slots || slots > 1 && float64(need) > fill*float64(e.Tokens) {
@@ -69,16 +70,21 @@
 	return best.ID, l.reader(a, best), true
 }
 
-// need returns the peak of memory and the slots in use on an engine with an ask
-// added.
-func (l *Ledger) need(engine string, a *Ask) (tokens, slots int) {
-	added := Run{Prompt: a.Prompt, Expect: a.Expect}
-	list := []growth{added.growth()}
-	for _, r := range l.runs {
-		if r.Decode == engine {
-			list = append(list, r.growth())
-		}
+// grown returns the runs of each decode engine.
+func (l *Ledger) grown(now time.Time) map[string][]growth {
+	out := make(map[string][]growth, len(l.engines))
+	for _, e := range l.runs {
+		r := e.at(now, l.pace)
+		out[r.Decode] = append(out[r.Decode], r.growth())
 	}
+	return out
+}
+
+// need returns the peak of memory and the slots in use of an engine's runs with
+// an ask added.
+func need(runs []growth, a *Ask) (tokens, slots int) {
+	added := Run{Prompt: a.Prompt, Expect: a.Expect}
+	list := append(slices.Clone(runs), added.growth())
 	return peak(list), len(list)
 }
 
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -135,18 +135,29 @@
 	return fresh
 }
 
-// Remove takes the removal of an entry. A server that vanished around an outage
-// stays in use for a short while, since it may only have been unable to renew
-// its entry.
-func (t *Table) Remove(now time.Time, id string, revision uint64) bool {
+// Lapsed tells whether a removal that is seen now may be due to an outage of the
+// store.
+func (t *Table) Lapsed(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outage || now.Sub(t.outageEnd) < outageMemory
+}
+
+// Remove takes the removal of an entry. A server whose entry lapsed around an
+// outage stays in use for a short while, since it may only have been unable to
+// renew its entry.
+func (t *Table) Remove(now time.Time, id string, revision uint64, lapsed bool) bool {
 	t.mu.Lock()
 	r := t.servers[id]
 	if r == nil || revision < r.Revision || !r.goneAt.IsZero() {
 		t.mu.Unlock()
 		return false
 	}
-	if now.Sub(t.outageEnd) < outageMemory && !r.Leaving {
-		r.goneAt, r.Revision = t.outageEnd, revision
+	if lapsed && !r.Leaving {
+		r.goneAt, r.Revision = now, revision
+		if now.Sub(t.outageEnd) < outageMemory {
+			r.goneAt = t.outageEnd
+		}
 	} else {
 		delete(t.servers, id)
 	}
@@ -171,7 +182,7 @@
 	}
 	t.mu.Unlock()
 	for _, id := range lost {
-		t.Remove(now, id, revision)
+		t.Remove(now, id, revision, t.Lapsed(now))
 	}
 }
 
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/notice"
 	"citronrock.example/citronrock/internal/route/plan"
 	"github.com/hashicorp/go-hclog"
 )
@@ -20,20 +21,39 @@
 	// readEvery is the time between reads of the changes. The entries of servers
 	// change many times a second, so that a waiting read would return at once.
 	readEvery = 500 * time.Millisecond
+	// noticeLife is how long a notice of a reader stands for a read of this
+	// daemon: two lost notices don't cause a read.
+	noticeLife = 1200 * time.Millisecond
 	// againFirst and againLimit bound the time before a failed read is repeated.
 	againFirst = 100 * time.Millisecond
 	againLimit = 600 * time.Millisecond
 	// downAfter is the number of failed reads in a row from which the store
 	// counts as lost.
 	downAfter = 2
+	// backlog is the number of notices that wait to be applied.
+	backlog = 16
 )
 
+// Peers tell each other what they read.
+type Peers interface {
+	// Reader tells whether this daemon reads for others.
+	Reader() bool
+	Tell(notice.Notice)
+	Handle(func(notice.Notice))
+}
+
 // Follower reads the store until Close.
 type Follower struct {
 	store citronrock.Store
 	table *fleet.Table
 	log   hclog.Logger
 	apply func(*plan.Document)
+	peers Peers
+
+	notices chan notice.Notice
+	// heard is when a notice last showed that nothing was missed.
+	heard   time.Time
+	changed notice.Log
 
 	document atomic.Pointer[plan.Document]
 	mu       sync.Mutex
@@ -52,10 +72,16 @@
 func WithApply(f func(*plan.Document)) Option { return func(w *Follower) { w.apply = f } }
 
 // Start begins to read the store.
-func Start(store citronrock.Store, table *fleet.Table, log hclog.Logger, opts ...Option) *Follower {
+func Start(store citronrock.Store, table *fleet.Table, peers Peers, log hclog.Logger, opts ...Option) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{store: store, table: table, log: log, apply: func(*plan.Document) {},
-		cancel: cancel, done: make(chan struct{})}
+		peers: peers, notices: make(chan notice.Notice, backlog), cancel: cancel, done: make(chan struct{})}
+	peers.Handle(func(n notice.Notice) {
+		select {
+		case f.notices <- n:
+		default: // the next notice repeats it
+		}
+	})
 	for _, o := range opts {
 		o(f)
 	}
@@ -85,7 +111,22 @@
 
 func (f *Follower) run(ctx context.Context) {
 	fails, loaded := 0, false
-	for ctx.Err() == nil {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-f.notices:
+			if !loaded || f.hear(n) {
+				continue
+			}
+		case <-timer.C:
+			if rest := noticeLife - time.Since(f.heard); loaded && rest > 0 && !f.peers.Reader() {
+				timer.Reset(rest)
+				continue
+			}
+		}
 		var err error
 		if loaded {
 			err = f.changes(ctx)
@@ -114,11 +155,59 @@
 			}
 			fails, loaded = 0, true
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		timer.Reset(pause)
+	}
+}
+
+// hear takes the notice of another daemon. It returns false when this daemon has
+// to read the store itself.
+func (f *Follower) hear(n notice.Notice) bool {
+	if n.At <= f.revision && n.Version <= f.version() {
+		f.heard = time.Now()
+		return true
+	}
+	if n.Base > f.revision || n.Version > f.version() {
+		return false
+	}
+	now := time.Now()
+	f.table.Outage(now, false)
+	for _, e := range n.Events {
+		if e.Revision <= f.revision {
+			continue
 		}
+		if e.Gone {
+			f.remove(now, e.ID, e.Revision, e.Lapsed)
+		} else {
+			f.put(e.Server())
+		}
+	}
+	f.heard = now
+	f.note(n.At)
+	return true
+}
+
+func (f *Follower) version() uint64 {
+	if d := f.document.Load(); d != nil {
+		return d.Version
+	}
+	return 0
+}
+
+func (f *Follower) put(s fleet.Server) bool {
+	changed := f.table.Put(s)
+	if changed {
+		f.log.Info("server changed", "server", s.ID, "service", s.Service, "addr", s.Addr.String(),
+			"stage", s.Stage.String(), "leaving", s.Leaving, "revision", s.Revision)
 	}
+	return changed
+}
+
+func (f *Follower) remove(now time.Time, id string, revision uint64, lapsed bool) bool {
+	changed := f.table.Remove(now, id, revision, lapsed)
+	if changed {
+		f.log.Info("server removed", "server", id, "revision", revision, "lapsed", lapsed)
+	}
+	return changed
 }
 
 // load reads everything.
@@ -131,11 +220,12 @@
 	f.table.Outage(now, false)
 	f.table.Reset(now, state.Servers, state.Revision)
 	f.install(state.Document)
+	f.changed.Reset()
 	f.note(state.Revision)
 	return nil
 }
 
-// changes reads what changed since the last read.
+// changes reads what changed since the last read and tells the others.
 func (f *Follower) changes(ctx context.Context) error {
 	c, err := f.store.Watch(ctx, f.revision, 0)
 	if err != nil {
@@ -144,19 +234,24 @@
 	now := time.Now()
 	// Removals are judged by how long the store has been back.
 	f.table.Outage(now, false)
+	lapsed := f.table.Lapsed(now)
+	var events []notice.Event
 	for _, s := range c.Servers {
-		if f.table.Put(s) {
-			f.log.Info("server changed", "server", s.ID, "service", s.Service, "addr", s.Addr.String(),
-				"stage", s.Stage.String(), "leaving", s.Leaving, "revision", s.Revision)
+		if f.put(s) {
+			events = append(events, notice.Put(s))
 		}
 	}
 	for _, r := range c.Removed {
-		if f.table.Remove(now, r.ID, r.Revision) {
-			f.log.Info("server removed", "server", r.ID, "revision", r.Revision)
+		if f.remove(now, r.ID, r.Revision, lapsed) {
+			events = append(events, notice.Event{Revision: r.Revision, ID: r.ID, Gone: true, Lapsed: lapsed})
 		}
 	}
 	f.install(c.Document)
+	told := f.changed.Add(now, f.revision, c.Revision, f.version(), events)
 	f.note(c.Revision)
+	if f.peers.Reader() {
+		f.peers.Tell(told)
+	}
 	return nil
 }
 
