Let a fresh daemon take the state from others while the store is away

Change: a daemon without a configuration that can't read the store fetches one from another daemon over the peer port; Retry-After is 2 s while the store is lost.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -28,12 +29,16 @@
 	"citronrock.example/citronrock/internal/route/follow"
 	"citronrock.example/citronrock/internal/route/notice"
 	"citronrock.example/citronrock/internal/route/plan"
+	"github.com/rotisserie/eris"
 )
 
 const (
 	// startWait is the time after which a client is asked to come back while no
 	// configuration is known.
 	startWait = 300 * time.Millisecond
+	// lostWait is the same while the store does not answer. Outages last seconds,
+	// and clients keep to at most a third of the time that they have left.
+	lostWait = 2 * time.Second
 	// defaultWait is the time limit of a client that names none on a route that
 	// names none.
 	defaultWait = 30 * time.Second
@@ -59,6 +64,7 @@
 	follower *follow.Follower
 	server   *serve.Server
 	ready    *http.Server
+	states   net.Listener
 	admin    *http.Server
 	unary    *unary.Handler
 	stream   *stream.Handler
@@ -101,7 +107,7 @@
 		return nil, err
 	}
 	r.follower = follow.Start(p.Store, r.table, notice.New(s.Peer, r.socket, r.beats), p.Log, follow.WithApply(r.apply))
-	if err := r.listenReady(); err != nil {
+	if err := r.listen(); err != nil {
 		r.follower.Close()
 		r.closePeers()
 		return nil, err
@@ -109,6 +115,16 @@
 	return r, nil
 }
 
+// listen serves readiness, status and the state that other daemons fetch.
+func (r *Router) listen() error {
+	var err error
+	if r.states, err = net.Listen("tcp4", r.settings.Peer.String()); err != nil {
+		return eris.Wrapf(err, "can't listen for other daemons at %s; check that the port is free", r.settings.Peer)
+	}
+	go notice.Serve(r.states, r.follower.State)
+	return r.listenReady()
+}
+
 // apply takes a configuration before it is in force.
 func (r *Router) apply(d *plan.Document) {
 	r.server.SetLimits(d.Limits)
@@ -160,6 +176,9 @@
 	d := r.follower.Document()
 	if d == nil {
 		o.Status, o.Result, o.Reason, o.After = http.StatusServiceUnavailable, "refused", string(citronrock.ReasonConfig), startWait
+		if r.follower.Lost() {
+			o.After = lostWait
+		}
 		r.refuse(w, c, &o, "no configuration is known yet; try again soon")
 		return o
 	}
@@ -255,6 +274,7 @@
 	r.server.Stop(ctx, noticeTime)
 	r.follower.Close()
 	r.closePeers()
+	r.states.Close()
 	r.ready.Close()
 	if r.admin != nil {
 		r.admin.Close()
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -40,6 +40,8 @@
 	Reader() bool
 	Tell(notice.Notice)
 	Handle(func(notice.Notice))
+	// Fetch returns what another daemon knows.
+	Fetch(ctx context.Context) (*citronrock.State, error)
 }
 
 // Follower reads the store until Close.
@@ -56,6 +58,8 @@
 	changed notice.Log
 
 	document atomic.Pointer[plan.Document]
+	// failed is set when the first read failed.
+	failed   atomic.Bool
 	mu       sync.Mutex
 	read     time.Time
 	revision uint64
@@ -101,6 +105,19 @@
 // Document returns the configuration in force, nil when there is none yet.
 func (f *Follower) Document() *plan.Document { return f.document.Load() }
 
+// Lost tells whether there is no configuration since the store does not answer.
+func (f *Follower) Lost() bool { return f.document.Load() == nil && f.failed.Load() }
+
+// State returns all that is known, nil while that is nothing.
+func (f *Follower) State() *citronrock.State {
+	d := f.document.Load()
+	if d == nil {
+		return nil
+	}
+	_, revision := f.Age()
+	return &citronrock.State{Document: d, Servers: f.table.All(), Revision: revision}
+}
+
 // Age returns the time since the last successful read and the store's revision
 // then.
 func (f *Follower) Age() (time.Duration, uint64) {
@@ -213,7 +230,16 @@
 // load reads everything.
 func (f *Follower) load(ctx context.Context) error {
 	state, err := f.store.Load(ctx)
+	if err != nil && f.document.Load() == nil {
+		// Without a store a fresh daemon serves by what the others know.
+		if known, lack := f.peers.Fetch(ctx); lack == nil {
+			f.log.Warn("store not read, state taken from another daemon", "revision", known.Revision,
+				"version", known.Document.Version, "error", err.Error())
+			state, err = known, nil
+		}
+	}
 	if err != nil {
+		f.failed.Store(true)
 		return err
 	}
 	now := time.Now()
