Count runs that a ledger does not know; spread returning clients over spare rate

Retry-After is spaced by the rate that new requests leave, and is a third of the client's time when they leave none.

--- a/edge.go
+++ b/edge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/plan"
 )
@@ -18,6 +19,8 @@
 	// Prefill makes a prefill engine read the prompt of a call. The call does not
 	// run.
 	Prefill(ctx context.Context, to fleet.Server, c *entry.Call, o entry.Options) (*entry.Cache, error)
+	// Usage asks an engine what it has in use.
+	Usage(ctx context.Context, s fleet.Server) (ledger.Usage, error)
 	// Free releases a KV cache that will not be used.
 	Free(ctx context.Context, cache *entry.Cache) error
 }
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -96,7 +96,7 @@
 			r.grants.Refresh()
 		}
 	}))
-	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Log)
+	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
 	r.unary = &unary.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress, Quota: budget, Log: p.Log}
 	r.stream = &stream.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress,
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -25,6 +25,9 @@
 	latePatience = 0.5
 	// backPatience is the same for a client that came back.
 	backPatience = 2.0
+	// returnShare is the part of the remaining time after which a client comes
+	// back at the latest: clients keep to a third.
+	returnShare = 0.32
 	// prefillTimeout bounds a prefill. It is far above the time that the longest
 	// prompt takes at a busy engine, and below the patience of clients.
 	prefillTimeout = 1500 * time.Millisecond
@@ -162,6 +165,7 @@
 	ask := ledger.Ask{Service: j.service.Name, Prompt: prompt(j.call), Expect: j.expect(j.route.Name, j.call),
 		Slack: slack, Patience: max(slack, 0) + time.Duration(latePatience*float64(j.route.Target)),
 		Back:    time.Duration(backPatience * float64(j.route.Target)),
+		Return:  time.Duration(returnShare * float64(time.Until(j.deadline))),
 		Subject: subject(j.call), Read: j.cache != nil, Begun: j.begun, Without: j.without, Rank: j.route.Rank}
 	if limit := time.Until(j.deadline) / 2; ask.Back > limit {
 		ask.Back = limit
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net/netip"
 	"slices"
 	"sync"
@@ -38,6 +39,8 @@
 	endedFor = time.Second
 	// fullFor is how long a refusal by an engine is reported.
 	fullFor = 250 * time.Millisecond
+	// usageTimeout bounds the question for an engine's usage.
+	usageTimeout = 400 * time.Millisecond
 	// shunFor is how long a daemon that does not answer asks is passed over.
 	shunFor = 500 * time.Millisecond
 )
@@ -54,6 +57,11 @@
 	Decode(body []byte, message any) bool
 }
 
+// Engines tell what they have in use.
+type Engines interface {
+	Usage(ctx context.Context, s fleet.Server) (ledger.Usage, error)
+}
+
 // Node asks for grants and serves the ledgers of one daemon.
 type Node struct {
 	self    netip.AddrPort
@@ -62,6 +70,7 @@
 	socket  Socket
 	members Members
 	fleet   *fleet.Table
+	engines Engines
 	log     hclog.Logger
 
 	// commands run on the control goroutine, which owns what follows.
@@ -103,9 +112,9 @@
 }
 
 // Start begins to serve and to ask.
-func Start(self beat.Member, domain string, socket Socket, members Members, table *fleet.Table, log hclog.Logger) *Node {
+func Start(self beat.Member, domain string, socket Socket, members Members, table *fleet.Table, engines Engines, log hclog.Logger) *Node {
 	n := &Node{self: self.Addr, start: self.Start, domain: domain, socket: socket, members: members,
-		fleet: table, log: log, commands: make(chan func(time.Time), 256),
+		fleet: table, engines: engines, log: log, commands: make(chan func(time.Time), 256),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		ledgers: map[string]*ledger.Ledger{}, rooms: map[string]Room{}, own: map[string]*mine{},
 		pending: map[uint64]*pending{}, shunned: map[netip.AddrPort]time.Time{}}
@@ -269,6 +278,7 @@
 		runs, queued, load := l.Load()
 		n.load.Store(service, Load{Runs: runs, Queued: queued, Share: load})
 	}
+	n.inspect(now)
 	if now.After(n.reportAt) {
 		n.reportAt = now.Add(min(max(reportFirst, reportEach*time.Duration(n.peers)), reportLimit))
 		n.refresh(now)
@@ -276,6 +286,35 @@
 	}
 }
 
+// inspect asks engines for their usage where a ledger may lack runs.
+func (n *Node) inspect(now time.Time) {
+	for service, l := range n.ledgers {
+		for _, id := range l.Inspect(now) {
+			s, ok := n.fleet.Get(now, id)
+			if !ok {
+				continue
+			}
+			go n.usage(service, s)
+		}
+	}
+}
+
+func (n *Node) usage(service string, s fleet.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
+	defer cancel()
+	u, err := n.engines.Usage(ctx, s)
+	if err != nil {
+		n.log.Info("usage not known", "server", s.ID, "error", err.Error())
+		return
+	}
+	n.do(func(now time.Time) {
+		if l := n.ledgers[service]; l != nil {
+			l.SetUsage(now, s.ID, u)
+			n.log.Info("usage", "server", s.ID, "tokens", u.Tokens, "running", u.Running, "waiting", u.Waiting)
+		}
+	})
+}
+
 // Load is the state of a ledger for display.
 type Load struct {
 	Runs, Queued int
--- /dev/null
+++ b/internal/room/ledger/foreign.go
@@ -0,0 +1,116 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// Parameters of the runs that a ledger does not know. Engines finish requests of
+// daemons that lost power, and a ledger that is new knows none of the runs.
+const (
+	// inspectFor is how long after its first ask a ledger that was idle compares
+	// itself with the engines.
+	inspectFor = 5 * time.Second
+	// inspectAgain is the time after which an engine with unknown runs, or one
+	// that refused a granted request, is asked again.
+	inspectAgain = 700 * time.Millisecond
+	// idleAfter is the time without asks after which a ledger counts as idle.
+	idleAfter = 4 * time.Second
+	// foreignLife is how long unknown runs count without a newer report: about
+	// the time that a run stays.
+	foreignLife = 3 * time.Second
+	// reportLag is the greatest age of what engines report.
+	reportLag = time.Second
+	// tolerance is the share of an engine's memory by which report and ledger may
+	// differ.
+	tolerance = 0.1
+)
+
+// Usage is what an engine reports about itself.
+type Usage struct {
+	// Tokens is the memory in use, Running and Waiting count requests.
+	Tokens, Running, Waiting int
+}
+
+// Foreign is what runs that the ledger does not know hold at an engine.
+type Foreign struct {
+	Tokens, Slots int
+	at            time.Time
+}
+
+// past is a run that has ended.
+type past struct {
+	engine string
+	tokens int
+	at     time.Time
+}
+
+// Inspect returns the decode engines that should be asked for their usage.
+func (l *Ledger) Inspect(now time.Time) []string {
+	if l.begun.IsZero() || now.Sub(l.askedAt) > idleAfter {
+		return nil
+	}
+	var out []string
+	for id, e := range l.engines {
+		if e.Stage != fleet.Decode || now.Sub(l.inspected[id]) < inspectAgain {
+			continue
+		}
+		_, unknown := l.foreign[id]
+		if _, asked := l.inspected[id]; !asked || unknown || now.Sub(l.full[id]) < inspectAgain ||
+			now.Sub(l.begun) < inspectFor && now.Sub(l.inspected[id]) > inspectFor {
+			l.inspected[id] = now
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// SetUsage takes what an engine reports and derives what the ledger does not
+// know.
+func (l *Ledger) SetUsage(now time.Time, engine string, u Usage) {
+	e, ok := l.engines[engine]
+	if !ok {
+		return
+	}
+	// The report is of the past: runs that have begun since are missing there and
+	// runs that have ended since are still in it.
+	tokens, slots := 0, 0
+	for _, r := range l.runs {
+		if r.Decode == engine && r.Phase == Writing {
+			run := r.at(now, l.pace)
+			tokens += run.growth().held
+			slots++
+		}
+	}
+	l.past = slices.DeleteFunc(l.past, func(p past) bool { return now.Sub(p.at) > reportLag })
+	for _, p := range l.past {
+		if p.engine == engine {
+			tokens += p.tokens
+			slots++
+		}
+	}
+	f := Foreign{Tokens: u.Tokens - tokens, Slots: u.Running + u.Waiting - slots, at: now}
+	if f.Slots <= 0 || float64(f.Tokens) < tolerance*float64(e.Tokens) {
+		delete(l.foreign, engine)
+		l.dirty = true
+		return
+	}
+	l.foreign[engine] = f
+}
+
+// unknown returns the memory and slots that runs unknown to the ledger hold at
+// an engine. They end one after the other.
+func (l *Ledger) unknown(now time.Time, engine string) (tokens, slots int) {
+	f, ok := l.foreign[engine]
+	if !ok {
+		return 0, 0
+	}
+	left := 1 - now.Sub(f.at).Seconds()/foreignLife.Seconds()
+	if left <= 0 {
+		delete(l.foreign, engine)
+		return 0, 0
+	}
+	return int(left * float64(f.Tokens)), int(left * float64(f.Slots))
+}
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -43,10 +44,14 @@
 	// stayWeight is the weight of one run in the mean of that time.
 	stayWeight = 0.05
 	// shortestReturn and longestReturn bound the time after which a refused
-	// client is asked to come back. Clients keep to at most a third of the time
-	// that they have left.
+	// client is asked to come back.
 	shortestReturn = time.Second
-	longestReturn  = 4 * time.Second
+	longestReturn  = 5 * time.Second
+	// demandSpan is the time over which the rate of asks is measured.
+	demandSpan = 1500 * time.Millisecond
+	// leastSpare is the share of the service's rate that is at least left for
+	// clients that come back.
+	leastSpare = 0.1
 	// crossPrefill is the queue in tokens that a prefill engine in the decode
 	// engine's failure domain may have more than another: a transfer between
 	// domains takes twice as long and is charged.
@@ -113,6 +118,15 @@
 	refused  map[uint64]time.Time
 	stay     time.Duration
 	returnAt time.Time
+	// asked is the sum of the asks until askedAt, weighted to the newest.
+	asked   float64
+	askedAt time.Time
+	// foreign is memory and slots that runs unknown to the ledger hold.
+	foreign   map[string]Foreign
+	inspected map[string]time.Time
+	past      []past
+	// begun is when the ledger last got an ask after a time without.
+	begun time.Time
 	// pace is the number of tokens that a run makes in a second.
 	pace float64
 	// dirty is set when a queued ask may have got room.
@@ -123,7 +137,7 @@
 // New returns an empty ledger.
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
-		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{},
+		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
 		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace}
 }
 
@@ -205,6 +219,7 @@
 	if e.Made > 0 {
 		l.stay += time.Duration(stayWeight * float64(now.Sub(e.granted)-l.stay))
 	}
+	l.past = append(l.past, past{e.Decode, e.Prompt + e.Made, now})
 	delete(l.runs, k)
 	l.dirty = true
 }
@@ -248,6 +263,7 @@
 	}
 	l.queue = append(l.queue, w)
 	l.dirty = true
+	l.note(now, a.Prompt+a.Expect)
 	out := l.Tick(now)
 	if _, ok := l.answers[k]; ok {
 		return out
@@ -344,6 +360,7 @@
 		}
 	}
 	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return now.Sub(w.heard) > reportLife })
+	l.past = slices.DeleteFunc(l.past, func(p past) bool { return now.Sub(p.at) > reportLag })
 	maps.DeleteFunc(l.answers, func(_ runKey, a answered) bool { return now.Sub(a.at) > answeredFor })
 	maps.DeleteFunc(l.refused, func(_ uint64, at time.Time) bool { return now.Sub(at) > refusedFor })
 }
@@ -362,17 +379,25 @@
 }
 
 // refuse promises the client a time to come back. Times are handed out in the
-// order of refusals, spaced by the rate at which memory comes free, so that
-// refused clients don't return together.
+// order of refusals, spaced by the rate at which memory comes free beyond what
+// new requests take, so that refused clients return one after the other and not
+// into the same rush.
 func (l *Ledger) refuse(now time.Time, w *waiting, wait time.Duration, reason string) Answer {
 	if w.Subject != 0 {
 		l.refused[w.Subject] = now
 	}
+	longest := longestReturn
+	if w.Return > 0 {
+		longest = min(longest, w.Return)
+	}
+	spare := l.rate() - l.demand(now)
 	at := now.Add(max(wait, shortestReturn))
-	if next := l.returnAt.Add(l.spacing(w)); at.Before(next) {
+	if spare < leastSpare*l.rate() {
+		at = now.Add(longest)
+	} else if next := l.returnAt.Add(time.Duration(float64(w.Prompt+w.Expect) / spare * float64(time.Second))); at.Before(next) {
 		at = next
 	}
-	if limit := now.Add(longestReturn); at.After(limit) {
+	if limit := now.Add(longest); at.After(limit) {
 		at = limit
 	}
 	l.returnAt = at
@@ -382,13 +407,19 @@
 	return a
 }
 
-// spacing is the time in which the service frees the memory of one request.
-func (l *Ledger) spacing(w *waiting) time.Duration {
-	rate := l.rate()
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(w.Prompt+w.Expect) / rate * float64(time.Second))
+// demand is the memory in tokens that new requests ask for in a second.
+func (l *Ledger) demand(now time.Time) float64 {
+	return l.asked * math.Exp(-now.Sub(l.askedAt).Seconds()/demandSpan.Seconds()) / demandSpan.Seconds()
+}
+
+// note counts the demand of a new request.
+func (l *Ledger) note(now time.Time, tokens int) {
+	if now.Sub(l.askedAt) > idleAfter {
+		l.begun = now
+		clear(l.inspected)
+	}
+	l.asked = l.demand(now)*demandSpan.Seconds() + float64(tokens)
+	l.askedAt = now
 }
 
 // rate is the memory in tokens that comes free in a second while all engines
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -51,6 +51,8 @@
 			continue
 		}
 		need, slots := need(grown[e.ID], a)
+		tokens, taken := l.unknown(now, e.ID)
+		need, slots = need+tokens, slots+taken
 		// A request that is larger than the share that is granted needs an engine
 		// of its own.
 		if slots > e.Slots || slots > 1 && float64(need) > fill*float64(e.Tokens) {
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -78,6 +78,8 @@
 	// that came back after a refusal or has part of its answer.
 	Patience time.Duration `cbor:"8,keyasint"`
 	Back     time.Duration `cbor:"14,keyasint"`
+	// Return is the longest time after which the client would come back.
+	Return time.Duration `cbor:"15,keyasint,omitempty"`
 	// Subject is a hash of what is asked for, the same when a client comes back.
 	Subject uint64 `cbor:"9,keyasint,omitempty"`
 	// Read tells that the prompt is read, so that no prefill engine is wanted.
