Probe servers that failed a request; take a lost cache for lost

Change: a broken or refused connection starts a probe; the server is left alone, and the owner told, until a connection can be opened again. A refusal of a request with a cache drops the cache and leaves its source alone for 3 s. A prompt is not read for a decode engine that is down.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -29,6 +29,7 @@
 	"citronrock.example/citronrock/internal/route/follow"
 	"citronrock.example/citronrock/internal/route/notice"
 	"citronrock.example/citronrock/internal/route/plan"
+	"citronrock.example/citronrock/internal/route/probe"
 	"github.com/rotisserie/eris"
 )
 
@@ -60,6 +61,7 @@
 	socket   *gram.Socket
 	beats    *beat.Node
 	table    *fleet.Table
+	prober   *probe.Prober
 	grants   *grant.Node
 	follower *follow.Follower
 	server   *serve.Server
@@ -91,11 +93,10 @@
 	}
 	self := beat.Member{Addr: s.Peer, Power: s.Power, Start: r.start.UnixNano()}
 	r.beats = beat.Start(r.socket, self, s.Seeds, p.Log)
-	r.table = fleet.New(fleet.WithChanged(func() {
-		if r.grants != nil {
-			r.grants.Refresh()
-		}
-	}))
+	r.table = fleet.New(
+		fleet.WithChanged(func() { r.grants.Refresh() }),
+		fleet.WithSuspect(func(s fleet.Server) { r.prober.Suspect(s) }))
+	r.prober = probe.New(r.table, p.Log)
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
 	r.unary = &unary.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress, Quota: budget, Log: p.Log}
@@ -283,9 +284,8 @@
 }
 
 func (r *Router) closePeers() {
-	if r.grants != nil {
-		r.grants.Close()
-	}
+	r.prober.Close()
+	r.grants.Close()
 	r.beats.Close()
 	r.socket.Close()
 }
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -34,6 +34,8 @@
 	// offerFor is the share of the time for which a KV cache is kept during which
 	// it is offered to a second engine.
 	offerFor = 0.7
+	// lapseRest is how long a prefill engine whose cache was gone is left alone.
+	lapseRest = 3 * time.Second
 	// stallFor is the number of longest pauses after which a stream that may be
 	// resumed is taken for dead, and stallFloor the shortest such time.
 	stallFor   = 4
@@ -58,6 +60,8 @@
 	// leased is when the lease was granted.
 	leased time.Time
 	cache  *entry.Cache
+	// reader is the engine that made the cache.
+	reader string
 	// begun is set once part of the answer was sent to the client, maybe is set
 	// while a run that may have happened forbids another one.
 	begun, maybe bool
@@ -218,6 +222,10 @@
 		j.lease.Wrote()
 		return finish
 	}
+	if j.Table.IsResting(time.Now(), j.lease.Decode) {
+		// The prompt would be read in vain.
+		return j.elsewhere(ctx, j.lease.Decode, false, true)
+	}
 	s, ok := j.Table.Get(time.Now(), j.lease.Prefill)
 	if !ok {
 		return j.elsewhere(ctx, j.lease.Prefill, false, true)
@@ -233,7 +241,7 @@
 	cache, err := j.Backends.Prefill(cut, s, j.call, entry.Options{Left: time.Until(j.deadline)})
 	if err == nil {
 		note(time.Now(), fleet.OK, time.Since(begun))
-		j.cache = cache
+		j.cache, j.reader = cache, s.ID
 		j.lease.Wrote()
 		return finish
 	}
@@ -253,7 +261,9 @@
 		j.fail(ctx, "budget")
 		return finish
 	}
-	j.exclude(id)
+	if id != "" {
+		j.exclude(id)
+	}
 	return again
 }
 
@@ -318,13 +328,22 @@
 	if f.Misdirected {
 		j.Table.Misdirected(time.Now(), s)
 	}
-	switch f.Fault {
-	case event.FaultUnsent, event.FaultRefused:
+	switch {
+	case f.Fault == event.FaultUnsent:
 		// The KV cache is still there for another engine, if it is young enough.
 		if j.cache != nil && time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
 			j.dropCache(ctx)
 		}
-		return j.elsewhere(ctx, s.ID, f.Full, f.Fault == event.FaultUnsent || j.Quota.Take(j.service.Name))
+		return j.elsewhere(ctx, s.ID, false, true)
+	case f.Fault == event.FaultRefused && f.Full && j.cache != nil:
+		// The ledger had room, so that a lost cache is the likelier cause: the
+		// caches of some engines lapse early.
+		j.Table.Rest(time.Now(), j.reader, lapseRest)
+		j.exclude(j.reader)
+		j.dropCache(ctx)
+		return j.elsewhere(ctx, "", true, j.Quota.Take(j.service.Name))
+	case f.Fault == event.FaultRefused:
+		return j.elsewhere(ctx, s.ID, f.Full, j.Quota.Take(j.service.Name))
 	}
 	j.cache = nil // the engine may have taken it
 	j.runs++
--- a/internal/room/grant/lease.go
+++ b/internal/room/grant/lease.go
@@ -86,10 +86,7 @@
 		if full {
 			m.full[l.Decode] = now
 		}
-		if due := now.Add(reportPause); l.node.reportAt.After(due) {
-			l.node.reportAt = due
-			time.AfterFunc(reportPause+time.Millisecond, func() { l.node.do(l.node.tick) })
-		}
+		l.node.reportSoon(now)
 	})
 }
 
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -197,8 +197,22 @@
 	})
 }
 
-// Refresh takes the current entries of the backend servers.
-func (n *Node) Refresh() { n.do(n.refresh) }
+// Refresh takes the current entries and health of the backend servers and tells
+// the owners soon.
+func (n *Node) Refresh() {
+	n.do(func(now time.Time) {
+		n.refresh(now)
+		n.reportSoon(now)
+	})
+}
+
+// reportSoon makes a report due after a pause that joins several changes.
+func (n *Node) reportSoon(now time.Time) {
+	if due := now.Add(reportPause); n.reportAt.After(due) {
+		n.reportAt = due
+		time.AfterFunc(reportPause+time.Millisecond, func() { n.do(n.tick) })
+	}
+}
 
 func (n *Node) refresh(now time.Time) {
 	for service, room := range n.rooms {
@@ -335,13 +349,14 @@
 // report sends what this daemon runs.
 func (n *Node) report(now time.Time) {
 	for service, m := range n.own {
-		if len(m.leases) == 0 && now.After(m.until) {
+		resting := n.fleet.Resting(now, service)
+		if len(m.leases) == 0 && now.After(m.until) && len(resting) == 0 {
 			delete(n.own, service)
 			continue
 		}
 		n.number++
 		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
-			Resting: n.fleet.Resting(now, service)}
+			Resting: resting}
 		for _, l := range m.leases {
 			r.Runs = append(r.Runs, l.run())
 		}
--- a/internal/room/ledger/foreign.go
+++ b/internal/room/ledger/foreign.go
@@ -23,6 +23,8 @@
 	foreignLife = 3 * time.Second
 	// reportLag is the greatest age of what engines report.
 	reportLag = time.Second
+	// roomy is the share of its memory in use below which an engine is not full.
+	roomy = 0.7
 	// tolerance is the share of an engine's memory by which report and ledger may
 	// differ.
 	tolerance = 0.1
@@ -91,6 +93,9 @@
 			slots++
 		}
 	}
+	if u.Waiting == 0 && float64(u.Tokens) < roomy*float64(e.Tokens) {
+		delete(l.full, engine) // it refused for another reason
+	}
 	f := Foreign{Tokens: u.Tokens - tokens, Slots: u.Running + u.Waiting - slots, at: now}
 	if f.Slots <= 0 || float64(f.Tokens) < tolerance*float64(e.Tokens) {
 		delete(l.foreign, engine)
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -84,17 +84,23 @@
 	outageEnd time.Time
 	outage    bool
 	changed   func()
+	suspect   func(Server)
 }
 
 // Option changes a setting of a table.
 type Option func(*Table)
 
-// WithChanged sets a function that is called after the set of servers changed.
+// WithChanged sets a function that is called after the set of servers that can
+// be used changed. It must not block.
 func WithChanged(f func()) Option { return func(t *Table) { t.changed = f } }
 
+// WithSuspect sets a function that is called when a request could not reach a
+// server or got no whole answer from it. It must not block.
+func WithSuspect(f func(Server)) Option { return func(t *Table) { t.suspect = f } }
+
 // New returns an empty table.
 func New(opts ...Option) *Table {
-	t := &Table{servers: map[string]*record{}, wrong: map[key]time.Time{}, changed: func() {}}
+	t := &Table{servers: map[string]*record{}, wrong: map[key]time.Time{}, changed: func() {}, suspect: func(Server) {}}
 	for _, o := range opts {
 		o(t)
 	}
--- a/internal/route/fleet/health.go
+++ b/internal/route/fleet/health.go
@@ -30,10 +30,10 @@
 	failWeight = 0.12
 	// tookWeight is the weight of one answer in the mean latency.
 	tookWeight = 0.15
-	// restFirst and restLimit bound how long a server that can't be reached is
-	// left alone. A crashed server needs some seconds to come back.
-	restFirst = 400 * time.Millisecond
-	restLimit = 3 * time.Second
+	// silentRow is the number of requests without an answer in a row after which
+	// a server is left alone for silentRest.
+	silentRow  = 2
+	silentRest = time.Second
 )
 
 // health is the estimate of one server from the requests of this daemon.
@@ -42,45 +42,37 @@
 	fails float64
 	// took is the mean latency of complete answers.
 	took time.Duration
-	// row counts failures to reach the server since the last answer.
-	row   int
-	until time.Time
-	// tried is set while one request tests a server after its rest.
-	tried bool
+	// silent counts requests without an answer since the last answer.
+	silent int
+	// down is set while no connection can be opened.
+	down bool
+	// rest is until when the server is left alone for another reason.
+	rest time.Time
 }
 
 func (h *health) note(now time.Time, o Outcome, took time.Duration) {
+	bad := 1.0
 	switch o {
 	case Unknown:
-		h.tried = false
 		return
-	case OK, Failed, Busy:
-		h.row, h.until, h.tried = 0, time.Time{}, false
-	case Broken, Unreachable, Silent:
-		h.tried = false
-		rest := min(restFirst<<min(h.row, 4), restLimit)
-		h.row++
-		if o != Broken || h.row > 1 {
-			h.until = now.Add(rest)
-		}
-	}
-	bad := 0.0
-	if o != OK {
-		bad = 1
-	}
-	h.fails += (bad - h.fails) * failWeight
-	if o == OK && took > 0 {
+	case OK:
+		bad, h.silent, h.down = 0, 0, false
 		if h.took == 0 {
 			h.took = took
 		}
 		h.took += time.Duration(float64(took-h.took) * tookWeight)
+	case Failed, Busy:
+		h.silent, h.down = 0, false
+	case Silent:
+		if h.silent++; h.silent >= silentRow {
+			h.rest = now.Add(silentRest)
+		}
 	}
+	h.fails += (bad - h.fails) * failWeight
 }
 
 // resting tells whether the server is left alone.
-func (h *health) resting(now time.Time) bool {
-	return now.Before(h.until) || h.row > 1 && h.tried
-}
+func (h *health) resting(now time.Time) bool { return h.down || now.Before(h.rest) }
 
 // Begin counts a request at a server. The returned function takes its outcome.
 func (t *Table) Begin(id string) func(now time.Time, o Outcome, took time.Duration) {
@@ -91,16 +83,59 @@
 		return func(time.Time, Outcome, time.Duration) {}
 	}
 	r.open++
-	r.health.tried = r.health.row > 1
 	return func(now time.Time, o Outcome, took time.Duration) {
 		t.mu.Lock()
-		defer t.mu.Unlock()
 		r.open--
+		rested := r.health.resting(now)
 		r.health.note(now, o, took)
+		changed := rested != r.health.resting(now)
+		t.mu.Unlock()
+		if o == Broken || o == Unreachable || o == Silent {
+			t.suspect(r.Server)
+		}
+		if changed {
+			t.changed()
+		}
 	}
 }
 
-// Resting returns the servers of a service that requests could not reach.
+// SetDown records whether connections to a server can be opened. It returns
+// false when the server is not known any more.
+func (t *Table) SetDown(s Server, down bool) bool {
+	t.mu.Lock()
+	r := t.servers[s.ID]
+	if r == nil || r.key() != s.key() {
+		t.mu.Unlock()
+		return false
+	}
+	changed := r.health.down != down
+	r.health.down = down
+	t.mu.Unlock()
+	if changed {
+		t.changed()
+	}
+	return true
+}
+
+// Rest leaves a server alone for a while, unless no other can be used.
+func (t *Table) Rest(now time.Time, id string, d time.Duration) {
+	t.mu.Lock()
+	if r := t.servers[id]; r != nil {
+		r.health.rest = now.Add(d)
+	}
+	t.mu.Unlock()
+	t.changed()
+}
+
+// IsResting tells whether a server is left alone.
+func (t *Table) IsResting(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.servers[id]
+	return r != nil && r.health.resting(now)
+}
+
+// Resting returns the servers of a service that are left alone.
 func (t *Table) Resting(now time.Time, service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/route/probe/probe.go
@@ -0,0 +1,115 @@
+// Package probe finds out whether a backend server that failed a request can
+// still be reached, and when it can be reached again. Without it each daemon
+// would find out by a request of a client.
+package probe
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	// again is the time between attempts to connect to a server that is down.
+	again = 250 * time.Millisecond
+	// timeout bounds an attempt: far above a handshake within a region.
+	timeout = 200 * time.Millisecond
+	// longest bounds the watch over one server. Its entry goes after some seconds.
+	longest = 30 * time.Second
+)
+
+// Prober checks servers on suspicion.
+type Prober struct {
+	table *fleet.Table
+	log   hclog.Logger
+	dial  func(ctx context.Context, to netip.AddrPort) error
+
+	mu     sync.Mutex
+	active map[string]bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+}
+
+// Option changes a setting of a prober.
+type Option func(*Prober)
+
+// WithDial replaces the opening of a connection.
+func WithDial(f func(ctx context.Context, to netip.AddrPort) error) Option {
+	return func(p *Prober) { p.dial = f }
+}
+
+// New returns a prober for the servers of a table.
+func New(table *fleet.Table, log hclog.Logger, opts ...Option) *Prober {
+	p := &Prober{table: table, log: log, dial: dial, active: map[string]bool{}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+func dial(ctx context.Context, to netip.AddrPort) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", to.String())
+	if err == nil {
+		conn.Close()
+	}
+	return err
+}
+
+// Suspect begins to check a server unless that is going on.
+func (p *Prober) Suspect(s fleet.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active[s.ID] || p.ctx.Err() != nil {
+		return
+	}
+	p.active[s.ID] = true
+	p.all.Go(func() {
+		p.check(s)
+		p.mu.Lock()
+		delete(p.active, s.ID)
+		p.mu.Unlock()
+	})
+}
+
+// check marks the server as down until a connection can be opened.
+func (p *Prober) check(s fleet.Server) {
+	begun := time.Now()
+	for down := false; time.Since(begun) < longest; {
+		ctx, cancel := context.WithTimeout(p.ctx, timeout)
+		err := p.dial(ctx, s.Addr)
+		cancel()
+		if p.ctx.Err() != nil {
+			return
+		}
+		known := p.table.SetDown(s, err != nil)
+		if err != nil && !down {
+			p.log.Warn("server lost", "server", s.ID, "service", s.Service, "addr", s.Addr.String(), "error", err.Error())
+		}
+		if err == nil && down {
+			p.log.Info("server regained", "server", s.ID, "service", s.Service, "took", time.Since(begun).Milliseconds())
+		}
+		if err == nil || !known {
+			return
+		}
+		down = true
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-time.After(again):
+		}
+	}
+	p.table.SetDown(s, false)
+}
+
+// Close ends all checks.
+func (p *Prober) Close() {
+	p.cancel()
+	p.all.Wait()
+}
