Balance the stages of engines; find replaced engines once

Cause: on the grown sites a third of the engines prefill, which is twice what the decode engines' memory can use, while drafts are refused for want of decode memory.

Change: the owner of a ledger, once it has owned it for 5 s and sees most daemons, orders idle prefill engines to decode until the rest can just feed the decode engines. An order carries a fencing number from the clock and the number of orders that the engine has accepted. A probe asks a server that is back who it is, and daemons report replaced servers to the owner.

--- a/edge.go
+++ b/edge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/room/grant"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/plan"
@@ -21,6 +22,12 @@
 	Prefill(ctx context.Context, to fleet.Server, c *entry.Call, o entry.Options) (*entry.Cache, error)
 	// Usage asks an engine what it has in use.
 	Usage(ctx context.Context, s fleet.Server) (ledger.Usage, error)
+	// Same asks at the path of the health check whether a server is still the one
+	// of its entry.
+	Same(ctx context.Context, s fleet.Server, health string) (bool, error)
+	// Order tells an engine to change its stage. The error tells that it did not
+	// accept the order, or that this is not known.
+	Order(ctx context.Context, s fleet.Server, o grant.Order) error
 	// Free releases a KV cache that will not be used.
 	Free(ctx context.Context, cache *entry.Cache) error
 }
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -13,7 +13,7 @@
 func First(key string, names []string) string {
 	best, top := "", uint64(0)
 	for _, n := range names {
-		s := score(key, n)
+		s := Score(key, n)
 		if best == "" || s > top || s == top && n < best {
 			best, top = n, s
 		}
@@ -25,7 +25,7 @@
 func Top(key string, names []string, n int) []string {
 	sorted := slices.Clone(names)
 	slices.SortFunc(sorted, func(a, b string) int {
-		sa, sb := score(key, a), score(key, b)
+		sa, sb := Score(key, a), Score(key, b)
 		switch {
 		case sa > sb:
 			return -1
@@ -41,7 +41,8 @@
 	return sorted[:min(n, len(sorted))]
 }
 
-func score(key, name string) uint64 {
+// Score returns the weight of a name for key. The highest one owns the key.
+func Score(key, name string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -54,6 +54,7 @@
 type Router struct {
 	settings *site.Settings
 	ingress  citronrock.Ingress
+	backends citronrock.Backends
 	log      *lines.Log
 	meter    *meter.Meter
 	start    time.Time
@@ -84,7 +85,7 @@
 
 // Start begins to serve.
 func Start(s *site.Settings, p Parts) (*Router, error) {
-	r := &Router{settings: s, ingress: p.Ingress, log: p.Log, meter: p.Meter, start: time.Now()}
+	r := &Router{settings: s, ingress: p.Ingress, backends: p.Backends, log: p.Log, meter: p.Meter, start: time.Now()}
 	p.Log.Info("start", "domain", s.Domain, "front", s.Front.String(), "peer", s.Peer.String(),
 		"seeds", len(s.Seeds), "store", s.Store.String(), "pid", os.Getpid())
 	var err error
@@ -96,7 +97,7 @@
 	r.table = fleet.New(
 		fleet.WithChanged(func() { r.grants.Refresh() }),
 		fleet.WithSuspect(func(s fleet.Server) { r.prober.Suspect(s) }))
-	r.prober = probe.New(r.table, p.Log)
+	r.prober = probe.New(r.table, r.same, p.Log)
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
 	r.unary = &unary.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress, Quota: budget, Log: p.Log}
@@ -126,13 +127,22 @@
 	return r.listenReady()
 }
 
+// same tells whether a backend server is still the one of its entry.
+func (r *Router) same(ctx context.Context, s fleet.Server) (bool, error) {
+	path := ""
+	if d := r.follower.Document(); d != nil {
+		path = d.Services[s.Service].Health
+	}
+	return r.backends.Same(ctx, s, path)
+}
+
 // apply takes a configuration before it is in force.
 func (r *Router) apply(d *plan.Document) {
 	r.server.SetLimits(d.Limits)
 	rooms := map[string]grant.Room{}
 	for name, s := range d.Services {
 		if s.Engine != nil {
-			rooms[name] = grant.Room{Slots: s.Engine.Slots, Tokens: s.Engine.Tokens}
+			rooms[name] = grant.Room{Slots: s.Engine.Slots, Tokens: s.Engine.Tokens, Switch: s.Engine.Switch}
 		}
 	}
 	r.grants.SetServices(rooms)
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -242,7 +242,7 @@
 	if err == nil {
 		note(time.Now(), fleet.OK, time.Since(begun))
 		j.cache, j.reader = cache, s.ID
-		j.lease.Wrote()
+		j.lease.Read(time.Since(begun))
 		return finish
 	}
 	f := asFault(err)
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -211,3 +211,7 @@
 	slices.SortFunc(out, func(a, b Seen) int { return a.Addr.Compare(b.Addr) })
 	return out
 }
+
+// Known returns the number of daemons that were alive within the last minute,
+// this one included.
+func (t *Table) Known() int { return len(t.known) + 1 }
--- a/internal/peer/beat/node.go
+++ b/internal/peer/beat/node.go
@@ -94,6 +94,14 @@
 	return n.table.Alive(time.Now())
 }
 
+// Known returns the number of daemons that were alive within the last minute,
+// this one included.
+func (n *Node) Known() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Known()
+}
+
 // Seeds replaces the seeds.
 func (n *Node) Seeds(seeds []netip.AddrPort) {
 	n.mu.Lock()
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -48,6 +48,8 @@
 // Members tells which daemons are alive.
 type Members interface {
 	Alive() []beat.Seen
+	// Known is the number of daemons that were alive lately.
+	Known() int
 }
 
 // Socket sends datagrams and passes on received ones.
@@ -57,9 +59,10 @@
 	Decode(body []byte, message any) bool
 }
 
-// Engines tell what they have in use.
+// Engines tell what they have in use and take orders.
 type Engines interface {
 	Usage(ctx context.Context, s fleet.Server) (ledger.Usage, error)
+	Order(ctx context.Context, s fleet.Server, o Order) error
 }
 
 // Node asks for grants and serves the ledgers of one daemon.
@@ -86,6 +89,11 @@
 	reportAt time.Time
 	// peers is the number of live daemons.
 	peers int
+	// since is when this daemon became the owner of a service, looked when that
+	// was last checked.
+	since         map[string]time.Time
+	looked, begun time.Time
+	fence         int64
 
 	next atomic.Uint64
 	load sync.Map
@@ -94,6 +102,8 @@
 // Room is the capacity of one engine of a service.
 type Room struct {
 	Slots, Tokens int
+	// Switch is the time that a change of stage takes.
+	Switch time.Duration
 }
 
 // mine is what this daemon runs at the engines of one service.
@@ -101,6 +111,8 @@
 	leases map[uint64]*Lease
 	ended  map[uint64]time.Time
 	full   map[string]time.Time
+	// pace is the best rate of prefill engines in tokens a second.
+	pace float64
 	// until is when the last report is due after the last run ended.
 	until time.Time
 }
@@ -117,7 +129,7 @@
 		fleet: table, engines: engines, log: log, commands: make(chan func(time.Time), 256),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		ledgers: map[string]*ledger.Ledger{}, rooms: map[string]Room{}, own: map[string]*mine{},
-		pending: map[uint64]*pending{}, shunned: map[netip.AddrPort]time.Time{}}
+		pending: map[uint64]*pending{}, shunned: map[netip.AddrPort]time.Time{}, since: map[string]time.Time{}, begun: time.Now()}
 	socket.Handle(gram.Ask, n.onAsk)
 	socket.Handle(gram.Answer, n.onAnswer)
 	socket.Handle(gram.Drop, n.onDrop)
@@ -293,6 +305,7 @@
 		n.load.Store(service, Load{Runs: runs, Queued: queued, Share: load})
 	}
 	n.inspect(now)
+	n.balance(now)
 	if now.After(n.reportAt) {
 		n.reportAt = now.Add(min(max(reportFirst, reportEach*time.Duration(n.peers)), reportLimit))
 		n.refresh(now)
@@ -356,7 +369,7 @@
 		}
 		n.number++
 		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
-			Resting: resting}
+			Resting: resting, Pace: m.pace}
 		for _, l := range m.leases {
 			r.Runs = append(r.Runs, l.run())
 		}
--- /dev/null
+++ b/internal/room/ledger/balance.go
@@ -0,0 +1,156 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// Parameters of the balance between prefill and decode engines.
+const (
+	// prefillShare is the share of the prefill engines' rate that the decode
+	// engines can use up at most. The rest keeps the queue for prefill short.
+	prefillShare = 0.7
+	// leastPrefill is the number of prefill engines that stay in a service of
+	// smallService engines or more, so that the loss of one does not stop it.
+	leastPrefill = 2
+	smallService = 4
+	// balanceRuns is the number of ended runs from which the figures hold.
+	balanceRuns = 20
+	// orderAgain is the time after which an engine may be ordered again.
+	orderAgain = 30 * time.Second
+	// switchShare is the share of a stage's engines that change at once.
+	switchShare = 0.25
+	// promptWeight is the weight of one ask in the mean length of prompts.
+	promptWeight = 0.05
+)
+
+// Change is an engine that should change its stage.
+type Change struct {
+	Engine string
+	Stage  fleet.Stage
+}
+
+// Balance returns the engine that should change its stage next, if there is one.
+//
+// The decode engines' memory and the time that a run stays bound the rate of
+// requests. Prefill engines beyond those that this rate needs are of more use as
+// decode engines. The engine is the one that keyed ranks first, so that two
+// daemons that both take themselves for the owner choose different ones.
+func (l *Ledger) Balance(now time.Time, switchTime time.Duration, keyed func(ids []string) string) (Change, bool) {
+	prefill, decode := l.staged(fleet.Prefill), l.staged(fleet.Decode)
+	changing := 0
+	for id, until := range l.changing {
+		if now.After(until) {
+			delete(l.changing, id)
+			continue
+		}
+		changing++
+	}
+	want, ok := l.wanted(len(prefill) + len(decode))
+	if !ok || changing > 0 && float64(changing+1) > switchShare*float64(len(prefill)) {
+		return Change{}, false
+	}
+	from, stage := prefill, fleet.Decode
+	switch {
+	case len(prefill)-l.leaving(prefill) > want:
+		// An engine that has prompts to read would refuse them.
+		from = slices.DeleteFunc(from, func(id string) bool { return l.unread(id) > 0 })
+	case len(prefill) == 0 && len(decode) > 1:
+		from, stage = decode, fleet.Prefill
+	default:
+		return Change{}, false
+	}
+	rest := l.resting()
+	from = slices.DeleteFunc(from, func(id string) bool { return rest[id] || now.Sub(l.ordered[id]) < orderAgain })
+	if len(from) == 0 {
+		return Change{}, false
+	}
+	id := keyed(from)
+	l.ordered[id] = now
+	l.changing[id] = now.Add(switchTime)
+	l.dirty = true
+	return Change{Engine: id, Stage: stage}, true
+}
+
+// leaving counts the engines of a list that are on their way to another stage.
+func (l *Ledger) leaving(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if _, ok := l.changing[id]; ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Kept takes back a change that the engine did not accept.
+func (l *Ledger) Kept(engine string) { delete(l.changing, engine) }
+
+// staged returns the names of the engines of a stage, in order.
+func (l *Ledger) staged(stage fleet.Stage) []string {
+	var out []string
+	for _, e := range l.engines {
+		if e.Stage == stage {
+			out = append(out, e.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// wanted returns the number of prefill engines that n engines should have.
+func (l *Ledger) wanted(n int) (int, bool) {
+	pace := l.readPace()
+	if l.ends < balanceRuns || pace <= 0 || l.prompt <= 0 || n < 2 {
+		return 0, false
+	}
+	need, count := 0, 0
+	for _, r := range l.runs {
+		need += r.Prompt + r.Expect
+		count++
+	}
+	if count == 0 {
+		return 0, false
+	}
+	mean := float64(need) / float64(count)
+	perDecode := 0.0
+	for _, e := range l.engines {
+		places := min(float64(e.Slots), fill*float64(e.Tokens)/mean)
+		perDecode = max(perDecode, places/l.stay.Seconds())
+	}
+	perPrefill := prefillShare * pace / l.prompt
+	want := 1
+	if n >= smallService {
+		want = leastPrefill
+	}
+	for want < n-1 && float64(want)*perPrefill < float64(n-want)*perDecode {
+		want++
+	}
+	return want, true
+}
+
+// readPace is the best rate of one prefill engine in tokens a second. Prompts
+// that wait for others take longer and say little.
+func (l *Ledger) readPace() float64 {
+	for _, s := range l.sources {
+		l.reads = max(l.reads, s.pace)
+	}
+	return l.reads
+}
+
+// noteLength takes the size of an ask into the means.
+func (l *Ledger) noteLength(a *Ask) {
+	weight := promptWeight
+	if l.prompt == 0 {
+		weight = 1
+	}
+	l.prompt += (float64(a.Prompt) - l.prompt) * weight
+}
+
+// isChanging tells whether an engine is on its way to another stage.
+func (l *Ledger) isChanging(now time.Time, id string) bool {
+	until, ok := l.changing[id]
+	return ok && now.Before(until)
+}
--- a/internal/room/ledger/foreign.go
+++ b/internal/room/ledger/foreign.go
@@ -34,6 +34,10 @@
 type Usage struct {
 	// Tokens is the memory in use, Running and Waiting count requests.
 	Tokens, Running, Waiting int
+	// Busy tells that the engine carries out an order, Orders how many it has
+	// accepted since its start.
+	Busy   bool
+	Orders int
 }
 
 // Foreign is what runs that the ledger does not know hold at an engine.
@@ -76,6 +80,9 @@
 	if !ok {
 		return
 	}
+	if u.Busy && !l.isChanging(now, engine) {
+		l.changing[engine] = now.Add(inspectAgain)
+	}
 	// The report is of the past: runs that have begun since are missing there and
 	// runs that have ended since are still in it.
 	tokens, slots := 0, 0
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -99,6 +99,7 @@
 	number  uint64
 	at      time.Time
 	resting []string
+	pace    float64
 }
 
 type answered struct {
@@ -125,6 +126,13 @@
 	foreign   map[string]Foreign
 	inspected map[string]time.Time
 	past      []past
+	// changing are engines on their way to another stage, ordered when engines
+	// were last ordered to change.
+	changing, ordered map[string]time.Time
+	// ends counts ended runs, prompt is the mean prompt in tokens, and reads is
+	// the best rate of a prefill engine in tokens a second.
+	ends          int
+	prompt, reads float64
 	// begun is when the ledger last got an ask after a time without.
 	begun time.Time
 	// pace is the number of tokens that a run makes in a second.
@@ -138,6 +146,7 @@
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
+		changing: map[string]time.Time{}, ordered: map[string]time.Time{},
 		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace}
 }
 
@@ -173,7 +182,7 @@
 		s = &source{start: r.Start}
 		l.sources[edge] = s
 	}
-	s.number, s.at, s.resting = r.Number, now, r.Resting
+	s.number, s.at, s.resting, s.pace = r.Number, now, r.Resting, r.Pace
 	for _, id := range r.Full {
 		l.full[id] = now
 	}
@@ -217,6 +226,7 @@
 		return
 	}
 	if e.Made > 0 {
+		l.ends++
 		l.stay += time.Duration(stayWeight * float64(now.Sub(e.granted)-l.stay))
 	}
 	l.past = append(l.past, past{e.Decode, e.Prompt + e.Made, now})
@@ -264,12 +274,13 @@
 	l.queue = append(l.queue, w)
 	l.dirty = true
 	l.note(now, a.Prompt+a.Expect)
+	l.noteLength(&a)
 	out := l.Tick(now)
 	if _, ok := l.answers[k]; ok {
 		return out
 	}
 	ahead := slices.Index(l.queue, w)
-	wait, reason := l.predict(w, ahead)
+	wait, reason := l.predict(now, w, ahead)
 	if reason == "" && !l.worthwhile(now, w, wait) {
 		reason = ReasonWait
 	}
@@ -317,7 +328,7 @@
 			continue
 		}
 		if now.After(w.refusal) {
-			wait, reason := l.predict(w, len(kept))
+			wait, reason := l.predict(now, w, len(kept))
 			out = append(out, l.refuse(now, w, wait, cmp.Or(reason, ReasonTired)))
 			continue
 		}
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -21,12 +21,12 @@
 
 // usable returns the engines of a stage that an ask may use, in order of names.
 // Engines that daemons can't reach are left out, unless that leaves none.
-func (l *Ledger) usable(a *Ask, stage fleet.Stage) []Engine {
+func (l *Ledger) usable(now time.Time, a *Ask, stage fleet.Stage) []Engine {
 	rest := l.resting()
 	var sound, doubtful []Engine
 	for _, e := range l.engines {
 		switch {
-		case e.Stage != stage || slices.Contains(a.Without, e.ID):
+		case e.Stage != stage || l.isChanging(now, e.ID) || slices.Contains(a.Without, e.ID):
 		case rest[e.ID]:
 			doubtful = append(doubtful, e)
 		default:
@@ -46,7 +46,7 @@
 	var best Engine
 	low := 0.0
 	grown := l.grown(now)
-	for _, e := range l.usable(a, fleet.Decode) {
+	for _, e := range l.usable(now, a, fleet.Decode) {
 		if now.Sub(l.full[e.ID]) < fullFor {
 			continue
 		}
@@ -69,7 +69,7 @@
 	if !ok || a.Read {
 		return best.ID, "", ok
 	}
-	return best.ID, l.reader(a, best), true
+	return best.ID, l.reader(now, a, best), true
 }
 
 // grown returns the runs of each decode engine.
@@ -92,9 +92,9 @@
 
 // reader returns the prefill engine with the fewest tokens to read before an
 // ask.
-func (l *Ledger) reader(a *Ask, decode Engine) string {
+func (l *Ledger) reader(now time.Time, a *Ask, decode Engine) string {
 	best, low := "", 0
-	for _, e := range l.usable(a, fleet.Prefill) {
+	for _, e := range l.usable(now, a, fleet.Prefill) {
 		cost := l.unread(e.ID)
 		if e.Domain != decode.Domain {
 			cost += crossPrefill
@@ -119,8 +119,8 @@
 
 // predict estimates how long an ask with a number of asks before it will wait.
 // A reason is returned when it can't be served at all.
-func (l *Ledger) predict(w *waiting, ahead int) (time.Duration, string) {
-	engines := l.usable(&w.Ask, fleet.Decode)
+func (l *Ledger) predict(now time.Time, w *waiting, ahead int) (time.Duration, string) {
+	engines := l.usable(now, &w.Ask, fleet.Decode)
 	if len(engines) == 0 {
 		return longestReturn, ReasonEngine
 	}
--- a/internal/route/fleet/health.go
+++ b/internal/route/fleet/health.go
@@ -135,13 +135,15 @@
 	return r != nil && r.health.resting(now)
 }
 
-// Resting returns the servers of a service that are left alone.
+// Resting returns the servers of a service that are left alone, or whose address
+// another server has.
 func (t *Table) Resting(now time.Time, service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for id, r := range t.servers {
-		if r.Service == service && r.health.resting(now) {
+		_, wrong := t.wrong[r.key()]
+		if r.Service == service && (wrong || r.health.resting(now)) {
 			out = append(out, id)
 		}
 	}
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -28,6 +28,7 @@
 	table *fleet.Table
 	log   hclog.Logger
 	dial  func(ctx context.Context, to netip.AddrPort) error
+	same  func(ctx context.Context, s fleet.Server) (bool, error)
 
 	mu     sync.Mutex
 	active map[string]bool
@@ -44,9 +45,10 @@
 	return func(p *Prober) { p.dial = f }
 }
 
-// New returns a prober for the servers of a table.
-func New(table *fleet.Table, log hclog.Logger, opts ...Option) *Prober {
-	p := &Prober{table: table, log: log, dial: dial, active: map[string]bool{}}
+// New returns a prober for the servers of a table. Same tells whether a server
+// that can be reached again is still the one of its entry.
+func New(table *fleet.Table, same func(ctx context.Context, s fleet.Server) (bool, error), log hclog.Logger, opts ...Option) *Prober {
+	p := &Prober{table: table, log: log, dial: dial, same: same, active: map[string]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(p)
@@ -88,6 +90,9 @@
 		if p.ctx.Err() != nil {
 			return
 		}
+		if err == nil && down {
+			err = p.identify(s)
+		}
 		known := p.table.SetDown(s, err != nil)
 		if err != nil && !down {
 			p.log.Warn("server lost", "server", s.ID, "service", s.Service, "addr", s.Addr.String(), "error", err.Error())
@@ -108,6 +113,19 @@
 	p.table.SetDown(s, false)
 }
 
+// identify asks a server that can be reached again who it is. Another process at
+// its address would refuse each request.
+func (p *Prober) identify(s fleet.Server) error {
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
+	defer cancel()
+	same, err := p.same(ctx, s)
+	if err == nil && !same {
+		p.log.Info("server replaced", "server", s.ID, "service", s.Service, "addr", s.Addr.String())
+		p.table.Misdirected(time.Now(), s)
+	}
+	return err
+}
+
 // Close ends all checks.
 func (p *Prober) Close() {
 	p.cancel()
