Tell heard changes on; answer a run that ends before its first event

Daemons that heard only the second reader kept servers whose entries were removed.

Ruled out: late entries of servers that left; no entry came after the removals. They are guarded against now by the entries' own count.

Change: heard changes join the log of notices; a request without an answer always gets the router's; readers wait for changes instead of sleeping between reads.

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -62,9 +62,10 @@
 	cache  *entry.Cache
 	// reader is the engine that made the cache.
 	reader string
-	// begun is set once part of the answer was sent to the client, maybe is set
-	// while a run that may have happened forbids another one.
-	begun, maybe bool
+	// answered is set once the client got the header of an answer, begun once that
+	// is the header of a stream. maybe is set from the time on at which the request
+	// may have run.
+	answered, begun, maybe bool
 	sends, runs  int
 	events       int
 	last         string
@@ -368,10 +369,10 @@
 	var body bytes.Buffer
 	_, err := body.ReadFrom(io.LimitReader(reply.Body, answerLimit))
 	if err != nil || entry.Promise(reply.Status) || j.begun {
-		j.outcome.Server = ""
 		return j.interrupted(ctx, s, &entry.Fault{Fault: event.FaultFailed, Err: errors.New("engine answers " + http.StatusText(reply.Status))})
 	}
 	j.outcome.Result, j.outcome.Reason, j.outcome.Status = "failed", "server", reply.Status
+	j.answered = true
 	entry.CopyHeader(j.out.Header(), reply.Header)
 	entry.SetLength(j.out.Header(), body.Len())
 	j.out.WriteHeader(reply.Status)
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -68,7 +68,7 @@
 
 // begin sends the header of the first run's answer.
 func (j *job) begin(reply *entry.Reply) {
-	j.begun = true
+	j.answered, j.begun = true, true
 	j.outcome.First = time.Since(j.call.Received)
 	j.learnLead(j.service.Name, time.Since(j.leased))
 	entry.CopyHeader(j.out.Header(), reply.Header)
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -152,7 +152,7 @@
 		o.Result, o.Reason, o.Status = "gone", "client", 0
 		return *o
 	}
-	if o.Status != 0 && !j.begun && o.Server == "" {
+	if !j.answered {
 		h.Ingress.Refuse(w, c, o.Status, o.After, "the request was not answered: "+o.Result+", "+o.Reason)
 	}
 	return *o
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -42,6 +42,9 @@
 	Born time.Time
 	// Revision is the version of the entry in the platform's store.
 	Revision uint64
+	// Beat counts the entries that the server's process has written. A late entry
+	// may be written after a newer one.
+	Beat uint64
 }
 
 // key names one process of a backend server.
@@ -80,6 +83,9 @@
 	mu      sync.Mutex
 	servers map[string]*record
 	wrong   map[key]time.Time
+	// left holds the last entry of processes whose entries were removed, so that a
+	// late entry does not bring them back.
+	left map[key]uint64
 	// outageEnd is when the store last came back.
 	outageEnd time.Time
 	outage    bool
@@ -100,7 +106,7 @@
 
 // New returns an empty table.
 func New(opts ...Option) *Table {
-	t := &Table{servers: map[string]*record{}, wrong: map[key]time.Time{}, changed: func() {}, suspect: func(Server) {}}
+	t := &Table{servers: map[string]*record{}, wrong: map[key]time.Time{}, left: map[key]uint64{}, changed: func() {}, suspect: func(Server) {}}
 	for _, o := range opts {
 		o(t)
 	}
@@ -121,16 +127,19 @@
 func (t *Table) Put(s Server) bool {
 	t.mu.Lock()
 	r := t.servers[s.ID]
-	if r != nil && (s.Born.Before(r.Born) || s.Revision < r.Revision) {
+	last, left := t.left[s.key()]
+	if r != nil && (s.Born.Before(r.Born) || s.Revision < r.Revision || s.key() == r.key() && s.Beat < r.Beat) ||
+		left && s.Beat <= last {
 		t.mu.Unlock()
 		return false
 	}
+	delete(t.left, s.key())
 	fresh := r == nil || r.key() != s.key() || r.Addr != s.Addr
 	if fresh {
 		t.servers[s.ID] = &record{Server: s}
 	} else {
 		same := r.Server
-		same.Revision = s.Revision
+		same.Revision, same.Beat = s.Revision, s.Beat
 		fresh = same != s || !r.goneAt.IsZero()
 		r.Server, r.goneAt = s, time.Time{}
 	}
@@ -165,6 +174,7 @@
 			r.goneAt = t.outageEnd
 		}
 	} else {
+		t.left[r.key()] = r.Beat
 		delete(t.servers, id)
 	}
 	t.mu.Unlock()
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -18,9 +18,11 @@
 
 // Times of the loop.
 const (
-	// readEvery is the time between reads of the changes. The entries of servers
-	// change many times a second, so that a waiting read would return at once.
+	// readEvery is the time that a reader's read waits for a change, so that other
+	// daemons hear from it as often.
 	readEvery = 500 * time.Millisecond
+	// readPause joins changes that come together.
+	readPause = 20 * time.Millisecond
 	// noticeLife is how long a notice of a reader stands for a read of this
 	// daemon: two lost notices don't cause a read.
 	noticeLife = 1200 * time.Millisecond
@@ -150,7 +152,10 @@
 		} else {
 			err = f.load(ctx)
 		}
-		pause := readEvery
+		pause := readPause
+		if !f.peers.Reader() {
+			pause = noticeLife
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -188,16 +193,21 @@
 	}
 	now := time.Now()
 	f.table.Outage(now, false)
+	var events []notice.Event
 	for _, e := range n.Events {
 		if e.Revision <= f.revision {
 			continue
 		}
+		events = append(events, e)
 		if e.Gone {
 			f.remove(now, e.ID, e.Revision, e.Lapsed)
 		} else {
 			f.put(e.Server())
 		}
 	}
+	// Notices of this daemon must have these changes, too: they tell of all
+	// changes after their base.
+	f.changed.Add(now, f.revision, n.At, f.version(), events)
 	f.heard = now
 	f.note(n.At)
 	return true
@@ -214,7 +224,7 @@
 	changed := f.table.Put(s)
 	if changed {
 		f.log.Info("server changed", "server", s.ID, "service", s.Service, "addr", s.Addr.String(),
-			"stage", s.Stage.String(), "leaving", s.Leaving, "revision", s.Revision)
+			"stage", s.Stage.String(), "leaving", s.Leaving, "revision", s.Revision, "beat", s.Beat)
 	}
 	return changed
 }
@@ -253,7 +263,11 @@
 
 // changes reads what changed since the last read and tells the others.
 func (f *Follower) changes(ctx context.Context) error {
-	c, err := f.store.Watch(ctx, f.revision, 0)
+	wait := time.Duration(0)
+	if f.peers.Reader() {
+		wait = readEvery
+	}
+	c, err := f.store.Watch(ctx, f.revision, wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/route/follow/follow_test.go
@@ -0,0 +1,240 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/notice"
+	"citronrock.example/citronrock/internal/route/plan"
+	"github.com/hashicorp/go-hclog"
+)
+
+var errDown = errors.New("store is down")
+
+// store is a store of entries with a history.
+type store struct {
+	mu      sync.Mutex
+	doc     *plan.Document
+	at      uint64
+	history []citronrock.Changes
+	down    bool
+	reads   int
+}
+
+func (s *store) change(c citronrock.Changes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	for i := range c.Servers {
+		c.Servers[i].Revision = s.at
+	}
+	for i := range c.Removed {
+		c.Removed[i].Revision = s.at
+	}
+	c.Revision = s.at
+	s.history = append(s.history, c)
+	if c.Document != nil {
+		s.doc = c.Document
+	}
+}
+
+func (s *store) Load(context.Context) (*citronrock.State, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return nil, errDown
+	}
+	all := map[string]fleet.Server{}
+	for _, c := range s.history {
+		for _, e := range c.Servers {
+			all[e.ID] = e
+		}
+		for _, r := range c.Removed {
+			delete(all, r.ID)
+		}
+	}
+	out := &citronrock.State{Document: s.doc, Revision: s.at}
+	for _, e := range all {
+		out.Servers = append(out.Servers, e)
+	}
+	return out, nil
+}
+
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (*citronrock.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(wait):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return nil, errDown
+	}
+	out := &citronrock.Changes{Revision: s.at}
+	for _, c := range s.history {
+		if c.Revision > after {
+			out.Servers = append(out.Servers, c.Servers...)
+			out.Removed = append(out.Removed, c.Removed...)
+			if c.Document != nil {
+				out.Document = c.Document
+			}
+		}
+	}
+	return out, nil
+}
+
+// peers is one daemon's side of the notices between daemons.
+type peers struct {
+	reader bool
+	told   []notice.Notice
+	take   func(notice.Notice)
+	state  *citronrock.State
+}
+
+func (p *peers) Reader() bool                 { return p.reader }
+func (p *peers) Tell(n notice.Notice)         { p.told = append(p.told, n) }
+func (p *peers) Handle(f func(notice.Notice)) { p.take = f }
+func (p *peers) Fetch(context.Context) (*citronrock.State, error) {
+	if p.state == nil {
+		return nil, notice.ErrNoPeer
+	}
+	return p.state, nil
+}
+
+func server(id string) fleet.Server {
+	return fleet.Server{ID: id, Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Beat: 1, Born: time.UnixMilli(1)}
+}
+
+func document(version uint64) *plan.Document {
+	return plan.New(version, nil, []plan.Service{{Name: "s"}}, plan.Limits{})
+}
+
+func usable(t *fleet.Table) int { return len(t.Usable(time.Now(), "s")) }
+
+// Guards against a reader that passes over changes which it heard from another
+// reader: a daemon that hears only the second one would keep leaving servers.
+func TestNoticeRepeatsHeardChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{doc: document(1)}
+		s.change(citronrock.Changes{Servers: []fleet.Server{server("a")}})
+		p := &peers{reader: true}
+		table := fleet.New()
+		f := follow.Start(s, table, p, hclog.NewNullLogger())
+		defer f.Close()
+		time.Sleep(1700 * time.Millisecond)
+		base := s.at
+		s.change(citronrock.Changes{Removed: []citronrock.Removal{{ID: "a"}}})
+		p.take(notice.Notice{Base: base, At: s.at, Version: 1, Events: []notice.Event{{ID: "a", Revision: s.at, Gone: true}}})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if n := usable(table); n != 0 {
+			t.Fatalf("%d servers after the removal was heard", n)
+		}
+		last := p.told[len(p.told)-1]
+		if last.Base > base {
+			return // a daemon at base has to read the store
+		}
+		for _, e := range last.Events {
+			if e.ID == "a" && e.Gone {
+				return
+			}
+		}
+		t.Errorf("notice %+v covers the removal but does not have it", last)
+	})
+}
+
+// Guards against a daemon that trusts notices for longer than they last.
+func TestSilentReadersMakeAllRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{doc: document(1)}
+		s.change(citronrock.Changes{Servers: []fleet.Server{server("a")}})
+		p := &peers{}
+		table := fleet.New()
+		f := follow.Start(s, table, p, hclog.NewNullLogger())
+		defer f.Close()
+		time.Sleep(100 * time.Millisecond)
+		s.change(citronrock.Changes{Removed: []citronrock.Removal{{ID: "a"}}})
+		s.change(citronrock.Changes{Document: document(2)})
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		if n := usable(table); n != 0 || f.Document().Version != 2 {
+			t.Errorf("%d servers and version %d, want the removal and version 2 within 1.5 s", n, f.Document().Version)
+		}
+	})
+}
+
+// Guards against a configuration that goes back to an older one.
+func TestVersionNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{doc: document(5)}
+		p := &peers{reader: true}
+		f := follow.Start(s, fleet.New(), p, hclog.NewNullLogger())
+		defer f.Close()
+		time.Sleep(100 * time.Millisecond)
+		s.change(citronrock.Changes{Document: document(4)})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if v := f.Document().Version; v != 5 {
+			t.Errorf("version %d in force after 5", v)
+		}
+	})
+}
+
+// Guards against a fresh daemon that refuses all requests while the store is
+// away though other daemons know the configuration.
+func TestFreshDaemonFetchesState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{down: true}
+		p := &peers{state: &citronrock.State{Document: document(3), Servers: []fleet.Server{server("a")}, Revision: 7}}
+		table := fleet.New()
+		f := follow.Start(s, table, p, hclog.NewNullLogger())
+		defer f.Close()
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		if d := f.Document(); d == nil || d.Version != 3 || usable(table) != 1 {
+			t.Errorf("document %v, %d servers; want the state of the other daemon", d, usable(table))
+		}
+	})
+}
+
+// Guards against servers that are dropped since their entries lapsed while the
+// store was away, and against servers that are kept though they did not come
+// back after its return.
+func TestLapsedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{doc: document(1)}
+		s.change(citronrock.Changes{Servers: []fleet.Server{server("a")}})
+		p := &peers{reader: true}
+		table := fleet.New()
+		f := follow.Start(s, table, p, hclog.NewNullLogger())
+		defer f.Close()
+		time.Sleep(100 * time.Millisecond)
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		s.change(citronrock.Changes{Removed: []citronrock.Removal{{ID: "a"}}})
+		time.Sleep(1200 * time.Millisecond)
+		if usable(table) != 1 {
+			t.Error("server with a lapsed entry is not used 1.2 s after the store's return")
+		}
+		time.Sleep(2 * time.Second)
+		if usable(table) != 0 {
+			t.Error("server whose entry did not come back is used 3.2 s after the store's return")
+		}
+	})
+}
--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -38,6 +38,7 @@
 	Leaving  bool           `cbor:"8,keyasint,omitempty"`
 	// Born is the start of the server's process in Unix milliseconds.
 	Born int64 `cbor:"9,keyasint,omitempty"`
+	Beat uint64 `cbor:"12,keyasint,omitempty"`
 	// Gone tells that the entry was removed, Lapsed that this may be due to an
 	// outage of the store.
 	Gone   bool `cbor:"10,keyasint,omitempty"`
@@ -47,13 +48,13 @@
 // Put returns the event of a changed entry.
 func Put(s fleet.Server) Event {
 	return Event{Revision: s.Revision, ID: s.ID, Service: s.Service, Addr: s.Addr, Domain: s.Domain,
-		Slots: s.Slots, Stage: s.Stage, Leaving: s.Leaving, Born: s.Born.UnixMilli()}
+		Slots: s.Slots, Stage: s.Stage, Leaving: s.Leaving, Born: s.Born.UnixMilli(), Beat: s.Beat}
 }
 
 // Server returns the changed entry.
 func (e *Event) Server() fleet.Server {
 	return fleet.Server{ID: e.ID, Service: e.Service, Addr: e.Addr, Domain: e.Domain, Slots: e.Slots,
-		Stage: e.Stage, Leaving: e.Leaving, Born: time.UnixMilli(e.Born), Revision: e.Revision}
+		Stage: e.Stage, Leaving: e.Leaving, Born: time.UnixMilli(e.Born), Revision: e.Revision, Beat: e.Beat}
 }
 
 // Notice is what a reader tells after a read.
