Count accepted orders until engines publish them

Change: the ledger keeps the stage that it ordered until the entry has it or the engine has a new process. TestUnpublishedOrder failed before with two orders.

--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -235,7 +235,7 @@
 				slots = s.Slots
 			}
 			engines = append(engines, ledger.Engine{ID: s.ID, Domain: s.Domain, Stage: s.Stage,
-				Slots: slots, Tokens: room.Tokens})
+				Slots: slots, Tokens: room.Tokens, Born: s.Born})
 		}
 		n.ledger(service).SetEngines(engines)
 	}
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -54,7 +54,7 @@
 	}
 	from, stage := prefill, fleet.Decode
 	switch {
-	case len(prefill)-l.leaving(prefill) > want:
+	case len(prefill) > want:
 		// An engine that has prompts to read would refuse them.
 		from = slices.DeleteFunc(from, func(id string) bool { return l.unread(id) > 0 })
 	case len(prefill) == 0 && len(decode) > 1:
@@ -70,24 +70,46 @@
 	id := keyed(from)
 	l.ordered[id] = now
 	l.changing[id] = now.Add(switchTime)
+	e := l.engines[id]
+	e.Stage = stage
+	l.orders[id], l.engines[id] = e, e
 	l.dirty = true
 	return Change{Engine: id, Stage: stage}, true
 }
 
-// leaving counts the engines of a list that are on their way to another stage.
-func (l *Ledger) leaving(ids []string) int {
-	n := 0
-	for _, id := range ids {
-		if _, ok := l.changing[id]; ok {
-			n++
+// Kept takes back a change that the engine did not accept.
+func (l *Ledger) Kept(engine string) {
+	delete(l.changing, engine)
+	delete(l.orders, engine)
+}
+
+// restaged returns the engines with the stages that they have accepted. What an
+// engine publishes lags, and does not come at all while the store is away.
+func (l *Ledger) restaged(engines []Engine) []Engine {
+	if len(l.orders) == 0 {
+		return engines
+	}
+	out := slices.Clone(engines)
+	listed := make(map[string]bool, len(out))
+	for i, e := range out {
+		listed[e.ID] = true
+		o, ok := l.orders[e.ID]
+		switch {
+		case !ok:
+		case o.Stage == e.Stage || !o.Born.Equal(e.Born):
+			delete(l.orders, e.ID)
+		default:
+			out[i].Stage = o.Stage
 		}
 	}
-	return n
+	for id := range l.orders {
+		if !listed[id] {
+			delete(l.orders, id)
+		}
+	}
+	return out
 }
 
-// Kept takes back a change that the engine did not accept.
-func (l *Ledger) Kept(engine string) { delete(l.changing, engine) }
-
 // staged returns the names of the engines of a stage, in order.
 func (l *Ledger) staged(stage fleet.Stage) []string {
 	var out []string
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -134,6 +134,8 @@
 	// changing are engines on their way to another stage, ordered when engines
 	// were last ordered to change.
 	changing, ordered map[string]time.Time
+	// orders are the stages that engines have accepted and not published yet.
+	orders map[string]Engine
 	// ends counts ended runs, prompt is the mean prompt in tokens, and reads is
 	// the best rate of a prefill engine in tokens a second.
 	ends          int
@@ -151,12 +153,13 @@
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
-		changing: map[string]time.Time{}, ordered: map[string]time.Time{},
+		changing: map[string]time.Time{}, ordered: map[string]time.Time{}, orders: map[string]Engine{},
 		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace}
 }
 
 // SetEngines replaces the engines that new work may go to.
 func (l *Ledger) SetEngines(engines []Engine) {
+	engines = l.restaged(engines)
 	if l.same(engines) {
 		return
 	}
--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -230,3 +230,40 @@
 		}
 	}
 }
+
+// Guards against orders to more engines than needed while the store is away, so
+// that an accepted order is not published.
+func TestUnpublishedOrder(t *testing.T) {
+	l := ledger.New("s")
+	list := []ledger.Engine{{ID: "pa", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000},
+		{ID: "pb", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}, {ID: "pc", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}}
+	for _, id := range []string{"da", "db", "dc", "dd"} {
+		list = append(list, ledger.Engine{ID: id, Stage: fleet.Decode, Slots: 12, Tokens: 100_000})
+	}
+	orders := 0
+	var changed string
+	for i := range uint64(400) {
+		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+		l.SetEngines(list)
+		own(t, l.Ask(now, edge1, ask(i+1)), i+1)
+		report := ledger.Report{Service: "s", Start: 1, Number: i + 1, Pace: 55000}
+		for lease := i + 1; lease > 0 && lease+40 > i+1; lease-- {
+			report.Runs = append(report.Runs, ledger.Run{Lease: lease, Decode: "da", Prompt: 5000, Expect: 4000,
+				Made: int(i+1-lease) * 100, Phase: ledger.Writing})
+		}
+		l.Report(now, edge1, report)
+		if c, ok := l.Balance(now, 6*time.Second, func(ids []string) string { return ids[0] }); ok {
+			orders++
+			changed = c.Engine
+		}
+	}
+	if orders != 1 {
+		t.Fatalf("%d orders, want one of three prefill engines turned", orders)
+	}
+	now := t0.Add(41 * time.Second)
+	a := ask(1000)
+	a.Without = []string{"da", "db", "dc", "dd"}
+	if got := own(t, l.Ask(now, edge2, a), 1000); got.Decode != changed {
+		t.Errorf("answer %+v, want a grant of %s, which decodes by now", got, changed)
+	}
+}
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -19,6 +19,8 @@
 	Slots  int
 	// Tokens is the capacity of the KV cache.
 	Tokens int
+	// Born is the start of the engine's process, which ends what it was ordered.
+	Born time.Time
 }
 
 // Phase is how far a run has come.
