Bound the queue for prefill; add prefill engines when they lack

Change: a prompt is granted only while its prefill engine can begin it within 0.5 s, the predicted wait counts the prefill engines' rate, and a decode engine is turned back when the rest can't feed the decode engines even at 95% use.

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -12,6 +12,9 @@
 	// prefillShare is the share of the prefill engines' rate that the decode
 	// engines can use up at most. The rest keeps the queue for prefill short.
 	prefillShare = 0.7
+	// scarceShare is the same when prefill engines are to be added. It is higher,
+	// so that an engine is not turned back and forth.
+	scarceShare = 0.95
 	// leastPrefill is the number of prefill engines that stay in a service of
 	// smallService engines or more, so that the loss of one does not stop it.
 	leastPrefill = 2
@@ -22,6 +25,9 @@
 	orderAgain = 30 * time.Second
 	// switchShare is the share of a stage's engines that change at once.
 	switchShare = 0.25
+	// lackFor is how long prefill engines must lack before a decode engine is
+	// ordered to prefill.
+	lackFor = time.Second
 	// promptWeight is the weight of one ask in the mean length of prompts.
 	promptWeight = 0.05
 )
@@ -48,7 +54,11 @@
 		}
 		changing++
 	}
-	want, ok := l.wanted(len(prefill) + len(decode))
+	want, ok := l.wanted(len(prefill)+len(decode), prefillShare)
+	least, _ := l.wanted(len(prefill)+len(decode), scarceShare)
+	if len(prefill) >= least {
+		l.lackSince = time.Time{}
+	}
 	if !ok || changing > 0 && float64(changing+1) > switchShare*float64(len(prefill)) {
 		return Change{}, false
 	}
@@ -57,7 +67,7 @@
 	case len(prefill) > want:
 		// An engine that has prompts to read would refuse them.
 		from = slices.DeleteFunc(from, func(id string) bool { return l.unread(id) > 0 })
-	case len(prefill) == 0 && len(decode) > 1:
+	case len(prefill) < least && l.lacking(now) && len(decode) > 1:
 		from, stage = decode, fleet.Prefill
 	default:
 		return Change{}, false
@@ -77,6 +87,15 @@
 	return Change{Engine: id, Stage: stage}, true
 }
 
+// lacking tells whether there have been too few prefill engines for a while. An
+// engine that crashed may come back before another one has changed.
+func (l *Ledger) lacking(now time.Time) bool {
+	if l.lackSince.IsZero() {
+		l.lackSince = now
+	}
+	return now.Sub(l.lackSince) > lackFor
+}
+
 // Kept takes back a change that the engine did not accept.
 func (l *Ledger) Kept(engine string) {
 	delete(l.changing, engine)
@@ -122,8 +141,9 @@
 	return out
 }
 
-// wanted returns the number of prefill engines that n engines should have.
-func (l *Ledger) wanted(n int) (int, bool) {
+// wanted returns the number of prefill engines that n engines should have when
+// the others use up a share of their rate.
+func (l *Ledger) wanted(n int, share float64) (int, bool) {
 	pace := l.readPace()
 	if l.ends < balanceRuns || pace <= 0 || l.prompt <= 0 || n < 2 {
 		return 0, false
@@ -142,9 +162,9 @@
 		places := min(float64(e.Slots), fill*float64(e.Tokens)/mean)
 		perDecode = max(perDecode, places/l.stay.Seconds())
 	}
-	perPrefill := prefillShare * pace / l.prompt
+	perPrefill := share * pace / l.prompt
 	want := 1
-	if n >= smallService {
+	if n >= smallService && share < scarceShare {
 		want = leastPrefill
 	}
 	for want < n-1 && float64(want)*perPrefill < float64(n-want)*perDecode {
@@ -169,6 +189,7 @@
 		weight = 1
 	}
 	l.prompt += (float64(a.Prompt) - l.prompt) * weight
+	l.need += (float64(a.Prompt+a.Expect) - l.need) * weight
 }
 
 // isChanging tells whether an engine is on its way to another stage.
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -59,6 +59,9 @@
 	// engine's failure domain may have more than another: a transfer between
 	// domains takes twice as long and is charged.
 	crossPrefill = 6000
+	// readLimit is the time for the prompts before an ask in the queue of its
+	// prefill engine. Longer queues would hold decode memory for nothing.
+	readLimit = 500 * time.Millisecond
 	// crossDecode is the same for decode engines, as a share of their memory.
 	crossDecode = 0.03
 )
@@ -136,10 +139,13 @@
 	changing, ordered map[string]time.Time
 	// orders are the stages that engines have accepted and not published yet.
 	orders map[string]Engine
-	// ends counts ended runs, prompt is the mean prompt in tokens, and reads is
-	// the best rate of a prefill engine in tokens a second.
-	ends          int
-	prompt, reads float64
+	// lackSince is since when there are too few prefill engines.
+	lackSince time.Time
+	// ends counts ended runs, prompt and need are the mean prompt and memory of
+	// asks in tokens, and reads is the best rate of a prefill engine in tokens a
+	// second.
+	ends                int
+	prompt, need, reads float64
 	// begun is when the ledger last got an ask after a time without.
 	begun time.Time
 	// pace is the number of tokens that a run makes in a second.
@@ -442,16 +448,23 @@
 	l.askedAt = now
 }
 
-// rate is the memory in tokens that comes free in a second while all engines
-// are in use.
+// rate is the memory in tokens that can be granted in a second: what comes free
+// while all decode engines are in use, and what the prefill engines can fill.
 func (l *Ledger) rate() float64 {
-	total := 0
+	total, readers := 0, 0
 	for _, e := range l.engines {
-		if e.Stage == fleet.Decode {
+		switch e.Stage {
+		case fleet.Prefill:
+			readers++
+		default:
 			total += e.Tokens
 		}
 	}
-	return fill * float64(total) / l.stay.Seconds()
+	rate := fill * float64(total) / l.stay.Seconds()
+	if pace := l.readPace(); pace > 0 && readers > 0 && l.prompt > 0 {
+		rate = min(rate, float64(readers)*pace*l.need/l.prompt)
+	}
+	return rate
 }
 
 // load is the share of decode memory that runs will need.
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -69,7 +69,11 @@
 	if !ok || a.Read {
 		return best.ID, "", ok
 	}
-	return best.ID, l.reader(now, a, best), true
+	reader, queue := l.reader(now, a, best)
+	if pace := l.readPace(); pace > 0 && float64(queue) > pace*readLimit.Seconds() {
+		return "", "", false
+	}
+	return best.ID, reader, true
 }
 
 // grown returns the runs of each decode engine.
@@ -91,19 +95,20 @@
 }
 
 // reader returns the prefill engine with the fewest tokens to read before an
-// ask.
-func (l *Ledger) reader(now time.Time, a *Ask, decode Engine) string {
+// ask, and their number.
+func (l *Ledger) reader(now time.Time, a *Ask, decode Engine) (id string, queue int) {
 	best, low := "", 0
 	for _, e := range l.usable(now, a, fleet.Prefill) {
-		cost := l.unread(e.ID)
+		unread := l.unread(e.ID)
+		cost := unread
 		if e.Domain != decode.Domain {
 			cost += crossPrefill
 		}
 		if best == "" || cost < low {
-			best, low = e.ID, cost
+			best, low, queue = e.ID, cost, unread
 		}
 	}
-	return best
+	return best, queue
 }
 
 // unread is the number of tokens in the queue of a prefill engine.
