Turn prefill engines only while the engines are steady

Change: no engine has come, gone or failed for 4 s before a prefill engine is turned; one that lacks is taken from the decode engines with the fewest runs, and only while asks wait for prefill.

--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -237,7 +237,7 @@
 			engines = append(engines, ledger.Engine{ID: s.ID, Domain: s.Domain, Stage: s.Stage,
 				Slots: slots, Tokens: room.Tokens, Born: s.Born})
 		}
-		n.ledger(service).SetEngines(engines)
+		n.ledger(service).SetEngines(now, engines)
 	}
 }
 
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,9 +13,6 @@
 	// prefillShare is the share of the prefill engines' rate that the decode
 	// engines can use up at most. The rest keeps the queue for prefill short.
 	prefillShare = 0.7
-	// scarceShare is the same when prefill engines are to be added. It is higher,
-	// so that an engine is not turned back and forth.
-	scarceShare = 0.95
 	// leastPrefill is the number of prefill engines that stay in a service of
 	// smallService engines or more, so that the loss of one does not stop it.
 	leastPrefill = 2
@@ -25,9 +23,14 @@
 	orderAgain = 30 * time.Second
 	// switchShare is the share of a stage's engines that change at once.
 	switchShare = 0.25
-	// lackFor is how long prefill engines must lack before a decode engine is
-	// ordered to prefill.
-	lackFor = time.Second
+	// steadyFor is how long no engine must have come, gone or failed before a
+	// prefill engine is turned to decode. While engines are replaced, some of those
+	// that are there are about to leave.
+	steadyFor = 4 * time.Second
+	// lackFor is how long asks must have waited for prefill engines, with pauses of
+	// lackPause at most, before a decode engine is ordered to prefill.
+	lackFor   = time.Second
+	lackPause = 500 * time.Millisecond
 	// promptWeight is the weight of one ask in the mean length of prompts.
 	promptWeight = 0.05
 )
@@ -54,25 +57,21 @@
 		}
 		changing++
 	}
-	want, ok := l.wanted(len(prefill)+len(decode), prefillShare)
-	least, _ := l.wanted(len(prefill)+len(decode), scarceShare)
-	if len(prefill) >= least {
-		l.lackSince = time.Time{}
-	}
+	want, ok := l.wanted(len(prefill) + len(decode))
+	rest := l.resting()
 	if !ok || changing > 0 && float64(changing+1) > switchShare*float64(len(prefill)) {
 		return Change{}, false
 	}
 	from, stage := prefill, fleet.Decode
 	switch {
-	case len(prefill) > want:
+	case len(prefill) > want && len(rest) == 0 && now.Sub(l.steadySince) > steadyFor:
 		// An engine that has prompts to read would refuse them.
 		from = slices.DeleteFunc(from, func(id string) bool { return l.unread(id) > 0 })
-	case len(prefill) < least && l.lacking(now) && len(decode) > 1:
-		from, stage = decode, fleet.Prefill
+	case len(prefill) < want && l.lacking(now) && len(decode) > 1:
+		from, stage = l.idlest(decode), fleet.Prefill
 	default:
 		return Change{}, false
 	}
-	rest := l.resting()
 	from = slices.DeleteFunc(from, func(id string) bool { return rest[id] || now.Sub(l.ordered[id]) < orderAgain })
 	if len(from) == 0 {
 		return Change{}, false
@@ -87,13 +86,29 @@
 	return Change{Engine: id, Stage: stage}, true
 }
 
-// lacking tells whether there have been too few prefill engines for a while. An
-// engine that crashed may come back before another one has changed.
+// idlest returns the engines with the fewest runs. An engine changes once its
+// runs have ended.
+func (l *Ledger) idlest(ids []string) []string {
+	runs := map[string]int{}
+	for _, r := range l.runs {
+		runs[r.Decode]++
+	}
+	least := runs[slices.MinFunc(ids, func(a, b string) int { return cmp.Compare(runs[a], runs[b]) })]
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return runs[id] > least })
+}
+
+// lacking tells whether asks have waited for prefill engines for a while. The
+// figures alone are not exact enough to turn an engine back.
 func (l *Ledger) lacking(now time.Time) bool {
-	if l.lackSince.IsZero() {
-		l.lackSince = now
+	return now.Sub(l.boundAt) < lackPause && now.Sub(l.boundSince) > lackFor
+}
+
+// noteBound records that an ask waits for a prefill engine.
+func (l *Ledger) noteBound(now time.Time) {
+	if now.Sub(l.boundAt) > lackPause {
+		l.boundSince = now
 	}
-	return now.Sub(l.lackSince) > lackFor
+	l.boundAt = now
 }
 
 // Kept takes back a change that the engine did not accept.
@@ -141,9 +156,8 @@
 	return out
 }
 
-// wanted returns the number of prefill engines that n engines should have when
-// the others use up a share of their rate.
-func (l *Ledger) wanted(n int, share float64) (int, bool) {
+// wanted returns the number of prefill engines that n engines should have.
+func (l *Ledger) wanted(n int) (int, bool) {
 	pace := l.readPace()
 	if l.ends < balanceRuns || pace <= 0 || l.prompt <= 0 || n < 2 {
 		return 0, false
@@ -162,9 +176,9 @@
 		places := min(float64(e.Slots), fill*float64(e.Tokens)/mean)
 		perDecode = max(perDecode, places/l.stay.Seconds())
 	}
-	perPrefill := share * pace / l.prompt
+	perPrefill := prefillShare * pace / l.prompt
 	want := 1
-	if n >= smallService && share < scarceShare {
+	if n >= smallService {
 		want = leastPrefill
 	}
 	for want < n-1 && float64(want)*perPrefill < float64(n-want)*perDecode {
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -139,8 +139,11 @@
 	changing, ordered map[string]time.Time
 	// orders are the stages that engines have accepted and not published yet.
 	orders map[string]Engine
-	// lackSince is since when there are too few prefill engines.
-	lackSince time.Time
+	// steadySince is when an engine last came, went or failed.
+	steadySince time.Time
+	// boundSince and boundAt are when asks began to wait for a prefill engine and
+	// when one last did.
+	boundSince, boundAt time.Time
 	// ends counts ended runs, prompt and need are the mean prompt and memory of
 	// asks in tokens, and reads is the best rate of a prefill engine in tokens a
 	// second.
@@ -164,8 +167,11 @@
 }
 
 // SetEngines replaces the engines that new work may go to.
-func (l *Ledger) SetEngines(engines []Engine) {
+func (l *Ledger) SetEngines(now time.Time, engines []Engine) {
 	engines = l.restaged(engines)
+	if l.differ(engines) || len(l.resting()) > 0 {
+		l.steadySince = now
+	}
 	if l.same(engines) {
 		return
 	}
@@ -176,6 +182,16 @@
 	}
 }
 
+// differ tells whether an engine came, went or has a new process.
+func (l *Ledger) differ(engines []Engine) bool {
+	for _, e := range engines {
+		if was, ok := l.engines[e.ID]; !ok || !was.Born.Equal(e.Born) {
+			return true
+		}
+	}
+	return len(engines) != len(l.engines)
+}
+
 func (l *Ledger) same(engines []Engine) bool {
 	for _, e := range engines {
 		if l.engines[e.ID] != e {
--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -45,7 +45,7 @@
 // asking daemon has reported nothing for a while.
 func TestAskAfterSilentReports(t *testing.T) {
 	l := ledger.New("s")
-	l.SetEngines(engines(1, 1, 20000))
+	l.SetEngines(t0, engines(1, 1, 20000))
 	l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1})
 	own(t, l.Ask(t0, edge2, ask(1)), 1)
 	later := t0.Add(10 * time.Second)
@@ -73,7 +73,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			l := ledger.New("s")
-			l.SetEngines(c.engines)
+			l.SetEngines(t0, c.engines)
 			for i := range c.fill {
 				own(t, l.Ask(t0, edge1, ask(uint64(100+i))), uint64(100+i))
 			}
@@ -91,7 +91,7 @@
 // while others that came later are queued.
 func TestClientThatCameBackIsQueued(t *testing.T) {
 	l := ledger.New("s")
-	l.SetEngines(engines(1, 2, 20000))
+	l.SetEngines(t0, engines(1, 2, 20000))
 	for id := uint64(1); id <= 2; id++ {
 		own(t, l.Ask(t0, edge1, ask(id)), id)
 	}
@@ -116,7 +116,7 @@
 // Guards against an ask whose answer was lost and that is granted twice.
 func TestAskAgainIsAnsweredAgain(t *testing.T) {
 	l := ledger.New("s")
-	l.SetEngines(engines(1, 1, 20000))
+	l.SetEngines(t0, engines(1, 1, 20000))
 	first := own(t, l.Ask(t0, edge1, ask(1)), 1)
 	again := own(t, l.Ask(t0.Add(50*time.Millisecond), edge1, ask(1)), 1)
 	if first.Verdict != ledger.Granted || again.Verdict != ledger.Granted || first.Decode != again.Decode {
@@ -149,7 +149,7 @@
 	for name, f := range cases {
 		t.Run(name, func(t *testing.T) {
 			l := ledger.New("s")
-			l.SetEngines(engines(1, 1, 20000))
+			l.SetEngines(t0, engines(1, 1, 20000))
 			own(t, l.Ask(t0, edge1, ask(1)), 1)
 			f(l)
 			if got := own(t, l.Ask(t0.Add(4*time.Second), edge2, ask(2)), 2); got.Verdict != ledger.Granted {
@@ -162,7 +162,7 @@
 // Guards against grants of memory that runs of dead daemons still hold.
 func TestUnknownRunsCount(t *testing.T) {
 	l := ledger.New("s")
-	l.SetEngines(engines(1, 4, 20000))
+	l.SetEngines(t0, engines(1, 4, 20000))
 	own(t, l.Ask(t0, edge1, ask(1)), 1)
 	if ids := l.Inspect(t0.Add(10 * time.Millisecond)); len(ids) != 1 {
 		t.Fatalf("engines to inspect %v, want d1", ids)
@@ -190,7 +190,7 @@
 	for i := range 23 {
 		list = append(list, ledger.Engine{ID: "d" + string(rune('a'+i)), Stage: fleet.Decode, Slots: 16, Tokens: 62000})
 	}
-	l.SetEngines(list)
+	l.SetEngines(t0, list)
 	now, number, id := t0, uint64(0), uint64(0)
 	first := func(ids []string) string { return ids[0] }
 	ordered := map[string]int{}
@@ -219,7 +219,7 @@
 				list[i].Stage = c.Stage
 			}
 		}
-		l.SetEngines(list)
+		l.SetEngines(t0, list)
 	}
 	if left := 12 - len(ordered); left < 2 || left > 9 {
 		t.Errorf("%d prefill engines are left of 12, want fewer than 10 and 2 at least", left)
@@ -244,7 +244,7 @@
 	var changed string
 	for i := range uint64(400) {
 		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
-		l.SetEngines(list)
+		l.SetEngines(t0, list)
 		own(t, l.Ask(now, edge1, ask(i+1)), i+1)
 		report := ledger.Report{Service: "s", Start: 1, Number: i + 1, Pace: 55000}
 		for lease := i + 1; lease > 0 && lease+40 > i+1; lease-- {
@@ -267,3 +267,66 @@
 		t.Errorf("answer %+v, want a grant of %s, which decodes by now", got, changed)
 	}
 }
+
+// Guards against the last sound prefill engines being turned to decode while
+// another one is down, and against a service that stays short of prefill.
+func TestBalanceWithLostEngines(t *testing.T) {
+	cases := map[string]struct {
+		prefill int
+		down    bool
+		want    map[fleet.Stage]bool
+	}{
+		"one of three is down": {3, true, nil},
+		"three, all sound":     {3, false, map[fleet.Stage]bool{fleet.Decode: true}},
+		"one is left":          {1, false, map[fleet.Stage]bool{fleet.Prefill: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			var list []ledger.Engine
+			for i := range 7 {
+				e := ledger.Engine{ID: "e" + string(rune('a'+i)), Stage: fleet.Decode, Slots: 12, Tokens: 100_000}
+				if i < c.prefill {
+					e.Stage = fleet.Prefill
+				}
+				list = append(list, e)
+			}
+			l.SetEngines(t0, list)
+			got := map[fleet.Stage]bool{}
+			var id uint64
+			for i := range uint64(100) {
+				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+				report := ledger.Report{Service: "s", Start: 1, Number: i + 1, Pace: 55000}
+				if c.down {
+					report.Resting = []string{"ea"}
+				}
+				for range 2 {
+					id++
+					a := ask(id)
+					a.Expect = 5000
+					own(t, l.Ask(now, edge1, a), id)
+				}
+				for lease := id; lease > 0 && lease+60 > id; lease-- {
+					run := ledger.Run{Lease: lease, Decode: list[3+lease%4].ID, Prompt: 5000, Expect: 5000,
+						Made: int(id-lease) * 30, Phase: ledger.Writing}
+					if id-lease < 20 && c.prefill == 1 {
+						run.Phase, run.Prefill = ledger.Reading, "ea"
+					}
+					report.Runs = append(report.Runs, run)
+				}
+				l.Report(now, edge1, report)
+				if change, ok := l.Balance(now, 6*time.Second, func(ids []string) string { return ids[0] }); ok {
+					got[change.Stage] = true
+				}
+			}
+			if len(got) != len(c.want) {
+				t.Errorf("orders to %v, want %v", got, c.want)
+			}
+			for stage := range c.want {
+				if !got[stage] {
+					t.Errorf("no order to %v", stage)
+				}
+			}
+		})
+	}
+}
--- a/internal/room/ledger/load_test.go
+++ b/internal/room/ledger/load_test.go
@@ -55,7 +55,7 @@
 		r.edges = append(r.edges, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000))
 		if i == 0 || !shared {
 			l := ledger.New("s")
-			l.SetEngines(engines(rushEngines, rushSlots, rushTokens))
+			l.SetEngines(t0, engines(rushEngines, rushSlots, rushTokens))
 			r.ledgers = append(r.ledgers, l)
 		}
 	}
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -71,6 +71,7 @@
 	}
 	reader, queue := l.reader(now, a, best)
 	if pace := l.readPace(); pace > 0 && float64(queue) > pace*readLimit.Seconds() {
+		l.noteBound(now)
 		return "", "", false
 	}
 	return best.ID, reader, true
