Measure the prefill rate by quantiles; keep prompts off decode engines

Cause: the best rate ever seen of a prefill engine comes from prompts that were still in its cache; it made the bound of the prefill queue and the balance of stages wrong.

--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -111,8 +111,8 @@
 	leases map[uint64]*Lease
 	ended  map[uint64]time.Time
 	full   map[string]time.Time
-	// pace is the best rate of prefill engines in tokens a second.
-	pace float64
+	// paces are the rates of the last prefills in tokens a second.
+	paces []float64
 	// until is when the last report is due after the last run ended.
 	until time.Time
 }
@@ -369,7 +369,7 @@
 		}
 		n.number++
 		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
-			Resting: resting, Pace: m.pace}
+			Resting: resting, Pace: m.pace()}
 		for _, l := range m.leases {
 			r.Runs = append(r.Runs, l.run())
 		}
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -187,11 +187,18 @@
 	return want, true
 }
 
-// readPace is the best rate of one prefill engine in tokens a second. Prompts
-// that wait for others take longer and say little.
+// readPace is the rate of one prefill engine in tokens a second, the median of
+// what daemons measure.
 func (l *Ledger) readPace() float64 {
+	var paces []float64
 	for _, s := range l.sources {
-		l.reads = max(l.reads, s.pace)
+		if s.pace > 0 {
+			paces = append(paces, s.pace)
+		}
+	}
+	if len(paces) > 0 {
+		slices.Sort(paces)
+		l.reads = paces[len(paces)/2]
 	}
 	return l.reads
 }
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -145,8 +145,8 @@
 	// when one last did.
 	boundSince, boundAt time.Time
 	// ends counts ended runs, prompt and need are the mean prompt and memory of
-	// asks in tokens, and reads is the best rate of a prefill engine in tokens a
-	// second.
+	// asks in tokens, and reads is the last known rate of a prefill engine in tokens
+	// a second.
 	ends                int
 	prompt, need, reads float64
 	// begun is when the ledger last got an ask after a time without.
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -36,6 +36,10 @@
 	if len(sound) == 0 {
 		sound = doubtful
 	}
+	if len(sound) == 0 && stage == fleet.Prefill && len(a.Without) > 0 {
+		// A decode engine that reads a prompt itself stalls the runs beside it.
+		return l.usable(now, &Ask{}, stage)
+	}
 	slices.SortFunc(sound, func(x, y Engine) int { return cmp.Compare(x.ID, y.ID) })
 	return sound
 }
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -60,8 +60,8 @@
 	Ended []uint64 `cbor:"5,keyasint,omitempty"`
 	// Resting are engines that the daemon can't reach.
 	Resting []string `cbor:"6,keyasint,omitempty"`
-	// Pace is the rate at which prefill engines read prompts at best, in tokens a
-	// second.
+	// Pace is the rate at which prefill engines read prompts that do not wait, in
+	// tokens a second.
 	Pace float64 `cbor:"8,keyasint,omitempty"`
 	// Full are engines that refused a granted request lately.
 	Full []string `cbor:"7,keyasint,omitempty"`
