--- a/cmd/citronrock-front/main.go
+++ b/cmd/citronrock-front/main.go
@@ -2,15 +2,19 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"citronrock.example/citronrock/internal/back/trip"
 	"citronrock.example/citronrock/internal/cli/deps"
+	"citronrock.example/citronrock/internal/cli/flags"
 	"citronrock.example/citronrock/internal/daemon/meter"
 	"citronrock.example/citronrock/internal/front/router"
 	"citronrock.example/citronrock/internal/logs/lines"
@@ -26,15 +30,39 @@
 	flushTime = 200 * time.Millisecond
 )
 
-func main() { os.Exit(run()) }
+const usage = "citronrock-front [--metrics PORT]"
 
-func run() int {
+const help = `Run a router on the users' platform.
+
+The environment variable CITRONROCK_NODE_FILE names the file with the settings of the
+machine. Logs go to standard output as JSON lines. SIGTERM and SIGINT stop the router
+gracefully, SIGHUP makes it read the settings again. Exit codes: 0 stopped, 1 failed, 2
+wrong settings.
+
+examples:
+  citronrock-front --metrics 9464`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var metrics int
+	set := flags.New(usage, help)
+	set.Int(&metrics, "metrics", "PORT", "port for metrics and status besides the control address")
+	if err := set.Parse(args, os.Stdout); errors.Is(err, flags.ErrHelp) {
+		return deps.ExitOK
+	} else if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return deps.ExitUsage
+	}
 	file := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.ReadSettings(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return deps.ExitUsage
 	}
+	if metrics > 0 {
+		settings.Metrics = netip.AddrPortFrom(settings.Front.Addr(), uint16(metrics))
+	}
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	}
@@ -46,8 +74,16 @@
 		case <-time.After(flushTime):
 		}
 	}()
-	log := lines.New(out, settings.Name)
+	var left, calls, opened atomic.Int64
+	log := lines.New(out, settings.Name, lines.WithLeft(func() { left.Add(1) }))
 	m, err := meter.New()
+	if err == nil {
+		err = errors.Join(
+			m.Gauge("lines_left", "log lines that were left out by their limits", left.Load),
+			m.Gauge("lines_lost", "log lines that the output did not take", func() int64 { return int64(out.Dropped()) }),
+			m.Gauge("store_calls", "calls to the store since the start", calls.Load),
+			m.Gauge("server_conns", "connections opened to backend servers since the start", opened.Load))
+	}
 	if err != nil {
 		log.Error("can't start", "error", err.Error())
 		return deps.ExitFailed
@@ -55,11 +91,12 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	r, err := router.Start(settings, router.Parts{
-		Store:    platform.NewStore(settings.Store, log),
-		Backends: platform.NewBackends(trip.New()),
+		Store:    platform.NewStore(settings.Store, log, platform.WithCalls(func() { calls.Add(1) })),
+		Backends: platform.NewBackends(trip.New(trip.WithOpened(func() { opened.Add(1) }))),
 		Ingress:  platform.Ingress{},
 		Log:      log,
 		Meter:    m,
+		Omitted:  func() (int64, int64) { return left.Load(), int64(out.Dropped()) },
 	})
 	if err != nil {
 		log.Error("can't start", "error", err.Error())
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -14,6 +14,8 @@
 	// Front is where clients connect, Ready where the balancer asks for
 	// readiness, Admin where operators read status and metrics.
 	Front, Ready, Admin netip.AddrPort
+	// Metrics is a second address for metrics and status, invalid for none.
+	Metrics netip.AddrPort
 	// Peer is the address for datagrams between daemons.
 	Peer netip.AddrPort
 	// Seeds are peer addresses of some daemons. They may be stale.
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -87,17 +88,44 @@
 	if r.ready, err = listen(r.settings.Ready, ready); err != nil {
 		return err
 	}
-	if !r.settings.Admin.IsValid() {
-		return nil
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(r.Status()) // a failed write shows that the client left
 	})
 	mux.Handle("GET /metrics", r.meter.Handler())
-	r.admin, err = listen(r.settings.Admin, mux)
-	return err
+	for _, addr := range []netip.AddrPort{r.settings.Admin, r.settings.Metrics} {
+		if !addr.IsValid() {
+			continue
+		}
+		s, err := listen(addr, mux)
+		if err != nil {
+			return err
+		}
+		r.admin = append(r.admin, s)
+	}
+	return nil
+}
+
+// gauges adds the figures that are read when metrics are scraped.
+func (r *Router) gauges() error {
+	return errors.Join(
+		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.Open()) }),
+		r.meter.Gauge("peers", "live daemons, this one included", func() int64 { return int64(len(r.beats.Alive())) }),
+		r.meter.Gauge("version", "version of the configuration in force", func() int64 {
+			if d := r.follower.Document(); d != nil {
+				return int64(d.Version)
+			}
+			return 0
+		}),
+		r.meter.Gauge("store_age", "time since the store's state was last known, in milliseconds", func() int64 {
+			age, _ := r.follower.Age()
+			return age.Milliseconds()
+		}),
+		r.meter.Gauge("peer_bytes", "bytes of datagrams from and to other daemons", func() int64 {
+			in, out := r.socket.Bytes()
+			return int64(in + out)
+		}))
 }
 
 func listen(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -46,6 +46,8 @@
 	// noticeTime is how long a stopping daemon takes new connections: the balancer
 	// needs two failed questions, a second apart, to move them elsewhere.
 	noticeTime = 2500 * time.Millisecond
+	// omittedEvery is the time between lines about missing lines.
+	omittedEvery = 10 * time.Second
 	// endSpare is the part of the grace period that is kept for the end itself.
 	endSpare = 400 * time.Millisecond
 )
@@ -68,7 +70,7 @@
 	server   *serve.Server
 	ready    *http.Server
 	states   net.Listener
-	admin    *http.Server
+	admin    []*http.Server
 	unary    *unary.Handler
 	stream   *stream.Handler
 	stopping atomic.Bool
@@ -81,6 +83,9 @@
 	Ingress  citronrock.Ingress
 	Log      *lines.Log
 	Meter    *meter.Meter
+	// Omitted returns the log lines that limits left out and that the output did
+	// not take. It may be nil.
+	Omitted func() (left, lost int64)
 }
 
 // Start begins to serve.
@@ -114,9 +119,28 @@
 		r.closePeers()
 		return nil, err
 	}
+	if p.Omitted != nil {
+		go r.tellOmitted(p.Omitted)
+	}
 	return r, nil
 }
 
+// tellOmitted logs how many lines are missing in the log, until the router
+// stops.
+func (r *Router) tellOmitted(omitted func() (left, lost int64)) {
+	var wasLeft, wasLost int64
+	for range time.Tick(omittedEvery) {
+		if r.stopping.Load() {
+			return
+		}
+		left, lost := omitted()
+		if left != wasLeft || lost != wasLost {
+			r.log.Warn("lines omitted", "left", left-wasLeft, "lost", lost-wasLost)
+		}
+		wasLeft, wasLost = left, lost
+	}
+}
+
 // listen serves readiness, status and the state that other daemons fetch.
 func (r *Router) listen() error {
 	var err error
@@ -124,6 +148,9 @@
 		return eris.Wrapf(err, "can't listen for other daemons at %s; check that the port is free", r.settings.Peer)
 	}
 	go notice.Serve(r.states, r.follower.State)
+	if err := r.gauges(); err != nil {
+		return err
+	}
 	return r.listenReady()
 }
 
@@ -288,8 +315,8 @@
 	r.closePeers()
 	r.states.Close()
 	r.ready.Close()
-	if r.admin != nil {
-		r.admin.Close()
+	for _, s := range r.admin {
+		s.Close()
 	}
 	r.log.Info("stopped", "open", r.server.Open(), "took", lines.Ms(time.Since(r.start)))
 }
