--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -28,9 +28,10 @@
 	// returnShare is the part of the remaining time after which a client comes
 	// back at the latest: clients keep to a third.
 	returnShare = 0.32
-	// prefillTimeout bounds a prefill. It is far above the time that the longest
-	// prompt takes at a busy engine, and below the patience of clients.
-	prefillTimeout = 1500 * time.Millisecond
+	// prefillTimeout bounds a prefill: the ledger lets prompts queue for half a
+	// second, and reading one takes less. Later a lost answer is the
+	// likelier cause.
+	prefillTimeout = 900 * time.Millisecond
 	// offerFor is the share of the time for which a KV cache is kept during which
 	// it is offered to a second engine.
 	offerFor = 0.7
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -186,6 +186,7 @@
 func (f *Follower) hear(n notice.Notice) bool {
 	if n.At <= f.revision && n.Version <= f.version() {
 		f.heard = time.Now()
+		f.note(f.revision)
 		return true
 	}
 	if n.Base > f.revision || n.Version > f.version() {
