--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -120,11 +120,14 @@
 	return &citronrock.State{Document: d, Servers: f.table.All(), Revision: revision}
 }
 
-// Age returns the time since the last successful read and the store's revision
-// then.
+// Age returns the time since the state was last known to be the newest and the
+// store's revision then, zero before the first read.
 func (f *Follower) Age() (time.Duration, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.read.IsZero() {
+		return 0, 0
+	}
 	return time.Since(f.read), f.revision
 }
 
