--- a/internal/back/trip/trip.go
+++ b/internal/back/trip/trip.go
@@ -95,7 +95,7 @@
 		end()
 		return nil, &Error{Err: context.Cause(ctx)}
 	}
-	resp, err := exchange(conn, req, body)
+	resp, err := exchange(conn, req, body) //nolint:bodyclose // Reply.Close ends the connection
 	if err != nil {
 		end()
 		if ctx.Err() != nil {
--- a/internal/cli/expln/expln.go
+++ b/internal/cli/expln/expln.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "log can't be read; name a readable file")
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // it was only read
 	var out []line
 	scan := bufio.NewScanner(f)
 	scan.Buffer(nil, longestLine)
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -63,8 +63,13 @@
 	}
 }
 
+// end makes Accept return. Connections that are waiting are closed by their
+// sender.
+func (f *feed) end() { f.once.Do(func() { close(f.done) }) }
+
+// Close is called by the server of the feed.
 func (f *feed) Close() error {
-	f.once.Do(func() { close(f.done) })
+	f.end()
 	return nil
 }
 
@@ -119,7 +124,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: l.Header,
 		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleSpare, ErrorLog: s.log.StandardLogger(nil)}
 	if s.current != nil {
-		s.current.Close()
+		s.current.end()
 	}
 	s.current = f
 	s.servers = append(s.servers, server)
@@ -154,7 +159,7 @@
 	<-s.done
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.current.Close()
+	s.current.end()
 	var all sync.WaitGroup
 	for _, server := range s.servers {
 		all.Go(func() {
--- a/internal/front/serve/serve_test.go
+++ b/internal/front/serve/serve_test.go
@@ -42,14 +42,21 @@
 	}
 }
 
-func (c *client) get() (*http.Response, error) {
+// answer is the status of an answer and whether it closes its connection.
+type answer struct {
+	status int
+	last   bool
+}
+
+func (c *client) get() (answer, error) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 	resp, err := http.ReadResponse(c.r, nil)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
+	if err != nil {
+		return answer{}, err
 	}
-	return resp, err
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return answer{resp.StatusCode, resp.Close}, err
 }
 
 const plainGet = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -84,8 +91,8 @@
 	kept, slow, late := dial(t, addr), dial(t, addr), dial(t, addr)
 	for _, c := range []*client{kept, late} {
 		c.send(plainGet)
-		if resp, err := c.get(); err != nil || resp.Close {
-			t.Fatalf("before the stop: %v, close %v", err, resp.Close)
+		if got, err := c.get(); err != nil || got.last {
+			t.Fatalf("before the stop: %v, close %v", err, got.last)
 		}
 	}
 	slow.send("GET /slow/ HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -99,14 +106,14 @@
 	}()
 	time.Sleep(notice / 3)
 	late.send(plainGet)
-	if resp, err := late.get(); err != nil || !resp.Close {
+	if got, err := late.get(); err != nil || !got.last {
 		t.Errorf("request within the notice: %v; want an answer that closes the connection", err)
 	}
 	_ = kept.conn.SetReadDeadline(time.Now().Add(notice + work/2))
 	if _, err := kept.r.ReadByte(); err != io.EOF {
 		t.Errorf("kept connection after the notice: %v, want it closed while another request is in flight", err)
 	}
-	if resp, err := slow.get(); err != nil || resp.StatusCode != http.StatusOK {
+	if got, err := slow.get(); err != nil || got.status != http.StatusOK {
 		t.Errorf("request in flight: %v, want its answer", err)
 	}
 	<-stopped
@@ -118,9 +125,9 @@
 	s.SetLimits(plan.Limits{Header: 1024, HeaderWait: time.Second, Idle: time.Second})
 	c := dial(t, addr)
 	c.send("GET /a/ HTTP/1.1\r\nHost: h\r\nX: " + longHeader() + "\r\n\r\n")
-	resp, err := c.get()
-	if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
-		t.Errorf("header over the limit: %v %v, want 431", resp, err)
+	got, err := c.get()
+	if err != nil || got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("header over the limit: %v %v, want 431", got, err)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
@@ -148,7 +155,7 @@
 	c := dial(t, addr)
 	c.send("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
 		"GET /hidden/ HTTP/1.1\r\nHost: h\r\n\r\n")
-	if resp, err := c.get(); err == nil && !resp.Close {
+	if got, err := c.get(); err == nil && !got.last {
 		t.Error("connection is kept")
 	}
 	if _, err := c.get(); err == nil {
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -314,7 +314,7 @@
 		note(time.Now(), fleet.Failed, 0)
 		return j.other(ctx, s, reply)
 	}
-	f := j.relay(ctx, cancel, s, reply)
+	f := j.relay(ctx, cancel, reply)
 	if f == nil {
 		note(time.Now(), fleet.OK, 0)
 		j.outcome.Result, j.outcome.Status = "ok", http.StatusOK
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -9,7 +9,6 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/entry"
-	"citronrock.example/citronrock/internal/route/fleet"
 )
 
 // errStall ends a stream without events.
@@ -17,7 +16,7 @@
 
 // relay passes the events of a run on to the client, each one as it comes. It
 // returns nil after the last one.
-func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, s fleet.Server, reply *entry.Reply) *entry.Fault {
+func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, reply *entry.Reply) *entry.Fault {
 	var stall *time.Timer
 	limit := max(stallFor*j.route.Gap, stallFloor)
 	if j.route.Resume && j.runs < j.route.Attempts {
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -157,9 +157,10 @@
 	return rec, o, servers
 }
 
-func events(from, to int) string {
+// events are the first n events of a stream.
+func events(n int) string {
 	var b strings.Builder
-	for i := from; i <= to; i++ {
+	for i := 1; i <= n; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
 	}
 	return b.String()
@@ -181,16 +182,16 @@
 		sends  int
 		reads  []string
 	}{
-		"whole":                         {world: world{runs: []run{whole}}, status: 200, body: events(1, 4), result: "ok", sends: 1, reads: []string{"p1"}},
+		"whole":                         {world: world{runs: []run{whole}}, status: 200, body: events(4), result: "ok", sends: 1, reads: []string{"p1"}},
 		"engine dies after its header":  {world: world{runs: []run{{status: 200, from: 1, to: 0, breaks: true}}}, status: 502, result: "unknown", sends: 1},
 		"engine resets the request":     {world: world{runs: []run{{fault: reset}}}, status: 502, result: "unknown", sends: 1},
-		"stream breaks":                 {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, whole}}, status: 200, body: events(1, 2), result: "broken", sends: 1},
-		"stream breaks, may be resumed": {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 4}}}, resume: true, status: 200, body: events(1, 4), result: "ok", sends: 2},
-		"stream breaks twice":           {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 3, breaks: true}}}, resume: true, status: 200, body: events(1, 3), result: "broken", sends: 2},
-		"reset, may be resumed":         {world: world{runs: []run{{fault: reset}, whole}}, resume: true, status: 200, body: events(1, 4), result: "ok", sends: 2},
-		"cache lost":                    {world: world{runs: []run{{fault: full}, whole}}, status: 200, body: events(1, 4), result: "ok", sends: 2, reads: []string{"p1", "p2"}},
-		"decode engine unreachable":     {world: world{runs: []run{{fault: unsent}, whole}}, status: 200, body: events(1, 4), result: "ok", sends: 2, reads: []string{"p1"}},
-		"prefill engine resets":         {world: world{prefills: []error{reset}, runs: []run{whole}}, status: 200, body: events(1, 4), result: "ok", sends: 1, reads: []string{"p1", "p2"}},
+		"stream breaks":                 {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, whole}}, status: 200, body: events(2), result: "broken", sends: 1},
+		"stream breaks, may be resumed": {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 4}}}, resume: true, status: 200, body: events(4), result: "ok", sends: 2},
+		"stream breaks twice":           {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 3, breaks: true}}}, resume: true, status: 200, body: events(3), result: "broken", sends: 2},
+		"reset, may be resumed":         {world: world{runs: []run{{fault: reset}, whole}}, resume: true, status: 200, body: events(4), result: "ok", sends: 2},
+		"cache lost":                    {world: world{runs: []run{{fault: full}, whole}}, status: 200, body: events(4), result: "ok", sends: 2, reads: []string{"p1", "p2"}},
+		"decode engine unreachable":     {world: world{runs: []run{{fault: unsent}, whole}}, status: 200, body: events(4), result: "ok", sends: 2, reads: []string{"p1"}},
+		"prefill engine resets":         {world: world{prefills: []error{reset}, runs: []run{whole}}, status: 200, body: events(4), result: "ok", sends: 1, reads: []string{"p1", "p2"}},
 		"engine reports a failure":      {world: world{runs: []run{{status: 500, from: 1}}}, status: 500, result: "failed", sends: 1},
 		"engine's 503 says nothing":     {world: world{runs: []run{{status: 503, from: 1}}}, status: 502, result: "unknown", sends: 1},
 		"refused":                       {world: world{refuse: &ledger.Answer{Verdict: ledger.Refused, Reason: ledger.ReasonWait, After: 2 * time.Second}}, status: 503, result: "refused"},
@@ -232,7 +233,7 @@
 func TestStalledStreamGoesOn(t *testing.T) {
 	w := &world{runs: []run{{status: 200, from: 1, to: 2, hangs: true}, {status: 200, from: 3, to: 4}}}
 	rec, o, _ := serve(t, w, true, 4*time.Second)
-	if rec.Body.String() != events(1, 4) || o.Result != "ok" {
+	if rec.Body.String() != events(4) || o.Result != "ok" {
 		t.Errorf("body %q, result %q; want the whole stream", rec.Body, o.Result)
 	}
 }
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -125,6 +125,6 @@
 
 // Close ends the socket.
 func (s *Socket) Close() {
-	s.conn.Close()
+	_ = s.conn.Close() // datagrams are not buffered
 	<-s.done
 }
--- a/internal/peer/gram/gram_test.go
+++ b/internal/peer/gram/gram_test.go
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	addr := netip.MustParseAddrPort(c.LocalAddr().String())
-	c.Close()
+	_ = c.Close()
 	s, err := gram.Listen(addr, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer stranger.Close()
+	defer func() { _ = stranger.Close() }()
 	for _, junk := range [][]byte{{}, {1}, {9, byte(gram.Ask), 1, 2}, {1, byte(gram.Ask), 0xff, 0xff}, {1, 200, 0}} {
 		if _, err := stranger.Write(junk); err != nil {
 			t.Fatal(err)
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -112,8 +112,8 @@
 	return p.state, nil
 }
 
-func server(id string) fleet.Server {
-	return fleet.Server{ID: id, Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Beat: 1, Born: time.UnixMilli(1)}
+func server() fleet.Server {
+	return fleet.Server{ID: "a", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Beat: 1, Born: time.UnixMilli(1)}
 }
 
 func document(version uint64) *plan.Document {
@@ -127,7 +127,7 @@
 func TestNoticeRepeatsHeardChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{doc: document(1)}
-		s.change(citronrock.Changes{Servers: []fleet.Server{server("a")}})
+		s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
 		p := &peers{reader: true}
 		table := fleet.New()
 		f := follow.Start(s, table, p, hclog.NewNullLogger())
@@ -158,7 +158,7 @@
 func TestSilentReadersMakeAllRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{doc: document(1)}
-		s.change(citronrock.Changes{Servers: []fleet.Server{server("a")}})
+		s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
 		p := &peers{}
 		table := fleet.New()
 		f := follow.Start(s, table, p, hclog.NewNullLogger())
@@ -196,7 +196,7 @@
 func TestFreshDaemonFetchesState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{down: true}
-		p := &peers{state: &citronrock.State{Document: document(3), Servers: []fleet.Server{server("a")}, Revision: 7}}
+		p := &peers{state: &citronrock.State{Document: document(3), Servers: []fleet.Server{server()}, Revision: 7}}
 		table := fleet.New()
 		f := follow.Start(s, table, p, hclog.NewNullLogger())
 		defer f.Close()
@@ -214,7 +214,7 @@
 func TestLapsedEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{doc: document(1)}
-		s.change(citronrock.Changes{Servers: []fleet.Server{server("a")}})
+		s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
 		p := &peers{reader: true}
 		table := fleet.New()
 		f := follow.Start(s, table, p, hclog.NewNullLogger())
