Split ledger and node; construct handlers by options; remove unused fields

Reading the change as a newcomer: two files of about 500 lines held queue and exchange beside the state; handlers were built from structs of exported fields; some decoded fields had no reader.

--- a/cmd/citronrock-front/main.go
+++ b/cmd/citronrock-front/main.go
@@ -34,7 +34,7 @@
 
 const help = `Run a router on the users' platform.
 
-The environment variable CITRONROCK_NODE_FILE names the file with the settings of the
+The environment variable ` + platform.SettingsVariable + ` names the file with the settings of the
 machine. Logs go to standard output as JSON lines. SIGTERM and SIGINT stop the router
 gracefully, SIGHUP makes it read the settings again. Exit codes: 0 stopped, 1 failed, 2
 wrong settings.
--- a/internal/back/trip/trip.go
+++ b/internal/back/trip/trip.go
@@ -68,9 +68,7 @@
 // Reply is an answer whose body may still be on its way. Close must be called.
 type Reply struct {
 	*http.Response
-	// Took is the time to the end of the header.
-	Took time.Duration
-	end  func()
+	end func()
 }
 
 // Close ends the connection. A server that still works on the request sees it.
@@ -80,7 +78,6 @@
 // there. The end of ctx closes the connection, also while the body is read.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, to netip.AddrPort, req *http.Request, body []byte) (*Reply, error) {
-	begun := time.Now()
 	conn, err := c.dialer.DialContext(ctx, "tcp4", to.String())
 	if err != nil {
 		return nil, &Error{Err: eris.Wrap(err, "can't connect")}
@@ -103,7 +100,7 @@
 		}
 		return nil, &Error{Sent: true, Err: err}
 	}
-	return &Reply{Response: resp, Took: time.Since(begun), end: end}, nil
+	return &Reply{Response: resp, end: end}, nil
 }
 
 // exchange writes the request and reads the header of its answer. A server may
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -34,19 +34,14 @@
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
 	// Retry is the share of requests that may be sent once more over all
-	// daemons, and Slack a number that may be in addition, in each Window.
-	Retry  float64
-	Slack  int
-	Window time.Duration
-	// Contact is the time after a disturbance until bounds hold again.
-	Contact time.Duration
+	// daemons, and Slack a number that may be in addition.
+	Retry float64
+	Slack int
 }
 
 // Defaults of bounds that the settings do not name.
 const (
-	DefaultGrace   = 8 * time.Second
-	DefaultRetry   = 0.1
-	DefaultSlack   = 10
-	DefaultWindow  = 10 * time.Second
-	DefaultContact = 3 * time.Second
+	DefaultGrace = 8 * time.Second
+	DefaultRetry = 0.1
+	DefaultSlack = 10
 )
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -29,9 +29,9 @@
 	// say.
 	Wait time.Duration
 
-	// Prompt, Output and Hint count tokens: of the prompt, the largest output
-	// and the output that the client expects. Zero when the client does not say.
-	Prompt, Output, Hint int
+	// Prompt and Output count tokens: of the prompt and of the largest output.
+	// Zero when the client does not say.
+	Prompt, Output int
 	// Subject is the part of the prompt that belongs to this request alone.
 	Subject string
 	// After is the ID of the last event that the client has, empty for none.
@@ -63,10 +63,6 @@
 	// Header holds what is passed to the client.
 	Header http.Header
 	Body   io.Reader
-	// Sealed answers bear the backend server's signature.
-	Sealed bool
-	// Length is the length of the body in bytes, -1 when it is not known.
-	Length int64
 	Close  func()
 }
 
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -105,10 +105,9 @@
 	r.prober = probe.New(r.table, r.same, p.Log)
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
-	r.unary = &unary.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress, Quota: budget, Log: p.Log}
-	r.stream = &stream.Handler{Domain: s.Domain, Table: r.table, Backends: p.Backends, Ingress: p.Ingress,
-		Granter: r.grants, Quota: budget, Log: p.Log,
-		Wasted: func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }}
+	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain))
+	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain),
+		stream.WithWasted(func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
 		return nil, err
@@ -231,9 +230,6 @@
 	o.Route = route.Name
 	if status := r.readBody(w, req, c, d.Limits); status != 0 {
 		o.Status, o.Result, o.Reason = status, "refused", "body"
-		if status == 0 {
-			return o
-		}
 		r.refuse(w, c, &o, http.StatusText(status))
 		return o
 	}
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -121,15 +121,15 @@
 		return
 	}
 	j.cache = nil
-	j.Wasted(j.service.Name, cache.Tokens)
+	j.wasted(j.service.Name, cache.Tokens)
 	if time.Since(cache.Made) > j.service.Engine.Handle {
 		return // it has expired
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTimeout)
 		defer cancel()
-		if err := j.Backends.Free(ctx, cache); err != nil {
-			j.Log.Info("cache not freed", "request", j.call.ID, "handle", cache.Handle, "error", err.Error())
+		if err := j.backends.Free(ctx, cache); err != nil {
+			j.log.Info("cache not freed", "request", j.call.ID, "handle", cache.Handle, "error", err.Error())
 		}
 	}()
 }
@@ -158,7 +158,7 @@
 // acquire obtains engines from the owner of the ledger.
 func (j *job) acquire(ctx context.Context) bool {
 	if j.service.Engine == nil {
-		s, ok := j.Table.Choose(time.Now(), j.service.Name, j.Domain, j.without)
+		s, ok := j.table.Choose(time.Now(), j.service.Name, j.domain, j.without)
 		if !ok {
 			j.fail(ctx, "server")
 			return false
@@ -177,18 +177,18 @@
 		ask.Back = limit
 	}
 	asked := time.Now()
-	lease, err := j.Granter.Acquire(ctx, ask)
+	lease, err := j.granter.Acquire(ctx, ask)
 	var refusal *grant.Refusal
 	switch {
 	case err == nil:
 		j.lease, j.leased = lease, time.Now()
-		j.Log.Info(lines.Grant, "request", j.call.ID, "service", ask.Service, "owner", lease.Owner.String(),
+		j.log.Info(lines.Grant, "request", j.call.ID, "service", ask.Service, "owner", lease.Owner.String(),
 			"decode", lease.Decode, "prefill", lease.Prefill, "wait", lines.Ms(time.Since(asked)),
 			"load", lease.Load, "prompt", ask.Prompt, "expect", ask.Expect, "slack", lines.Ms(slack))
 		return true
 	case errors.As(err, &refusal):
 		j.outcome.After = refusal.After
-		j.Log.Info("refusal", "request", j.call.ID, "service", ask.Service, "owner", refusal.Owner.String(),
+		j.log.Info("refusal", "request", j.call.ID, "service", ask.Service, "owner", refusal.Owner.String(),
 			"reason", refusal.Reason, "predicted", lines.Ms(refusal.Wait), "ahead", refusal.Ahead,
 			"load", refusal.Load, "waited", lines.Ms(time.Since(asked)), "slack", lines.Ms(slack))
 		j.fail(ctx, refusal.Reason)
@@ -203,7 +203,7 @@
 
 // attempt logs a sending that gave no answer.
 func (j *job) attempt(part string, s fleet.Server, begun time.Time, f *entry.Fault) {
-	j.Log.Info(lines.Attempt, "request", j.call.ID, "service", j.service.Name, "part", part, "server", s.ID,
+	j.log.Info(lines.Attempt, "request", j.call.ID, "service", j.service.Name, "part", part, "server", s.ID,
 		"entry", s.Revision, "send", j.sends, "fault", f.Fault.String(), "full", f.Full, "error", f.Error(),
 		"took", lines.Ms(time.Since(begun)))
 }
@@ -224,23 +224,23 @@
 		j.lease.Wrote()
 		return finish
 	}
-	if j.Table.IsResting(time.Now(), j.lease.Decode) {
+	if j.table.IsResting(time.Now(), j.lease.Decode) {
 		// The prompt would be read in vain.
 		return j.elsewhere(ctx, j.lease.Decode, false, true)
 	}
-	s, ok := j.Table.Get(time.Now(), j.lease.Prefill)
+	s, ok := j.table.Get(time.Now(), j.lease.Prefill)
 	if !ok {
 		return j.elsewhere(ctx, j.lease.Prefill, false, true)
 	}
 	cut, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
 	if j.sends == 0 {
-		j.Quota.Sent(j.service.Name)
+		j.quota.Sent(j.service.Name)
 	}
 	j.sends++
 	begun := time.Now()
-	note := j.Table.Begin(s.ID)
-	cache, err := j.Backends.Prefill(cut, s, j.call, entry.Options{Left: time.Until(j.deadline)})
+	note := j.table.Begin(s.ID)
+	cache, err := j.backends.Prefill(cut, s, j.call, entry.Options{Left: time.Until(j.deadline)})
 	if err == nil {
 		note(time.Now(), fleet.OK, time.Since(begun))
 		j.cache, j.reader = cache, s.ID
@@ -251,9 +251,9 @@
 	note(time.Now(), outcome(ctx, f), 0)
 	j.attempt("prefill", s, begun, f)
 	if f.Misdirected {
-		j.Table.Misdirected(time.Now(), s)
+		j.table.Misdirected(time.Now(), s)
 	}
-	return j.elsewhere(ctx, s.ID, false, f.Fault == event.FaultUnsent || j.Quota.Take(j.service.Name))
+	return j.elsewhere(ctx, s.ID, false, f.Fault == event.FaultUnsent || j.quota.Take(j.service.Name))
 }
 
 // elsewhere prepares another round without an engine.
@@ -286,19 +286,19 @@
 
 // decode has the answer made and passes it on.
 func (j *job) decode(ctx context.Context) step {
-	s, ok := j.Table.Get(time.Now(), j.lease.Decode)
+	s, ok := j.table.Get(time.Now(), j.lease.Decode)
 	if !ok {
 		return j.elsewhere(ctx, j.lease.Decode, false, true)
 	}
 	if j.sends == 0 {
-		j.Quota.Sent(j.service.Name)
+		j.quota.Sent(j.service.Name)
 	}
 	j.sends++
 	begun := time.Now()
-	note := j.Table.Begin(s.ID)
+	note := j.table.Begin(s.ID)
 	cut, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	reply, err := j.Backends.Send(cut, s, j.call, entry.Options{Left: time.Until(j.deadline), Cache: j.cache, After: j.last})
+	reply, err := j.backends.Send(cut, s, j.call, entry.Options{Left: time.Until(j.deadline), Cache: j.cache, After: j.last})
 	if err != nil {
 		f := asFault(err)
 		note(time.Now(), outcome(ctx, f), 0)
@@ -328,7 +328,7 @@
 // undecoded follows a decode request without an answer.
 func (j *job) undecoded(ctx context.Context, s fleet.Server, f *entry.Fault) step {
 	if f.Misdirected {
-		j.Table.Misdirected(time.Now(), s)
+		j.table.Misdirected(time.Now(), s)
 	}
 	switch {
 	case f.Fault == event.FaultUnsent:
@@ -340,12 +340,12 @@
 	case f.Fault == event.FaultRefused && f.Full && j.cache != nil:
 		// The ledger had room, so that a lost cache is the likelier cause: the
 		// caches of some engines lapse early.
-		j.Table.Rest(time.Now(), j.reader, lapseRest)
+		j.table.Rest(time.Now(), j.reader, lapseRest)
 		j.exclude(j.reader)
 		j.dropCache(ctx)
-		return j.elsewhere(ctx, "", true, j.Quota.Take(j.service.Name))
+		return j.elsewhere(ctx, "", true, j.quota.Take(j.service.Name))
 	case f.Fault == event.FaultRefused:
-		return j.elsewhere(ctx, s.ID, f.Full, j.Quota.Take(j.service.Name))
+		return j.elsewhere(ctx, s.ID, f.Full, j.quota.Take(j.service.Name))
 	}
 	j.cache = nil // the engine may have taken it
 	j.runs++
@@ -356,7 +356,7 @@
 // interrupted follows a run that broke off.
 func (j *job) interrupted(ctx context.Context, s fleet.Server, f *entry.Fault) step {
 	may := j.route.Resume && j.runs < j.route.Attempts && ctx.Err() == nil
-	if may && j.Quota.Take(j.service.Name) {
+	if may && j.quota.Take(j.service.Name) {
 		j.endLease(false)
 		j.exclude(s.ID)
 		return again
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -28,21 +28,43 @@
 
 // Handler serves streams.
 type Handler struct {
-	Domain   string
-	Table    *fleet.Table
-	Backends citronrock.Backends
-	Ingress  citronrock.Ingress
-	Granter  Granter
-	Quota    *quota.Quota
-	Log      *lines.Log
-	// Wasted takes the tokens of prompts that were read in vain.
-	Wasted func(service string, tokens int)
+	domain   string
+	table    *fleet.Table
+	backends citronrock.Backends
+	ingress  citronrock.Ingress
+	granter  Granter
+	quota    *quota.Quota
+	log      *lines.Log
+	wasted   func(service string, tokens int)
 
 	mu    sync.Mutex
 	sizes map[string]*size
 	leads map[string]time.Duration
 }
 
+// Option changes a setting of a handler.
+type Option func(*Handler)
+
+// WithDomain sets the failure domain whose servers are preferred where no ledger
+// chooses.
+func WithDomain(domain string) Option { return func(h *Handler) { h.domain = domain } }
+
+// WithWasted sets a function that takes the tokens of prompts that were read in
+// vain.
+func WithWasted(f func(service string, tokens int)) Option {
+	return func(h *Handler) { h.wasted = f }
+}
+
+// New returns a handler that obtains engines from a granter.
+func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, g Granter, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
+	h := &Handler{table: table, backends: b, ingress: i, granter: g, quota: q, log: log,
+		wasted: func(string, int) {}, sizes: map[string]*size{}, leads: map[string]time.Duration{}}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
 // Parameters of the estimates.
 const (
 	// firstShare stands for the share of the largest output that is made until
@@ -92,9 +114,6 @@
 	s := h.sizes[route]
 	if s == nil {
 		s = &size{share: firstShare, n: 3}
-		if h.sizes == nil {
-			h.sizes = map[string]*size{}
-		}
 		h.sizes[route] = s
 	}
 	s.n++
@@ -115,9 +134,6 @@
 	was := h.lead(service)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.leads == nil {
-		h.leads = map[string]time.Duration{}
-	}
 	h.leads[service] = was + time.Duration(leadWeight*float64(d-was))
 }
 
@@ -153,7 +169,7 @@
 		return *o
 	}
 	if !j.answered {
-		h.Ingress.Refuse(w, c, o.Status, o.After, "the request was not answered: "+o.Result+", "+o.Reason)
+		h.ingress.Refuse(w, c, o.Status, o.After, "the request was not answered: "+o.Result+", "+o.Reason)
 	}
 	return *o
 }
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -37,12 +37,27 @@
 
 // Handler serves requests of plain services.
 type Handler struct {
-	Domain   string
-	Table    *fleet.Table
-	Backends citronrock.Backends
-	Ingress  citronrock.Ingress
-	Quota    *quota.Quota
-	Log      *lines.Log
+	domain   string
+	table    *fleet.Table
+	backends citronrock.Backends
+	ingress  citronrock.Ingress
+	quota    *quota.Quota
+	log      *lines.Log
+}
+
+// Option changes a setting of a handler.
+type Option func(*Handler)
+
+// WithDomain sets the failure domain whose servers are preferred.
+func WithDomain(domain string) Option { return func(h *Handler) { h.domain = domain } }
+
+// New returns a handler that sends to the servers of a table.
+func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
+	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
 }
 
 // answer is a whole answer of a server.
@@ -94,7 +109,7 @@
 	default:
 		out.Status, out.Result = http.StatusBadGateway, "unknown"
 	}
-	h.Ingress.Refuse(w, c, out.Status, out.After, "the request was not answered: "+out.Result+", "+out.Reason)
+	h.ingress.Refuse(w, c, out.Status, out.After, "the request was not answered: "+out.Result+", "+out.Reason)
 	return out
 }
 
@@ -102,7 +117,7 @@
 // sendings.
 func (j *job) run(ctx context.Context) (*answer, retry.Verdict) {
 	for {
-		server, ok := j.Table.Choose(time.Now(), j.service, j.Domain, j.without)
+		server, ok := j.table.Choose(time.Now(), j.service, j.domain, j.without)
 		if !ok {
 			return j.kept, j.verdict(event.FaultRefused, nil)
 		}
@@ -140,7 +155,7 @@
 	if f == event.FaultUnsent {
 		return func() bool { return true }
 	}
-	return func() bool { return j.Quota.Take(j.service) }
+	return func() bool { return j.quota.Take(j.service) }
 }
 
 func (j *job) verdict(f event.Fault, budget func() bool) retry.Verdict {
@@ -161,11 +176,11 @@
 	cut, cancel := context.WithDeadlineCause(ctx, limit, errSlow)
 	defer cancel()
 	if j.sends == 0 {
-		j.Quota.Sent(j.service)
+		j.quota.Sent(j.service)
 	}
 	j.sends++
 	begun := time.Now()
-	note := j.Table.Begin(s.ID)
+	note := j.table.Begin(s.ID)
 	a, fault, err := j.exchange(cut, s)
 	took := time.Since(begun)
 	note(time.Now(), health(ctx, a, fault), took)
@@ -174,7 +189,7 @@
 		if err != nil {
 			text = err.Error()
 		}
-		j.Log.Info(lines.Attempt, "request", j.call.ID, "service", j.service, "server", s.ID, "entry", s.Revision,
+		j.log.Info(lines.Attempt, "request", j.call.ID, "service", j.service, "server", s.ID, "entry", s.Revision,
 			"send", j.sends, "fault", fault.String(), "error", text, "took", lines.Ms(took))
 	}
 	return a, fault
@@ -185,14 +200,14 @@
 
 // exchange sends the call and reads the whole answer.
 func (j *job) exchange(ctx context.Context, s fleet.Server) (*answer, event.Fault, error) {
-	reply, err := j.Backends.Send(ctx, s, j.call, entry.Options{Left: time.Until(j.deadline)})
+	reply, err := j.backends.Send(ctx, s, j.call, entry.Options{Left: time.Until(j.deadline)})
 	if err != nil {
 		var f *entry.Fault
 		if !errors.As(err, &f) {
 			return nil, event.FaultBroken, err
 		}
 		if f.Misdirected {
-			j.Table.Misdirected(time.Now(), s)
+			j.table.Misdirected(time.Now(), s)
 		}
 		if f.Fault == event.FaultBroken && ctx.Err() != nil {
 			return nil, event.FaultStalled, err
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -24,7 +24,6 @@
 	Answer
 	Drop
 	Report
-	Strike
 	Notice
 )
 
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -7,7 +7,6 @@
 package grant
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -313,35 +312,6 @@
 	}
 }
 
-// inspect asks engines for their usage where a ledger may lack runs.
-func (n *Node) inspect(now time.Time) {
-	for service, l := range n.ledgers {
-		for _, id := range l.Inspect(now) {
-			s, ok := n.fleet.Get(now, id)
-			if !ok {
-				continue
-			}
-			go n.usage(service, s)
-		}
-	}
-}
-
-func (n *Node) usage(service string, s fleet.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
-	defer cancel()
-	u, err := n.engines.Usage(ctx, s)
-	if err != nil {
-		n.log.Info("usage not known", "server", s.ID, "error", err.Error())
-		return
-	}
-	n.do(func(now time.Time) {
-		if l := n.ledgers[service]; l != nil {
-			l.SetUsage(now, s.ID, u)
-			n.log.Info("usage", "server", s.ID, "tokens", u.Tokens, "running", u.Running, "waiting", u.Waiting)
-		}
-	})
-}
-
 // Load is the state of a ledger for display.
 type Load struct {
 	Runs, Queued int
@@ -358,117 +328,3 @@
 	})
 	return out
 }
-
-// report sends what this daemon runs.
-func (n *Node) report(now time.Time) {
-	for service, m := range n.own {
-		resting := n.fleet.Resting(now, service)
-		if len(m.leases) == 0 && now.After(m.until) && len(resting) == 0 {
-			delete(n.own, service)
-			continue
-		}
-		n.number++
-		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
-			Resting: resting, Pace: m.pace()}
-		for _, l := range m.leases {
-			r.Runs = append(r.Runs, l.run())
-		}
-		slices.SortFunc(r.Runs, func(a, b ledger.Run) int { return cmp.Compare(a.Lease, b.Lease) })
-		for id, at := range m.ended {
-			if now.Sub(at) > endedFor {
-				delete(m.ended, id)
-				continue
-			}
-			r.Ended = append(r.Ended, id)
-		}
-		for id, at := range m.full {
-			if now.Sub(at) > fullFor {
-				delete(m.full, id)
-				continue
-			}
-			r.Full = append(r.Full, id)
-		}
-		_, to := n.owners(now, service)
-		n.ledger(service).Report(now, n.self, r)
-		n.send(n.ledger(service).Tick(now))
-		for _, addr := range to {
-			if addr != n.self {
-				n.socket.Send(addr, gram.Report, r)
-			}
-		}
-	}
-}
-
-// send sends answers to the asking daemons.
-func (n *Node) send(answers []ledger.Answer) {
-	for _, a := range answers {
-		if a.To == n.self {
-			n.deliver(a)
-			continue
-		}
-		n.socket.Send(a.To, gram.Answer, a)
-	}
-}
-
-func (n *Node) deliver(a ledger.Answer) {
-	if p := n.pending[a.ID]; p != nil && a.Start == n.start {
-		select {
-		case p.answers <- a:
-		default:
-		}
-	}
-}
-
-func (n *Node) onAsk(from netip.AddrPort, body []byte) {
-	var a ledger.Ask
-	if !n.socket.Decode(body, &a) {
-		return
-	}
-	n.do(func(now time.Time) {
-		if _, ok := n.rooms[a.Service]; ok {
-			n.send(n.ledger(a.Service).Ask(now, from, a))
-		}
-	})
-}
-
-func (n *Node) onAnswer(from netip.AddrPort, body []byte) {
-	var a ledger.Answer
-	if !n.socket.Decode(body, &a) {
-		return
-	}
-	n.do(func(time.Time) {
-		delete(n.shunned, from)
-		n.deliver(a)
-	})
-}
-
-// drop tells an owner that an ask has no client any more.
-type drop struct {
-	Service string `cbor:"1,keyasint"`
-	Start   int64  `cbor:"2,keyasint"`
-	ID      uint64 `cbor:"3,keyasint"`
-}
-
-func (n *Node) onDrop(from netip.AddrPort, body []byte) {
-	var d drop
-	if !n.socket.Decode(body, &d) {
-		return
-	}
-	n.do(func(now time.Time) {
-		if l := n.ledgers[d.Service]; l != nil {
-			l.Drop(now, from, d.Start, d.ID)
-		}
-	})
-}
-
-func (n *Node) onReport(from netip.AddrPort, body []byte) {
-	var r ledger.Report
-	if !n.socket.Decode(body, &r) {
-		return
-	}
-	n.do(func(now time.Time) {
-		if _, ok := n.rooms[r.Service]; ok {
-			n.ledger(r.Service).Report(now, from, r)
-		}
-	})
-}
--- a/internal/route/plan/plan.go
+++ b/internal/route/plan/plan.go
@@ -70,8 +70,6 @@
 	Name string
 	// Health is the path of the health check.
 	Health string
-	// Connections is the number of connections that each backend server takes.
-	Connections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
