--- a/internal/room/grant/grant_test.go
+++ b/internal/room/grant/grant_test.go
@@ -76,8 +76,8 @@
 func (idle) Order(context.Context, fleet.Server, Order) error { return errors.New("refused") }
 
 // start returns n nodes, the owner of the service first, over one engine of each
-// stage with a number of slots.
-func start(t *testing.T, n, slots int) ([]*Node, *network) {
+// stage with one slot.
+func start(t *testing.T, n int) ([]*Node, *network) {
 	t.Helper()
 	w := &network{ports: map[netip.AddrPort]*port{}, known: n,
 		lose: func(netip.AddrPort, netip.AddrPort, gram.Kind) bool { return false }}
@@ -95,7 +95,7 @@
 		table.Put(fleet.Server{ID: "d1", Service: service, Stage: fleet.Decode, Beat: 1})
 		p := &port{net: w, addr: addr, handlers: map[gram.Kind]gram.Handler{}}
 		node := Start(beat.Member{Addr: addr, Start: 1}, "a", p, w, table, idle{}, hclog.NewNullLogger())
-		node.SetServices(map[string]Room{service: {Slots: slots, Tokens: 100_000, Switch: 6 * time.Second}})
+		node.SetServices(map[string]Room{service: {Slots: 1, Tokens: 100_000, Switch: 6 * time.Second}})
 		w.mu.Lock()
 		w.ports[addr] = p
 		w.mu.Unlock()
@@ -122,7 +122,7 @@
 // the daemon next in order knows what runs.
 func TestNextOwnerKnowsRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		nodes, w := start(t, 4, 1)
+		nodes, w := start(t, 4)
 		defer stop(nodes)
 		lease, err := acquire(nodes[2])
 		if err != nil || lease.Owner != nodes[0].self {
@@ -151,7 +151,7 @@
 	for name, kind := range map[string]gram.Kind{"ask": gram.Ask, "answer": gram.Answer, "report": gram.Report} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				nodes, w := start(t, 3, 1)
+				nodes, w := start(t, 3)
 				defer stop(nodes)
 				lost := 0
 				w.mu.Lock()
@@ -186,7 +186,7 @@
 // on its way.
 func TestAbandonedAsk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		nodes, w := start(t, 3, 1)
+		nodes, w := start(t, 3)
 		defer stop(nodes)
 		w.mu.Lock()
 		w.lose = func(_, _ netip.AddrPort, k gram.Kind) bool { return k == gram.Answer }
@@ -225,7 +225,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				nodes, w := start(t, 4, 1)
+				nodes, w := start(t, 4)
 				defer stop(nodes)
 				w.mu.Lock()
 				w.known = c.known
