Finish streams of services without model engines

Cause: the end of a stream computed its output a second time, by the stride of a model engine that a plain service does not have, and panicked; net/http then cut the connection after the last event.

Change: both places use one function. TestPlainStream panicked before.

--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -79,6 +79,6 @@
 	if !j.begun {
 		j.begin(reply)
 	}
-	j.learn(j.route.Name, j.call, j.events*max(j.service.Engine.Stride, 1))
+	j.learn(j.route.Name, j.call, j.made())
 	return nil
 }
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -263,3 +263,17 @@
 		t.Error("source of the lost cache is not left alone")
 	}
 }
+
+// Guards against a stream of a service without model engines that is cut off at
+// its end.
+func TestPlainStream(t *testing.T) {
+	w := &world{runs: []run{{status: 200, from: 1, to: 3}}, freed: make(chan string, 1)}
+	h := stream.New(table(), w, ingress{}, w, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+	route := &plan.Route{Name: "r", Kind: plan.Stream, Target: time.Second, Attempts: 1}
+	c := &entry.Call{ID: "c", Received: time.Now(), Output: 80}
+	rec := httptest.NewRecorder()
+	o := h.Serve(t.Context(), rec, c, route, plan.Service{Name: "s"}, time.Now().Add(time.Second))
+	if rec.Body.String() != events(3) || o.Result != "ok" || len(w.asks) > 0 {
+		t.Errorf("body %q, result %q, %d asks; want the whole stream without a ledger", rec.Body, o.Result, len(w.asks))
+	}
+}
