Name and join what a reader stumbles over in streams and ledgers

One function counts sendings, one makes the key of a queued ask; fields of queued asks and reports are explained; two comments stand beside what they are about. No behaviour changes.

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -29,8 +29,8 @@
 	// back at the latest: clients keep to a third.
 	returnShare = 0.32
 	// prefillTimeout bounds a prefill: the ledger lets prompts queue for half a
-	// second, and reading one takes less. Later a lost answer is the
-	// likelier cause.
+	// second, and reading one takes less. Later a lost answer is the likelier
+	// cause.
 	prefillTimeout = 900 * time.Millisecond
 	// offerFor is the share of the time for which a KV cache is kept during which
 	// it is offered to a second engine.
@@ -188,7 +188,7 @@
 		return true
 	case errors.As(err, &refusal):
 		j.outcome.After = refusal.After
-		j.log.Info("refusal", "request", j.call.ID, "service", ask.Service, "owner", refusal.Owner.String(),
+		j.log.Info(lines.Refusal, "request", j.call.ID, "service", ask.Service, "owner", refusal.Owner.String(),
 			"reason", refusal.Reason, "predicted", lines.Ms(refusal.Wait), "ahead", refusal.Ahead,
 			"load", refusal.Load, "waited", lines.Ms(time.Since(asked)), "slack", lines.Ms(slack))
 		j.fail(ctx, refusal.Reason)
@@ -198,6 +198,14 @@
 	return false
 }
 
+// countSend counts a sending; the first one adds to the budget for repeats.
+func (j *job) countSend() {
+	if j.sends == 0 {
+		j.quota.Sent(j.service.Name)
+	}
+	j.sends++
+}
+
 // exclude leaves an engine out of the following rounds.
 func (j *job) exclude(id string) { j.without = append(j.without, id) }
 
@@ -234,10 +242,7 @@
 	}
 	cut, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
-	if j.sends == 0 {
-		j.quota.Sent(j.service.Name)
-	}
-	j.sends++
+	j.countSend()
 	begun := time.Now()
 	note := j.table.Begin(s.ID)
 	cache, err := j.backends.Prefill(cut, s, j.call, entry.Options{Left: time.Until(j.deadline)})
@@ -290,10 +295,7 @@
 	if !ok {
 		return j.elsewhere(ctx, j.lease.Decode, false, true)
 	}
-	if j.sends == 0 {
-		j.quota.Sent(j.service.Name)
-	}
-	j.sends++
+	j.countSend()
 	begun := time.Now()
 	note := j.table.Begin(s.ID)
 	cut, cancel := context.WithCancelCause(ctx)
--- a/internal/logs/lines/lines.go
+++ b/internal/logs/lines/lines.go
@@ -14,6 +14,8 @@
 const (
 	// Grant is the decision of a ledger's owner, at the daemon that asked.
 	Grant = "grant"
+	// Refusal is the same where the owner refused.
+	Refusal = "refusal"
 	// Attempt is one sending to a backend server that did not give an answer.
 	Attempt = "attempt"
 	// End is the final outcome. It is written for each request that failed.
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -57,11 +57,11 @@
 	// engine's failure domain may have more than another: a transfer between
 	// domains takes twice as long and is charged.
 	crossPrefill = 6000
+	// crossDecode is the same for decode engines, as a share of their memory.
+	crossDecode = 0.03
 	// readLimit is the time for the prompts before an ask in the queue of its
 	// prefill engine. Longer queues would hold decode memory for nothing.
 	readLimit = 500 * time.Millisecond
-	// crossDecode is the same for decode engines, as a share of their memory.
-	crossDecode = 0.03
 )
 
 type runKey struct {
@@ -88,16 +88,20 @@
 	return r
 }
 
+// waiting is a queued ask.
 type waiting struct {
 	Ask
-	edge    netip.AddrPort
-	asked   time.Time
-	back    bool
-	heard   time.Time
-	lateAt  time.Time
-	refusal time.Time
+	edge netip.AddrPort
+	// back is set for a client that came back after a refusal.
+	back bool
+	// heard is when the ask was last sent, lateAt from when on the answer would be
+	// late, and refusal when its patience ends.
+	asked, heard, lateAt, refusal time.Time
 }
 
+func (w *waiting) key() runKey { return runKey{w.edge, w.Start, w.ID} }
+
+// source is what the last report of a daemon told besides its runs.
 type source struct {
 	start   int64
 	number  uint64
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -124,11 +124,11 @@
 	if prefill == "" {
 		run.Phase = Writing
 	}
-	l.runs[runKey{w.edge, w.Start, w.ID}] = &entry{Run: run, granted: now}
+	l.runs[w.key()] = &entry{Run: run, granted: now}
 	delete(l.refused, w.Subject)
 	a := Answer{To: w.edge, Service: l.service, Start: w.Start, ID: w.ID, Verdict: Granted,
 		Decode: decode, Prefill: prefill, Wait: now.Sub(w.asked), Load: float32(l.load())}
-	l.answers[runKey{w.edge, w.Start, w.ID}] = answered{a, now}
+	l.answers[w.key()] = answered{a, now}
 	return a
 }
 
@@ -158,7 +158,7 @@
 	l.returnAt = at
 	a := Answer{To: w.edge, Service: l.service, Start: w.Start, ID: w.ID, Verdict: Refused,
 		After: at.Sub(now), Reason: reason, Wait: wait, Ahead: len(l.queue), Load: float32(l.load())}
-	l.answers[runKey{w.edge, w.Start, w.ID}] = answered{a, now}
+	l.answers[w.key()] = answered{a, now}
 	return a
 }
 
