--- /dev/null
+++ b/internal/back/trip/trip_test.go
@@ -0,0 +1,159 @@
+package trip_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/back/trip"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// server plays a script on the first connection.
+func server(t *testing.T, script func(net.Conn, *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		script(conn, bufio.NewReader(conn))
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+	})
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func do(ctx context.Context, to netip.AddrPort, body string) (string, error) {
+	req := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1,
+		ProtoMinor: 1, URL: &url.URL{Scheme: "http", Host: to.String(), Opaque: "/a/%2e%2e/b"}}
+	reply, err := trip.New().Do(ctx, to, req, []byte(body))
+	if err != nil {
+		return "", err
+	}
+	defer reply.Close()
+	text, err := io.ReadAll(reply.Body)
+	return string(text), err
+}
+
+func readAll(r *bufio.Reader) (*http.Request, string) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, ""
+	}
+	body, _ := io.ReadAll(req.Body)
+	return req, string(body)
+}
+
+// Guards against a request that is taken for not sent though a server may have
+// it, and against answers that end early and look complete.
+func TestDo(t *testing.T) {
+	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
+	cases := map[string]struct {
+		script func(net.Conn, *bufio.Reader)
+		body   string
+		want   string
+		fails  bool
+	}{
+		"answered": {script: func(c net.Conn, r *bufio.Reader) {
+			if req, body := readAll(r); req.RequestURI == "/a/%2e%2e/b" && body == "hello" {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}, body: "hello", want: "ok"},
+		"no length": {script: func(c net.Conn, r *bufio.Reader) {
+			readAll(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		}, want: "all of it"},
+		"informational first": {script: func(c net.Conn, r *bufio.Reader) {
+			readAll(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}, want: "ok"},
+		"answered before a long body is read": {script: func(c net.Conn, _ *bufio.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+			time.Sleep(50 * time.Millisecond)
+		}, body: strings.Repeat("x", 4<<20), want: "no"},
+		"closed without an answer": {script: func(_ net.Conn, r *bufio.Reader) { readAll(r) }, fails: true},
+		"reset without an answer": {script: func(c net.Conn, r *bufio.Reader) {
+			readAll(r)
+			reset(c)
+		}, fails: true},
+		"body cut": {script: func(c net.Conn, r *bufio.Reader) {
+			readAll(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok")
+		}, fails: true},
+		"chunks cut": {script: func(c net.Conn, r *bufio.Reader) {
+			readAll(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+		}, fails: true},
+		"no HTTP": {script: func(c net.Conn, r *bufio.Reader) {
+			readAll(r)
+			_, _ = io.WriteString(c, "nonsense\r\n\r\n")
+		}, fails: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := do(t.Context(), server(t, c.script), c.body)
+			if (err != nil) != c.fails || !c.fails && got != c.want {
+				t.Errorf("answer %q, error %v; want %q, error %v", got, err, c.want, c.fails)
+			}
+			var failed *trip.Error
+			if errors.As(err, &failed) && !failed.Sent {
+				t.Errorf("error %v says that the request was not sent", err)
+			}
+		})
+	}
+}
+
+// Guards against a closed port that counts as a request that may have run.
+func TestDoRefused(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	_, err = do(t.Context(), addr, "x")
+	var failed *trip.Error
+	if !errors.As(err, &failed) || failed.Sent {
+		t.Errorf("error %v, want one that says that nothing was sent", err)
+	}
+}
+
+// Guards against a server that works on for a client that left.
+func TestDoEndsWithContext(t *testing.T) {
+	closed := make(chan struct{})
+	to := server(t, func(_ net.Conn, r *bufio.Reader) {
+		readAll(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := do(ctx, to, "x"); err == nil {
+		t.Error("answer without one")
+	}
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("connection is open half a second after its request ended")
+	}
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -13,6 +13,7 @@
 	"citronrock.example/citronrock/internal/cli/deps"
 	"citronrock.example/citronrock/internal/cli/diff"
 	"citronrock.example/citronrock/internal/cli/engine"
+	"citronrock.example/citronrock/internal/cli/expln"
 	"citronrock.example/citronrock/internal/cli/flags"
 	"citronrock.example/citronrock/internal/cli/inst"
 	"citronrock.example/citronrock/internal/cli/load"
@@ -56,6 +57,7 @@
 		{"requests", "list the requests in flight", verb(reqs.New, reqs.Run)},
 		{"console", "edit a document in a browser", verb(consol.New, consol.Run)},
 		{"load", "send load to daemons and check the answers", verb(load.New, load.Run)},
+		{"explain", "tell what happened to one request, from logs", verb(expln.New, quick(expln.Run))},
 		{"replay", "replay a recorded trace through the decision core", verb(replay.New, quick(replay.Run))},
 		{"version", "show the version of this program", verb(vers.New, quick(vers.Run))},
 	}
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -171,6 +171,7 @@
 		o = r.route(w, req, c)
 	}
 	o.Took = time.Since(received)
+	o.Age, _ = r.follower.Age()
 	r.log.End(o)
 	r.meter.Answer(o.Service, o.Route, o.Result, o.Reason, o.Took)
 	if o.First > 0 {
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -66,10 +66,10 @@
 	// is the header of a stream. maybe is set from the time on at which the request
 	// may have run.
 	answered, begun, maybe bool
-	sends, runs  int
-	events       int
-	last         string
-	without      []string
+	sends, runs            int
+	events                 int
+	last                   string
+	without                []string
 }
 
 // step is what follows a part of the work.
--- /dev/null
+++ b/internal/front/stream/stream_test.go
@@ -0,0 +1,266 @@
+package stream_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/front/stream"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/room/grant"
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/plan"
+)
+
+var errReset = errors.New("connection reset")
+
+// run is what an engine does with one request: a fault instead of an answer, or
+// an answer of a status with events from one ID to another, that breaks or ends.
+type run struct {
+	fault    *entry.Fault
+	status   int
+	from, to int
+	breaks   bool
+	// hangs keeps the stream open after its events.
+	hangs bool
+}
+
+// world is a fake of the engines and of the ledger's owner.
+type world struct {
+	citronrock.Backends
+	runs     []run
+	prefills []error
+	refuse   *ledger.Answer
+	sends    []entry.Options
+	asks     []ledger.Ask
+	readers  []string
+	freed    chan string
+}
+
+func (w *world) Acquire(_ context.Context, a ledger.Ask) (*grant.Lease, error) {
+	w.asks = append(w.asks, a)
+	if w.refuse != nil {
+		return nil, &grant.Refusal{Answer: *w.refuse}
+	}
+	pick := func(prefix string) string {
+		for i := 1; ; i++ {
+			if id := fmt.Sprint(prefix, i); !slices.Contains(a.Without, id) {
+				return id
+			}
+		}
+	}
+	l := grant.Unaccounted(pick("d"))
+	if !a.Read {
+		l.Prefill = pick("p")
+	}
+	return l, nil
+}
+
+func (w *world) Prefill(_ context.Context, s fleet.Server, _ *entry.Call, _ entry.Options) (*entry.Cache, error) {
+	w.readers = append(w.readers, s.ID)
+	if n := len(w.readers); n <= len(w.prefills) && w.prefills[n-1] != nil {
+		return nil, w.prefills[n-1]
+	}
+	return &entry.Cache{Source: s.Addr, Handle: "h-" + s.ID, Tokens: 100, Made: time.Now()}, nil
+}
+
+func (w *world) Send(ctx context.Context, s fleet.Server, c *entry.Call, o entry.Options) (*entry.Reply, error) {
+	w.sends = append(w.sends, o)
+	r := w.runs[min(len(w.sends), len(w.runs))-1]
+	if r.fault != nil {
+		return nil, r.fault
+	}
+	var body bytes.Buffer
+	for i := r.from; i <= r.to; i++ {
+		fmt.Fprintf(&body, "id: %d\ndata: x\n\n", i)
+	}
+	var end io.Reader = strings.NewReader("")
+	switch {
+	case r.breaks:
+		end = broken{}
+	case r.hangs:
+		end = hung{ctx}
+	}
+	return &entry.Reply{Status: r.status, Header: http.Header{"Seal": {s.ID}}, Sealed: true, Length: -1,
+		Body: io.MultiReader(&body, end), Close: func() {}}, nil
+}
+
+func (w *world) Free(_ context.Context, c *entry.Cache) error {
+	w.freed <- c.Handle
+	return nil
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errReset }
+
+type hung struct{ ctx context.Context }
+
+func (h hung) Read([]byte) (int, error) {
+	<-h.ctx.Done()
+	return 0, context.Cause(h.ctx)
+}
+
+// ingress writes failures with their status and time to come back.
+type ingress struct{ citronrock.Ingress }
+
+func (ingress) Refuse(w http.ResponseWriter, _ *entry.Call, status int, after time.Duration, _ string) {
+	if after > 0 {
+		w.Header().Set("After", after.String())
+	}
+	w.WriteHeader(status)
+}
+
+func table() *fleet.Table {
+	t := fleet.New()
+	for i, id := range []string{"d1", "d2", "d3", "d4", "p1", "p2", "p3"} {
+		stage := fleet.Decode
+		if id[0] == 'p' {
+			stage = fleet.Prefill
+		}
+		t.Put(fleet.Server{ID: id, Service: "s", Stage: stage, Beat: 1,
+			Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(8000+i))})
+	}
+	return t
+}
+
+// serve plays one call against a world.
+func serve(t *testing.T, w *world, resume bool, limit time.Duration) (*httptest.ResponseRecorder, lines.Outcome, *fleet.Table) {
+	t.Helper()
+	w.freed = make(chan string, 8)
+	servers := table()
+	h := &stream.Handler{Table: servers, Backends: w, Ingress: ingress{}, Granter: w,
+		Quota: quota.New(0.2, 100, func() int { return 1 }), Log: lines.New(io.Discard, "test"),
+		Wasted: func(string, int) {}}
+	route := &plan.Route{Name: "r", Kind: plan.Stream, Timeout: limit, Target: 900 * time.Millisecond,
+		Gap: 300 * time.Millisecond, Resume: resume, Attempts: 2, Model: true}
+	service := plan.Service{Name: "s", Engine: &plan.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+	c := &entry.Call{ID: "c", Method: http.MethodPost, Received: time.Now(), Prompt: 100, Output: 80}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	rec := httptest.NewRecorder()
+	o := h.Serve(ctx, rec, c, route, service, time.Now().Add(limit))
+	return rec, o, servers
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+// Guards against answers that are doubled, mixed, cut off or made up when
+// engines fail at any point of a generation.
+func TestServe(t *testing.T) {
+	full := &entry.Fault{Fault: event.FaultRefused, Full: true, Err: errors.New("503")}
+	unsent := &entry.Fault{Fault: event.FaultUnsent, Err: errReset}
+	reset := &entry.Fault{Fault: event.FaultBroken, Err: errReset}
+	whole := run{status: 200, from: 1, to: 4}
+	cases := map[string]struct {
+		world  world
+		resume bool
+		status int
+		body   string
+		result string
+		sends  int
+		reads  []string
+	}{
+		"whole":                         {world: world{runs: []run{whole}}, status: 200, body: events(1, 4), result: "ok", sends: 1, reads: []string{"p1"}},
+		"engine dies after its header":  {world: world{runs: []run{{status: 200, from: 1, to: 0, breaks: true}}}, status: 502, result: "unknown", sends: 1},
+		"engine resets the request":     {world: world{runs: []run{{fault: reset}}}, status: 502, result: "unknown", sends: 1},
+		"stream breaks":                 {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, whole}}, status: 200, body: events(1, 2), result: "broken", sends: 1},
+		"stream breaks, may be resumed": {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 4}}}, resume: true, status: 200, body: events(1, 4), result: "ok", sends: 2},
+		"stream breaks twice":           {world: world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 3, breaks: true}}}, resume: true, status: 200, body: events(1, 3), result: "broken", sends: 2},
+		"reset, may be resumed":         {world: world{runs: []run{{fault: reset}, whole}}, resume: true, status: 200, body: events(1, 4), result: "ok", sends: 2},
+		"cache lost":                    {world: world{runs: []run{{fault: full}, whole}}, status: 200, body: events(1, 4), result: "ok", sends: 2, reads: []string{"p1", "p2"}},
+		"decode engine unreachable":     {world: world{runs: []run{{fault: unsent}, whole}}, status: 200, body: events(1, 4), result: "ok", sends: 2, reads: []string{"p1"}},
+		"prefill engine resets":         {world: world{prefills: []error{reset}, runs: []run{whole}}, status: 200, body: events(1, 4), result: "ok", sends: 1, reads: []string{"p1", "p2"}},
+		"engine reports a failure":      {world: world{runs: []run{{status: 500, from: 1}}}, status: 500, result: "failed", sends: 1},
+		"engine's 503 says nothing":     {world: world{runs: []run{{status: 503, from: 1}}}, status: 502, result: "unknown", sends: 1},
+		"refused":                       {world: world{refuse: &ledger.Answer{Verdict: ledger.Refused, Reason: ledger.ReasonWait, After: 2 * time.Second}}, status: 503, result: "refused"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			rec, o, _ := serve(t, &c.world, c.resume, 3*time.Second)
+			if rec.Code != c.status || rec.Body.String() != c.body || o.Result != c.result {
+				t.Errorf("status %d, body %q, result %q (%s); want %d, %q, %q", rec.Code, rec.Body, o.Result, o.Reason, c.status, c.body, c.result)
+			}
+			if len(c.world.sends) != c.sends {
+				t.Errorf("%d sendings, want %d", len(c.world.sends), c.sends)
+			}
+			if c.reads != nil && !slices.Equal(c.world.readers, c.reads) {
+				t.Errorf("prompt read by %v, want %v", c.world.readers, c.reads)
+			}
+		})
+	}
+}
+
+// Guards against a resumed run that starts at the wrong event, or whose answer
+// bears another engine's signature.
+func TestResume(t *testing.T) {
+	w := &world{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 4}}}
+	rec, _, _ := serve(t, w, true, 3*time.Second)
+	if got := w.sends[1].After; got != "2" {
+		t.Errorf("second run goes on after event %q, want 2", got)
+	}
+	if got := rec.Header().Get("Seal"); got != "d1" {
+		t.Errorf("answer is signed by %q, want d1", got)
+	}
+	if !w.asks[1].Begun || !slices.Contains(w.asks[1].Without, "d1") {
+		t.Errorf("second ask %+v, want one for a begun answer without d1", w.asks[1])
+	}
+}
+
+// Guards against a stream that hangs at a dead engine although it may go on
+// elsewhere.
+func TestStalledStreamGoesOn(t *testing.T) {
+	w := &world{runs: []run{{status: 200, from: 1, to: 2, hangs: true}, {status: 200, from: 3, to: 4}}}
+	rec, o, _ := serve(t, w, true, 4*time.Second)
+	if rec.Body.String() != events(1, 4) || o.Result != "ok" {
+		t.Errorf("body %q, result %q; want the whole stream", rec.Body, o.Result)
+	}
+}
+
+// Guards against a 503 for a request that may have run when its time is up.
+func TestDeadline(t *testing.T) {
+	w := &world{runs: []run{{status: 200, from: 1, to: 0, hangs: true}}}
+	rec, o, _ := serve(t, w, false, 200*time.Millisecond)
+	if rec.Code != http.StatusGatewayTimeout || o.Result != "unknown" {
+		t.Errorf("status %d, result %q; want 504, unknown", rec.Code, o.Result)
+	}
+}
+
+// Guards against caches that stay at an engine after their request has ended,
+// and against a source of lapsed caches that is used again at once.
+func TestLostCache(t *testing.T) {
+	full := &entry.Fault{Fault: event.FaultRefused, Full: true, Err: errors.New("503")}
+	w := &world{runs: []run{{fault: full}, {status: 200, from: 1, to: 1}}}
+	_, _, servers := serve(t, w, false, 3*time.Second)
+	select {
+	case h := <-w.freed:
+		if h != "h-p1" {
+			t.Errorf("cache %q freed, want the first one", h)
+		}
+	case <-time.After(time.Second):
+		t.Error("first cache is not freed")
+	}
+	if !servers.IsResting(time.Now(), "p1") {
+		t.Error("source of the lost cache is not left alone")
+	}
+}
--- /dev/null
+++ b/internal/front/unary/unary_test.go
@@ -0,0 +1,177 @@
+package unary_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/front/unary"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/plan"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var errReset = errors.New("connection reset")
+
+// step is what a server does with one sending. Ran tells whether the request ran.
+type step struct {
+	fault  event.Fault
+	status int
+	cut    bool
+	ran    bool
+}
+
+var (
+	unsent  = step{fault: event.FaultUnsent}
+	refused = step{fault: event.FaultRefused}
+	reset   = step{fault: event.FaultBroken, ran: true}
+	lost    = step{fault: event.FaultBroken}
+	failed  = step{status: 500, ran: true}
+	cut     = step{status: 200, cut: true, ran: true}
+	bare503 = step{status: 503, ran: true}
+	fine    = step{status: 200, ran: true}
+)
+
+// servers is a fake of the backend servers.
+type servers struct {
+	citronrock.Backends
+	steps []step
+	ran   int
+	sent  []string
+}
+
+func (s *servers) Send(_ context.Context, to fleet.Server, _ *entry.Call, _ entry.Options) (*entry.Reply, error) {
+	s.sent = append(s.sent, to.ID)
+	x := s.steps[min(len(s.sent), len(s.steps))-1]
+	if x.ran {
+		s.ran++
+	}
+	if x.status == 0 {
+		return nil, &entry.Fault{Fault: x.fault, Full: x.fault == event.FaultRefused, Err: errReset}
+	}
+	var body io.Reader = strings.NewReader("answer")
+	if x.cut {
+		body = io.MultiReader(strings.NewReader("ans"), broken{})
+	}
+	return &entry.Reply{Status: x.status, Header: http.Header{}, Sealed: true, Body: body, Length: 6, Close: func() {}}, nil
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errReset }
+
+type ingress struct{ citronrock.Ingress }
+
+func (ingress) Refuse(w http.ResponseWriter, _ *entry.Call, status int, after time.Duration, _ string) {
+	if after > 0 {
+		w.Header().Set("After", after.String())
+	}
+	w.WriteHeader(status)
+}
+
+func serve(kind plan.Kind, steps ...step) (*httptest.ResponseRecorder, *servers) {
+	s := &servers{steps: steps}
+	table := fleet.New()
+	for i, id := range []string{"a", "b", "c", "d", "e"} {
+		table.Put(fleet.Server{ID: id, Service: "s", Beat: 1, Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(8000+i))})
+	}
+	h := &unary.Handler{Table: table, Backends: s, Ingress: ingress{}, Log: lines.New(io.Discard, "test"),
+		Quota: quota.New(0.2, 100, func() int { return 1 })}
+	route := &plan.Route{Name: "r", Kind: kind, Timeout: time.Second, Target: 100 * time.Millisecond, Attempts: 1}
+	if kind == plan.Idempotent {
+		route.Attempts = 2
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	rec := httptest.NewRecorder()
+	h.Serve(ctx, rec, &entry.Call{ID: "c", Method: http.MethodPost, Received: time.Now()}, route, "s", time.Now().Add(time.Second))
+	return rec, s
+}
+
+// Guards against doubled orders, and against statuses that promise what is not
+// known.
+func TestServe(t *testing.T) {
+	cases := map[string]struct {
+		kind   plan.Kind
+		steps  []step
+		status int
+		sends  int
+	}{
+		"order answered":             {plan.Unrepeatable, []step{fine}, 200, 1},
+		"order reset":                {plan.Unrepeatable, []step{reset, fine}, 502, 1},
+		"order cut":                  {plan.Unrepeatable, []step{cut, fine}, 502, 1},
+		"order fails":                {plan.Unrepeatable, []step{failed, fine}, 500, 1},
+		"order not sent":             {plan.Unrepeatable, []step{unsent, fine}, 200, 2},
+		"order refused":              {plan.Unrepeatable, []step{refused, fine}, 200, 2},
+		"order refused by all":       {plan.Unrepeatable, []step{refused}, 503, 3},
+		"order, bare 503":            {plan.Unrepeatable, []step{bare503, fine}, 502, 1},
+		"order refused, then reset":  {plan.Unrepeatable, []step{refused, reset, fine}, 502, 2},
+		"lookup reset":               {plan.Idempotent, []step{reset, fine}, 200, 2},
+		"lookup cut":                 {plan.Idempotent, []step{cut, fine}, 200, 2},
+		"lookup fails once":          {plan.Idempotent, []step{failed, fine}, 200, 2},
+		"lookup fails twice":         {plan.Idempotent, []step{failed, failed, fine}, 500, 2},
+		"lookup reset twice":         {plan.Idempotent, []step{reset, reset, fine}, 502, 2},
+		"lookup refused, then reset": {plan.Idempotent, []step{refused, reset, fine}, 502, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			rec, s := serve(c.kind, c.steps...)
+			if rec.Code != c.status || len(s.sent) != c.sends {
+				t.Errorf("status %d after %v; want %d after %d sendings", rec.Code, s.sent, c.status, c.sends)
+			}
+		})
+	}
+}
+
+// Guards the promises over all sequences of failures.
+func TestServeProperties(t *testing.T) {
+	steps := []step{unsent, refused, reset, lost, failed, cut, bare503, fine}
+	p := gopter.DefaultTestParametersWithSeed(1)
+	p.MinSuccessfulTests = 2000
+	ps := gopter.NewProperties(p)
+	play := func(kind plan.Kind, picks []int) (*httptest.ResponseRecorder, *servers) {
+		list := make([]step, 0, len(picks))
+		for _, i := range picks {
+			list = append(list, steps[i])
+		}
+		return serve(kind, list...)
+	}
+	picks := gen.SliceOfN(6, gen.IntRange(0, len(steps)-1))
+	ps.Property("a request that may not be repeated runs at most once", prop.ForAll(func(p []int) bool {
+		_, s := play(plan.Unrepeatable, p)
+		return s.ran <= 1
+	}, picks))
+	ps.Property("503 is said only for a request that did not run, with a time to come back", prop.ForAll(func(p []int) bool {
+		rec, s := play(plan.Unrepeatable, p)
+		return rec.Code != 503 || s.ran == 0 && rec.Header().Get("After") != ""
+	}, picks))
+	ps.Property("no server gets a request twice", prop.ForAll(func(p []int) bool {
+		_, s := play(plan.Idempotent, p)
+		seen := map[string]bool{}
+		for _, id := range s.sent {
+			if seen[id] {
+				return false
+			}
+			seen[id] = true
+		}
+		return true
+	}, picks))
+	ps.Property("a request runs on two servers at most", prop.ForAll(func(p []int) bool {
+		_, s := play(plan.Idempotent, p)
+		return s.ran <= 2
+	}, picks))
+	ps.TestingRun(t)
+}
--- a/internal/logs/lines/lines.go
+++ b/internal/logs/lines/lines.go
@@ -67,8 +67,10 @@
 	Request string
 	Route   string
 	Service string
-	// Version is the configuration's.
+	// Version is the configuration's, Age the time since it was last known to be
+	// the newest.
 	Version uint64
+	Age     time.Duration
 	// Status is what the client got, 0 when its connection was closed.
 	Status int
 	// Result is "ok", "failed", "refused", "unknown", "gone" or "broken".
@@ -95,7 +97,7 @@
 		l.left()
 		return
 	}
-	fields := []any{"request", o.Request, "route", o.Route, "service", o.Service, "version", o.Version,
+	fields := []any{"request", o.Request, "route", o.Route, "service", o.Service, "version", o.Version, "age", Ms(o.Age),
 		"status", o.Status, "result", o.Result, "server", o.Server, "sends", o.Sends,
 		"took", Ms(o.Took), "left", Ms(o.Left)}
 	if o.Reason != "" {
--- /dev/null
+++ b/internal/peer/beat/beat_test.go
@@ -0,0 +1,170 @@
+package beat_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/beat"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+// fleet is a set of daemons whose messages are lost at random.
+type fleet struct {
+	tables []*beat.Table
+	addrs  []netip.AddrPort
+	next   []time.Time
+	dead   map[int]bool
+	loss   float64
+	rng    *rand.Rand
+	now    time.Time
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
+}
+
+// newFleet returns n daemons that know the first and a stale seed.
+func newFleet(n int, loss float64) *fleet {
+	f := &fleet{dead: map[int]bool{}, loss: loss, rng: rand.New(rand.NewPCG(3, 3)), now: t0}
+	seeds := []netip.AddrPort{addr(0), netip.MustParseAddrPort("10.9.9.9:7000")}
+	for i := range n {
+		f.addrs = append(f.addrs, addr(i))
+		f.tables = append(f.tables, beat.New(beat.Member{Addr: addr(i), Start: int64(i + 1)}, seeds, uint64(i)))
+		f.next = append(f.next, t0.Add(time.Duration(f.rng.IntN(300))*time.Millisecond))
+	}
+	return f
+}
+
+func (f *fleet) run(d time.Duration, check func()) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(10 * time.Millisecond) {
+		for i, table := range f.tables {
+			if f.dead[i] || f.now.Before(f.next[i]) {
+				continue
+			}
+			for _, s := range table.Tick(f.now) {
+				f.deliver(s)
+			}
+			f.next[i] = f.now.Add(table.Every())
+		}
+		check()
+	}
+}
+
+func (f *fleet) deliver(s beat.Send) {
+	for i, a := range f.addrs {
+		if a == s.To && !f.dead[i] && f.rng.Float64() >= f.loss {
+			f.tables[i].Receive(f.now, s.Gossip)
+		}
+	}
+}
+
+func nothing() {}
+
+// startTime is the time between the start of the machines and the first clients.
+const startTime = 10 * time.Second
+
+// recoveryTime is the time after which requests must be served again after a
+// fault. Dead daemons are passed over at once by those that ask them.
+const recoveryTime = 12 * time.Second
+
+// Guards against daemons that don't find each other through one live seed before
+// the first clients come.
+func TestDaemonsFindEachOther(t *testing.T) {
+	for name, n := range map[string]int{"one": 1, "six": 6, "nine": 9, "hundred": 100} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(n, 0.02)
+			f.run(startTime, nothing)
+			for i, table := range f.tables {
+				if got := len(table.Alive(f.now)); got != n {
+					t.Fatalf("daemon %d sees %d of %d after %v", i, got, n, startTime)
+				}
+			}
+		})
+	}
+}
+
+// Guards against live daemons that are taken for dead, which moves the ownership
+// of state: none may be lost in 30 s with one message in fifty lost.
+func TestLiveDaemonsStay(t *testing.T) {
+	for name, n := range map[string]int{"six": 6, "hundred": 100} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(n, 0.02)
+			f.run(startTime, nothing)
+			lost := 0
+			f.run(30*time.Second, func() {
+				if f.now.UnixMilli()%100 != 0 {
+					return
+				}
+				for _, table := range f.tables {
+					lost += n - len(table.Alive(f.now))
+				}
+			})
+			if lost > 0 {
+				t.Errorf("live daemons were missing %d times", lost)
+			}
+		})
+	}
+}
+
+// Guards against dead daemons that keep their share of the work.
+func TestDeadDaemonsGo(t *testing.T) {
+	cases := map[string]struct {
+		n      int
+		within time.Duration
+	}{
+		"six":     {6, 2 * time.Second},
+		"hundred": {100, recoveryTime},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(c.n, 0.02)
+			f.run(startTime, nothing)
+			f.dead[c.n-1] = true
+			f.run(c.within, nothing)
+			for i, table := range f.tables[:c.n-1] {
+				if got := len(table.Alive(f.now)); got != c.n-1 {
+					t.Fatalf("daemon %d sees %d daemons %v after one of %d died", i, got, c.within, c.n)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a fleet whose halves don't find each other after a cut.
+func TestHalvesMeetAgain(t *testing.T) {
+	f := newFleet(6, 0)
+	f.run(2*time.Second, nothing)
+	cut := f.loss
+	f.loss = 1
+	f.run(3*time.Second, nothing)
+	f.loss = cut
+	f.run(3*time.Second, nothing)
+	for i, table := range f.tables {
+		if got := len(table.Alive(f.now)); got != 6 {
+			t.Errorf("daemon %d sees %d of 6 after the cut", i, got)
+		}
+	}
+}
+
+// Guards against fresh daemons that own state before the others have reported
+// to them, and against stopping ones that keep it.
+func TestMature(t *testing.T) {
+	f := newFleet(2, 0)
+	f.run(500*time.Millisecond, nothing)
+	for _, m := range f.tables[0].Alive(f.now) {
+		if m.Mature {
+			t.Errorf("%v is mature after 0.5 s", m.Addr)
+		}
+	}
+	f.run(time.Second, nothing)
+	f.tables[1].Leave()
+	f.run(500*time.Millisecond, nothing)
+	for _, m := range f.tables[0].Alive(f.now) {
+		if m.Mature == (m.Addr == addr(1)) {
+			t.Errorf("%v: mature %v", m.Addr, m.Mature)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/gram/gram_test.go
@@ -0,0 +1,70 @@
+package gram_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/gram"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type note struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func listen(t *testing.T) (*gram.Socket, netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(c.LocalAddr().String())
+	c.Close()
+	s, err := gram.Listen(addr, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, addr
+}
+
+// Guards against messages that are changed on the way, and against bytes of
+// other programs that stop the socket.
+func TestSend(t *testing.T) {
+	a, _ := listen(t)
+	b, to := listen(t)
+	got := make(chan string, 1)
+	b.Handle(gram.Ask, func(_ netip.AddrPort, body []byte) {
+		var n note
+		if b.Decode(body, &n) {
+			got <- n.Text
+		}
+	})
+	stranger, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	for _, junk := range [][]byte{{}, {1}, {9, byte(gram.Ask), 1, 2}, {1, byte(gram.Ask), 0xff, 0xff}, {1, 200, 0}} {
+		if _, err := stranger.Write(junk); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.Send(to, gram.Ask, note{"hello"})
+	select {
+	case text := <-got:
+		if text != "hello" {
+			t.Errorf("received %q", text)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("message not received")
+	}
+	if b.Bad() == 0 {
+		t.Error("unreadable datagrams are not counted")
+	}
+}
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -49,6 +49,9 @@
 	longestReturn  = 5 * time.Second
 	// demandSpan is the time over which the rate of asks is measured.
 	demandSpan = 1500 * time.Millisecond
+	// returnSpread is the part of the longest time over which clients come back
+	// that are refused while nothing is left.
+	returnSpread = 0.4
 	// leastSpare is the share of the service's rate that is at least left for
 	// clients that come back.
 	leastSpare = 0.1
@@ -119,6 +122,8 @@
 	refused  map[uint64]time.Time
 	stay     time.Duration
 	returnAt time.Time
+	// spread runs through 0 to 1 so that successive values are far apart.
+	spread float64
 	// asked is the sum of the asks until askedAt, weighted to the newest.
 	asked   float64
 	askedAt time.Time
@@ -404,7 +409,8 @@
 	spare := l.rate() - l.demand(now)
 	at := now.Add(max(wait, shortestReturn))
 	if spare < leastSpare*l.rate() {
-		at = now.Add(longest)
+		l.spread = math.Mod(l.spread+math.Phi-1, 1)
+		at = now.Add(time.Duration((1 - returnSpread*l.spread) * float64(longest)))
 	} else if next := l.returnAt.Add(time.Duration(float64(w.Prompt+w.Expect) / spare * float64(time.Second))); at.Before(next) {
 		at = next
 	}
--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -55,3 +55,178 @@
 		t.Errorf("ask is granted the engine's only slot")
 	}
 }
+
+// Guards against a request that waits for nothing: what can't be served is
+// refused at once, with the reason and a time to come back.
+func TestRefusedAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		engines []ledger.Engine
+		ask     func(*ledger.Ask)
+		fill    int
+		reason  string
+	}{
+		"no engine":     {nil, func(*ledger.Ask) {}, 0, ledger.ReasonEngine},
+		"all excluded":  {engines(1, 4, 20000), func(a *ledger.Ask) { a.Without = []string{"d1"} }, 0, ledger.ReasonEngine},
+		"too large":     {engines(2, 4, 20000), func(a *ledger.Ask) { a.Prompt = 30000 }, 0, ledger.ReasonLarge},
+		"would be late": {engines(1, 4, 20000), func(a *ledger.Ask) { a.Slack = 100 * time.Millisecond }, 2, ledger.ReasonWait},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(c.engines)
+			for i := range c.fill {
+				own(t, l.Ask(t0, edge1, ask(uint64(100+i))), uint64(100+i))
+			}
+			a := ask(1)
+			c.ask(&a)
+			got := own(t, l.Ask(t0, edge1, a), 1)
+			if got.Verdict != ledger.Refused || got.Reason != c.reason || got.After <= 0 {
+				t.Errorf("answer %+v, want a refusal for %q with a time to come back", got, c.reason)
+			}
+		})
+	}
+}
+
+// Guards against a client that comes back after a refusal and is refused again
+// while others that came later are queued.
+func TestClientThatCameBackIsQueued(t *testing.T) {
+	l := ledger.New("s")
+	l.SetEngines(engines(1, 2, 20000))
+	for id := uint64(1); id <= 2; id++ {
+		own(t, l.Ask(t0, edge1, ask(id)), id)
+	}
+	late := ask(3)
+	late.Subject, late.Slack = 77, 10*time.Millisecond
+	if got := own(t, l.Ask(t0, edge1, late), 3); got.Verdict != ledger.Refused {
+		t.Fatalf("answer %+v, want a refusal", got)
+	}
+	now := t0.Add(2 * time.Second)
+	runs := []ledger.Run{{Lease: 1, Decode: "d1", Prompt: 5000, Expect: 4000}, {Lease: 2, Decode: "d1", Prompt: 5000, Expect: 4000}}
+	l.Report(now, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Runs: runs})
+	late.ID, late.Back = 4, 10*time.Second
+	if got := own(t, l.Ask(now, edge1, late), 4); got.Verdict != ledger.Queued {
+		t.Errorf("answer %+v to a client that came back, want it queued", got)
+	}
+	l.Report(now, edge1, ledger.Report{Service: "s", Start: 1, Number: 2, Runs: runs[:1], Ended: []uint64{2}})
+	if got := own(t, l.Tick(now.Add(20*time.Millisecond)), 4); got.Verdict != ledger.Granted {
+		t.Errorf("answer %+v after a run ended, want a grant", got)
+	}
+}
+
+// Guards against an ask whose answer was lost and that is granted twice.
+func TestAskAgainIsAnsweredAgain(t *testing.T) {
+	l := ledger.New("s")
+	l.SetEngines(engines(1, 1, 20000))
+	first := own(t, l.Ask(t0, edge1, ask(1)), 1)
+	again := own(t, l.Ask(t0.Add(50*time.Millisecond), edge1, ask(1)), 1)
+	if first.Verdict != ledger.Granted || again.Verdict != ledger.Granted || first.Decode != again.Decode {
+		t.Errorf("answers %+v and %+v, want the same grant", first, again)
+	}
+	if runs, _, _ := l.Load(); runs != 1 {
+		t.Errorf("%d runs for one ask", runs)
+	}
+}
+
+// Guards against memory that stays granted after the daemon of a run died, or
+// after the run ended and its end was not heard.
+func TestMemoryComesBack(t *testing.T) {
+	cases := map[string]func(l *ledger.Ledger){
+		"end reported": func(l *ledger.Ledger) {
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Ended: []uint64{1}})
+		},
+		"end not heard": func(l *ledger.Ledger) {
+			l.Report(t0.Add(time.Second), edge1, ledger.Report{Service: "s", Start: 1, Number: 1})
+		},
+		"daemon restarted": func(l *ledger.Ledger) {
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Runs: []ledger.Run{{Lease: 1, Decode: "d1"}}})
+			l.Report(t0.Add(time.Second), edge1, ledger.Report{Service: "s", Start: 2, Number: 1})
+		},
+		"daemon silent": func(l *ledger.Ledger) {
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Runs: []ledger.Run{{Lease: 1, Decode: "d1"}}})
+		},
+		"client left": func(l *ledger.Ledger) { l.Drop(t0, edge1, 1, 1) },
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(engines(1, 1, 20000))
+			own(t, l.Ask(t0, edge1, ask(1)), 1)
+			f(l)
+			if got := own(t, l.Ask(t0.Add(4*time.Second), edge2, ask(2)), 2); got.Verdict != ledger.Granted {
+				t.Errorf("answer %+v 4 s later, want a grant", got)
+			}
+		})
+	}
+}
+
+// Guards against grants of memory that runs of dead daemons still hold.
+func TestUnknownRunsCount(t *testing.T) {
+	l := ledger.New("s")
+	l.SetEngines(engines(1, 4, 20000))
+	own(t, l.Ask(t0, edge1, ask(1)), 1)
+	if ids := l.Inspect(t0.Add(10 * time.Millisecond)); len(ids) != 1 {
+		t.Fatalf("engines to inspect %v, want d1", ids)
+	}
+	l.SetUsage(t0.Add(20*time.Millisecond), "d1", ledger.Usage{Tokens: 15000, Running: 2})
+	if got := own(t, l.Ask(t0.Add(30*time.Millisecond), edge1, ask(2)), 2); got.Verdict == ledger.Granted {
+		t.Errorf("answer %+v while unknown runs hold the memory, want no grant", got)
+	}
+	l.Report(t0.Add(790*time.Millisecond), edge1, ledger.Report{Service: "s", Start: 1, Number: 1,
+		Runs: []ledger.Run{{Lease: 1, Decode: "d1", Prompt: 5000, Expect: 4000, Phase: ledger.Writing}}})
+	l.SetUsage(t0.Add(800*time.Millisecond), "d1", ledger.Usage{Tokens: 5000, Running: 1})
+	if got := own(t, l.Ask(t0.Add(820*time.Millisecond), edge1, ask(3)), 3); got.Verdict != ledger.Granted {
+		t.Errorf("answer %+v after the unknown runs ended, want a grant", got)
+	}
+}
+
+// Guards against orders that swing engines back and forth, that take the last
+// prefill engines, or that hit an engine with prompts to read.
+func TestBalance(t *testing.T) {
+	l := ledger.New("s")
+	var list []ledger.Engine
+	for i := range 12 {
+		list = append(list, ledger.Engine{ID: "p" + string(rune('a'+i)), Stage: fleet.Prefill, Slots: 16, Tokens: 62000})
+	}
+	for i := range 23 {
+		list = append(list, ledger.Engine{ID: "d" + string(rune('a'+i)), Stage: fleet.Decode, Slots: 16, Tokens: 62000})
+	}
+	l.SetEngines(list)
+	now, number, id := t0, uint64(0), uint64(0)
+	first := func(ids []string) string { return ids[0] }
+	ordered := map[string]int{}
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		number++
+		id++
+		own(t, l.Ask(now, edge1, ask(id)), id)
+		report := ledger.Report{Service: "s", Start: 1, Number: number, Pace: 55000}
+		const stay = 40 // runs that last four seconds each
+		for lease := id; lease > 0 && lease+stay > id; lease-- {
+			report.Runs = append(report.Runs, ledger.Run{Lease: lease, Decode: "d" + string(rune('a'+lease%23)),
+				Prompt: 5000, Expect: 4000, Made: int(id-lease) * 100, Phase: ledger.Writing})
+		}
+		l.Report(now, edge1, report)
+		c, ok := l.Balance(now, 6*time.Second, first)
+		if !ok {
+			continue
+		}
+		if c.Stage != fleet.Decode {
+			t.Fatalf("order %+v, want prefill engines turned to decode only", c)
+		}
+		ordered[c.Engine]++
+		for i := range list {
+			if list[i].ID == c.Engine {
+				list[i].Stage = c.Stage
+			}
+		}
+		l.SetEngines(list)
+	}
+	if left := 12 - len(ordered); left < 2 || left > 9 {
+		t.Errorf("%d prefill engines are left of 12, want fewer than 10 and 2 at least", left)
+	}
+	for engine, n := range ordered {
+		if n > 1 {
+			t.Errorf("%s was ordered %d times", engine, n)
+		}
+	}
+}
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -55,7 +55,7 @@
 		need, slots = need+tokens, slots+taken
 		// A request that is larger than the share that is granted needs an engine
 		// of its own.
-		if slots > e.Slots || slots > 1 && float64(need) > fill*float64(e.Tokens) {
+		if slots > e.Slots || a.Prompt > e.Tokens || slots > 1 && float64(need) > fill*float64(e.Tokens) {
 			continue
 		}
 		cost := max(float64(need)/float64(e.Tokens), float64(slots)/float64(e.Slots))
--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -37,7 +37,7 @@
 	Stage    fleet.Stage    `cbor:"7,keyasint,omitempty"`
 	Leaving  bool           `cbor:"8,keyasint,omitempty"`
 	// Born is the start of the server's process in Unix milliseconds.
-	Born int64 `cbor:"9,keyasint,omitempty"`
+	Born int64  `cbor:"9,keyasint,omitempty"`
 	Beat uint64 `cbor:"12,keyasint,omitempty"`
 	// Gone tells that the entry was removed, Lapsed that this may be due to an
 	// outage of the store.
--- /dev/null
+++ b/internal/route/probe/probe_test.go
@@ -0,0 +1,65 @@
+package probe_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/probe"
+	"github.com/hashicorp/go-hclog"
+)
+
+var errRefused = errors.New("connection refused")
+
+// Guards against a crashed server that gets requests until its entry lapses,
+// against one that is left alone after its return, and against requests to
+// another server that has its address.
+func TestSuspect(t *testing.T) {
+	cases := map[string]struct {
+		refused  int32
+		replaced bool
+		down     bool
+		usable   bool
+	}{
+		"sound":         {0, false, false, true},
+		"back in time":  {4, false, false, true},
+		"still away":    {1000, false, true, true},
+		"another there": {4, true, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := fleet.Server{ID: "x", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Beat: 1}
+				table := fleet.New()
+				table.Put(s)
+				var dials atomic.Int32
+				dial := func(context.Context, netip.AddrPort) error {
+					if dials.Add(1) <= c.refused {
+						return errRefused
+					}
+					return nil
+				}
+				same := func(context.Context, fleet.Server) (bool, error) { return !c.replaced, nil }
+				p := probe.New(table, same, hclog.NewNullLogger(), probe.WithDial(dial))
+				defer p.Close()
+				p.Suspect(s)
+				p.Suspect(s)
+				synctest.Wait()
+				if got := table.IsResting(time.Now(), "x"); got != (c.refused > 0) {
+					t.Errorf("left alone at once: %v", got)
+				}
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				_, usable := table.Get(time.Now(), "x")
+				if got := table.IsResting(time.Now(), "x"); got != c.down || usable != c.usable {
+					t.Errorf("left alone after 3 s: %v, usable: %v; want %v, %v", got, usable, c.down, c.usable)
+				}
+			})
+		})
+	}
+}
