--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -74,6 +74,9 @@
 	unary    *unary.Handler
 	stream   *stream.Handler
 	stopping atomic.Bool
+	// started is closed once all parts are there. The listeners open before, so
+	// that requests may come earlier.
+	started chan struct{}
 }
 
 // Parts are what a router needs from the platform's adapter.
@@ -90,7 +93,8 @@
 
 // Start begins to serve.
 func Start(s *site.Settings, p Parts) (*Router, error) {
-	r := &Router{settings: s, ingress: p.Ingress, backends: p.Backends, log: p.Log, meter: p.Meter, start: time.Now()}
+	r := &Router{settings: s, ingress: p.Ingress, backends: p.Backends, log: p.Log, meter: p.Meter, start: time.Now(),
+		started: make(chan struct{})}
 	p.Log.Info("start", "domain", s.Domain, "front", s.Front.String(), "peer", s.Peer.String(),
 		"seeds", len(s.Seeds), "store", s.Store.String(), "pid", os.Getpid())
 	var err error
@@ -118,6 +122,7 @@
 		r.closePeers()
 		return nil, err
 	}
+	close(r.started)
 	if p.Omitted != nil {
 		go r.tellOmitted(p.Omitted)
 	}
@@ -183,6 +188,7 @@
 
 // handle serves one request of a client.
 func (r *Router) handle(w http.ResponseWriter, req *http.Request) {
+	<-r.started
 	received := time.Now()
 	c, err := r.ingress.Read(req)
 	if c == nil {
