Pace notices by changes and by the size of the fleet

Cause: readers told all daemons after each read, and each renewed entry of a server made a read return: with 300 servers 40 notices a second, each encoded anew for each daemon, with all changes of the last three seconds.

Ruled out: renewed entries inside the notices; only changed entries are told.

Change: a notice is sent when something changed, and twice a second otherwise; the time between two grows by a millisecond for each daemon. A notice holds at most 100 changes, as larger ones did not fit a datagram and were not sent. A message is encoded once for all receivers. Bytes between daemons are counted by kind.

--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/peer/beat"
+	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/grant"
 	"github.com/rotisserie/eris"
 )
@@ -29,7 +30,12 @@
 	Peers    []Peer                `json:"peers"`
 	Servers  []Server              `json:"servers"`
 	Loads    map[string]grant.Load `json:"loads"`
-	// In and Out are the bytes of datagrams from and to other daemons.
+	// Bytes are those of datagrams from and to other daemons, by kind.
+	Bytes map[string]Bytes `json:"bytes"`
+}
+
+// Bytes are the sizes of what was received and sent.
+type Bytes struct {
 	In  uint64 `json:"in"`
 	Out uint64 `json:"out"`
 }
@@ -61,7 +67,11 @@
 	if d := r.follower.Document(); d != nil {
 		s.Version = d.Version
 	}
-	s.In, s.Out = r.socket.Bytes()
+	s.Bytes = map[string]Bytes{}
+	for k, name := range gram.Kinds {
+		in, out := r.socket.Bytes(k)
+		s.Bytes[name] = Bytes{In: in, Out: out}
+	}
 	for _, m := range r.beats.Alive() {
 		s.Peers = append(s.Peers, peer(m))
 	}
@@ -111,7 +121,14 @@
 
 // gauges adds the figures that are read when metrics are scraped.
 func (r *Router) gauges() error {
-	return errors.Join(
+	var failed []error
+	for k, name := range gram.Kinds {
+		failed = append(failed, r.meter.Gauge("peer_bytes_"+name, "bytes of datagrams of this kind from and to other daemons", func() int64 {
+			in, out := r.socket.Bytes(k)
+			return int64(in + out)
+		}))
+	}
+	return errors.Join(append(failed,
 		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.Open()) }),
 		r.meter.Gauge("peers", "live daemons, this one included", func() int64 { return int64(len(r.beats.Alive())) }),
 		r.meter.Gauge("version", "version of the configuration in force", func() int64 {
@@ -123,11 +140,7 @@
 		r.meter.Gauge("store_age", "time since the store's state was last known, in milliseconds", func() int64 {
 			age, _ := r.follower.Age()
 			return age.Milliseconds()
-		}),
-		r.meter.Gauge("peer_bytes", "bytes of datagrams from and to other daemons", func() int64 {
-			in, out := r.socket.Bytes()
-			return int64(in + out)
-		}))
+		}))...)
 }
 
 func listen(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
--- a/internal/peer/beat/node.go
+++ b/internal/peer/beat/node.go
@@ -63,7 +63,7 @@
 	n.alive = current
 	n.mu.Unlock()
 	for _, s := range sends {
-		n.socket.Send(s.To, gram.Beat, s.Gossip)
+		n.socket.Send(gram.Beat, s.Gossip, s.To)
 	}
 	for addr, start := range current {
 		if was[addr] != start {
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -27,6 +27,9 @@
 	Notice
 )
 
+// Kinds are the names of all kinds.
+var Kinds = map[Kind]string{Beat: "beat", Ask: "ask", Answer: "answer", Drop: "drop", Report: "report", Notice: "notice"}
+
 const (
 	// version changes with each incompatible change of a message.
 	version = 1
@@ -43,8 +46,9 @@
 	handlers [256]atomic.Pointer[Handler]
 	log      hclog.Logger
 	done     chan struct{}
-	in, out  atomic.Uint64
-	bad      atomic.Uint64
+	// in and out count bytes by kind.
+	in, out [256]atomic.Uint64
+	bad     atomic.Uint64
 }
 
 // Listen opens a socket and starts to receive.
@@ -64,9 +68,9 @@
 // Handle sets the handler of a kind.
 func (s *Socket) Handle(k Kind, h Handler) { s.handlers[k].Store(&h) }
 
-// Send sends a message. Failures are counted and logged; the sender repeats
-// what matters.
-func (s *Socket) Send(to netip.AddrPort, k Kind, message any) {
+// Send sends a message to some daemons. Failures are counted and logged; the
+// sender repeats what matters.
+func (s *Socket) Send(k Kind, message any, to ...netip.AddrPort) {
 	body, err := cbor.Marshal(message)
 	if err != nil || len(body)+2 > largest {
 		s.log.Error("datagram not sent: message can't be encoded", "kind", int(k), "bytes", len(body), "error", err)
@@ -74,11 +78,13 @@
 	}
 	packet := append(make([]byte, 0, len(body)+2), version, byte(k))
 	packet = append(packet, body...)
-	if _, err := s.conn.WriteToUDPAddrPort(packet, to); err != nil {
-		s.log.Debug("datagram not sent", "to", to.String(), "error", err.Error())
-		return
+	for _, addr := range to {
+		if _, err := s.conn.WriteToUDPAddrPort(packet, addr); err != nil {
+			s.log.Debug("datagram not sent", "to", addr.String(), "error", err.Error())
+			continue
+		}
+		s.out[k].Add(uint64(len(packet)))
 	}
-	s.out.Add(uint64(len(packet)))
 }
 
 func (s *Socket) receive() {
@@ -92,11 +98,11 @@
 			s.log.Debug("datagram not received", "error", err.Error())
 			continue
 		}
-		s.in.Add(uint64(n))
 		if n < 2 || buffer[0] != version {
 			s.bad.Add(1)
 			continue
 		}
+		s.in[buffer[1]].Add(uint64(n))
 		h := s.handlers[buffer[1]].Load()
 		if h == nil {
 			s.bad.Add(1)
@@ -116,8 +122,8 @@
 	return true
 }
 
-// Bytes returns the bytes received and sent since the start.
-func (s *Socket) Bytes() (in, out uint64) { return s.in.Load(), s.out.Load() }
+// Bytes returns the bytes of a kind received and sent since the start.
+func (s *Socket) Bytes(k Kind) (in, out uint64) { return s.in[k].Load(), s.out[k].Load() }
 
 // Bad returns the number of datagrams that could not be read.
 func (s *Socket) Bad() uint64 { return s.bad.Load() }
--- a/internal/peer/gram/gram_test.go
+++ b/internal/peer/gram/gram_test.go
@@ -55,7 +55,7 @@
 			t.Fatal(err)
 		}
 	}
-	a.Send(to, gram.Ask, note{"hello"})
+	a.Send(gram.Ask, note{"hello"}, to)
 	select {
 	case text := <-got:
 		if text != "hello" {
--- a/internal/room/grant/grant_test.go
+++ b/internal/room/grant/grant_test.go
@@ -37,16 +37,18 @@
 	handlers map[gram.Kind]gram.Handler
 }
 
-func (p *port) Send(to netip.AddrPort, k gram.Kind, message any) {
+func (p *port) Send(k gram.Kind, message any, all ...netip.AddrPort) {
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		panic(err)
 	}
-	p.net.mu.Lock()
-	other, lost := p.net.ports[to], p.net.lose(p.addr, to, k)
-	p.net.mu.Unlock()
-	if other != nil && !lost {
-		other.handlers[k](p.addr, body)
+	for _, to := range all {
+		p.net.mu.Lock()
+		other, lost := p.net.ports[to], p.net.lose(p.addr, to, k)
+		p.net.mu.Unlock()
+		if other != nil && !lost {
+			other.handlers[k](p.addr, body)
+		}
 	}
 }
 
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -53,7 +53,7 @@
 
 // Socket sends datagrams and passes on received ones.
 type Socket interface {
-	Send(to netip.AddrPort, k gram.Kind, message any)
+	Send(k gram.Kind, message any, to ...netip.AddrPort)
 	Handle(k gram.Kind, h gram.Handler)
 	Decode(body []byte, message any) bool
 }
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -73,11 +73,7 @@
 		_, to := n.owners(now, service)
 		n.ledger(service).Report(now, n.self, r)
 		n.send(n.ledger(service).Tick(now))
-		for _, addr := range to {
-			if addr != n.self {
-				n.socket.Send(addr, gram.Report, r)
-			}
-		}
+		n.socket.Send(gram.Report, r, slices.DeleteFunc(to, func(a netip.AddrPort) bool { return a == n.self })...)
 	}
 }
 
@@ -88,7 +84,7 @@
 			n.deliver(a)
 			continue
 		}
-		n.socket.Send(a.To, gram.Answer, a)
+		n.socket.Send(gram.Answer, a, a.To)
 	}
 }
 
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -23,6 +23,9 @@
 	readEvery = 500 * time.Millisecond
 	// readPause joins changes that come together.
 	readPause = 20 * time.Millisecond
+	// idlePause follows a read that changed nothing: entries of many servers are
+	// renewed so often that each read would return at once.
+	idlePause = 100 * time.Millisecond
 	// noticeLife is how long a notice of a reader stands for a read of this
 	// daemon: two lost notices don't cause a read.
 	noticeLife = 1200 * time.Millisecond
@@ -40,7 +43,9 @@
 type Peers interface {
 	// Reader tells whether this daemon reads for others.
 	Reader() bool
-	Tell(notice.Notice)
+	// Tell tells all other daemons. It returns the time until the next notice may
+	// be sent.
+	Tell(notice.Notice) time.Duration
 	Handle(func(notice.Notice))
 	// Fetch returns what another daemon knows.
 	Fetch(ctx context.Context) (*citronrock.State, error)
@@ -58,6 +63,10 @@
 	// heard is when a notice last showed that nothing was missed.
 	heard   time.Time
 	changed notice.Log
+	// untold is set while there are changes that were not told yet, told is when
+	// the last notice was sent and next when another one may be.
+	untold     bool
+	told, next time.Time
 
 	document atomic.Pointer[plan.Document]
 	// failed is set when the first read failed.
@@ -149,15 +158,19 @@
 				continue
 			}
 		}
+		begun := time.Now()
 		var err error
 		if loaded {
 			err = f.changes(ctx)
 		} else {
 			err = f.load(ctx)
 		}
-		pause := readPause
-		if !f.peers.Reader() {
+		pause := idlePause
+		switch {
+		case !f.peers.Reader():
 			pause = noticeLife
+		case f.untold || f.told.After(begun):
+			pause = readPause
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -211,7 +224,7 @@
 	}
 	// Notices of this daemon must have these changes, too: they tell of all
 	// changes after their base.
-	f.changed.Add(now, f.revision, n.At, f.version(), events)
+	f.changed.Add(now, f.revision, events)
 	f.heard = now
 	f.note(n.At)
 	return true
@@ -268,7 +281,11 @@
 // changes reads what changed since the last read and tells the others.
 func (f *Follower) changes(ctx context.Context) error {
 	wait := time.Duration(0)
-	if f.peers.Reader() {
+	switch {
+	case !f.peers.Reader():
+	case f.untold:
+		wait = min(max(time.Until(f.next), 0), readEvery)
+	default:
 		wait = readEvery
 	}
 	c, err := f.store.Watch(ctx, f.revision, wait)
@@ -290,15 +307,24 @@
 			events = append(events, notice.Event{Revision: r.Revision, ID: r.ID, Gone: true, Lapsed: lapsed})
 		}
 	}
+	before := f.version()
 	f.install(c.Document)
-	told := f.changed.Add(now, f.revision, c.Revision, f.version(), events)
+	f.changed.Add(now, f.revision, events)
 	f.note(c.Revision)
-	if f.peers.Reader() {
-		f.peers.Tell(told)
-	}
+	f.untold = f.untold || len(events) > 0 || f.version() > before
+	f.tell(now)
 	return nil
 }
 
+// tell tells the others what changed, and now and then that nothing has.
+func (f *Follower) tell(now time.Time) {
+	if !f.peers.Reader() || now.Before(f.next) || !f.untold && now.Sub(f.told) < readEvery {
+		return
+	}
+	f.untold, f.told = false, now
+	f.next = now.Add(f.peers.Tell(f.changed.Notice(f.revision, f.version())))
+}
+
 // install puts a configuration in force unless it is older than the one that
 // is.
 func (f *Follower) install(d *plan.Document) {
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -69,11 +69,19 @@
 	return out, nil
 }
 
+func (s *store) changedSince(after uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.at > after
+}
+
 func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (*citronrock.Changes, error) {
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-time.After(wait):
+	for end := time.Now().Add(wait); time.Now().Before(end) && !s.changedSince(after); {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,12 +106,16 @@
 type peers struct {
 	reader bool
 	told   []notice.Notice
+	gap    time.Duration
 	take   func(notice.Notice)
 	state  *citronrock.State
 }
 
-func (p *peers) Reader() bool                 { return p.reader }
-func (p *peers) Tell(n notice.Notice)         { p.told = append(p.told, n) }
+func (p *peers) Reader() bool { return p.reader }
+func (p *peers) Tell(n notice.Notice) time.Duration {
+	p.told = append(p.told, n)
+	return p.gap
+}
 func (p *peers) Handle(f func(notice.Notice)) { p.take = f }
 func (p *peers) Fetch(context.Context) (*citronrock.State, error) {
 	if p.state == nil {
@@ -238,3 +250,42 @@
 		}
 	})
 }
+
+// Guards against notices that multiply with the entries that servers renew and
+// with the size of the fleet: at 300 daemons and 3,000 servers they took 64% of
+// each processor.
+func TestNoticesArePaced(t *testing.T) {
+	cases := map[string]struct {
+		gap time.Duration
+		// renews is set when entries are only renewed; else each one changes.
+		renews bool
+		most   int
+	}{
+		"renewed entries":          {0, true, 11},
+		"changes in a small one":   {5 * time.Millisecond, false, 260},
+		"changes in a large fleet": {300 * time.Millisecond, false, 18},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{doc: document(1)}
+				s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+				p := &peers{reader: true, gap: c.gap}
+				f := follow.Start(s, fleet.New(), p, hclog.NewNullLogger())
+				defer f.Close()
+				for i := range 500 {
+					time.Sleep(10 * time.Millisecond)
+					e := server()
+					if e.Beat = uint64(i + 2); !c.renews {
+						e.Leaving = i%2 == 0
+					}
+					s.change(citronrock.Changes{Servers: []fleet.Server{e}})
+				}
+				synctest.Wait()
+				if n := len(p.told); n > c.most || n == 0 {
+					t.Errorf("%d notices in five seconds, want at most %d", n, c.most)
+				}
+			})
+		})
+	}
+}
--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -24,6 +24,12 @@
 	// memory is how long a change is repeated. A daemon that misses all of these
 	// notices reads the store itself.
 	memory = 3 * time.Second
+	// largest is the number of changes in one notice, about 10 KB. Daemons read
+	// the store themselves when more has changed.
+	largest = 100
+	// costEach is the shortest time between two notices for each daemon in the
+	// fleet, so that a reader sends at most a thousand a second.
+	costEach = time.Millisecond
 )
 
 // Event is a change of one backend server's entry.
@@ -79,13 +85,23 @@
 	events []Event
 }
 
-// Add takes the changes of one read after the revision base and returns the
-// notice to send.
-func (l *Log) Add(now time.Time, base, at, version uint64, events []Event) Notice {
+// Add takes the changes of one read after the revision base.
+func (l *Log) Add(now time.Time, base uint64, events []Event) {
 	l.reads = slices.DeleteFunc(l.reads, func(r read) bool { return now.Sub(r.when) > memory })
 	l.reads = append(l.reads, read{base, now, events})
-	n := Notice{Base: l.reads[0].base, At: at, Version: version}
-	for _, r := range l.reads {
+}
+
+// Notice returns the notice of the last reads, as many as fit. at is the
+// revision of the last one.
+func (l *Log) Notice(at, version uint64) Notice {
+	n := Notice{Base: at, At: at, Version: version}
+	first, size := len(l.reads), 0
+	for first > 0 && size+len(l.reads[first-1].events) <= largest {
+		first--
+		size += len(l.reads[first].events)
+		n.Base = l.reads[first].base
+	}
+	for _, r := range l.reads[first:] {
 		n.Events = append(n.Events, r.events...)
 	}
 	return n
@@ -101,7 +117,7 @@
 
 // Socket sends datagrams and passes on received ones.
 type Socket interface {
-	Send(to netip.AddrPort, k gram.Kind, message any)
+	Send(k gram.Kind, message any, to ...netip.AddrPort)
 	Handle(k gram.Kind, h gram.Handler)
 	Decode(body []byte, message any) bool
 }
@@ -144,11 +160,15 @@
 	return len(names) <= readers || slices.Contains(owner.Top(key, names, readers), n.self.String())
 }
 
-// Tell sends a notice to all other daemons.
-func (n *Node) Tell(m Notice) {
-	for _, to := range n.members.Alive() {
-		if to.Addr != n.self {
-			n.socket.Send(to.Addr, gram.Notice, m)
+// Tell sends a notice to all other daemons. It returns the time until the next
+// one may be sent.
+func (n *Node) Tell(m Notice) time.Duration {
+	var to []netip.AddrPort
+	for _, other := range n.members.Alive() {
+		if other.Addr != n.self {
+			to = append(to, other.Addr)
 		}
 	}
+	n.socket.Send(gram.Notice, m, to...)
+	return costEach * time.Duration(len(to))
 }
