Probe neighbours in wide fleets instead of gossiping heartbeats

Cause: in a fleet of more than eight daemons each one sent samples of 32 heartbeat counters to three others every 300 ms, and to all seeds every 1.5 s: 17 kB a second for each daemon of 84, 58 at seeds, with a budget of 15 for all control. At 350 daemons a sample holds a tenth of the fleet, so that a live daemon is missed for 5 s about once in 300 views.

Ruled out: larger samples (bytes grow with the fleet); fewer messages (misses more).

Change: a daemon of a wide fleet probes the three before it in the order of addresses, twice as many each time while they are silent, spreads what changed, and asks a random daemon for everything now and then. Dead daemons contradict by a higher round. Seeds are told only while they are not known to be alive. Entries that are only renewed are read every 250 ms.

--- a/internal/peer/beat/beat_test.go
+++ b/internal/peer/beat/beat_test.go
@@ -14,12 +14,14 @@
 // fleet is a set of daemons whose messages are lost at random.
 type fleet struct {
 	tables []*beat.Table
-	addrs  []netip.AddrPort
+	index  map[netip.AddrPort]int
 	next   []time.Time
 	dead   map[int]bool
 	loss   float64
 	rng    *rand.Rand
 	now    time.Time
+	// sent and members count the messages that arrived and what they held.
+	sent, members int
 }
 
 func addr(i int) netip.AddrPort {
@@ -28,10 +30,10 @@
 
 // newFleet returns n daemons that know the first and a stale seed.
 func newFleet(n int, loss float64) *fleet {
-	f := &fleet{dead: map[int]bool{}, loss: loss, rng: rand.New(rand.NewPCG(3, 3)), now: t0}
+	f := &fleet{dead: map[int]bool{}, index: map[netip.AddrPort]int{}, loss: loss, rng: rand.New(rand.NewPCG(3, 3)), now: t0}
 	seeds := []netip.AddrPort{addr(0), netip.MustParseAddrPort("10.9.9.9:7000")}
 	for i := range n {
-		f.addrs = append(f.addrs, addr(i))
+		f.index[addr(i)] = i
 		f.tables = append(f.tables, beat.New(beat.Member{Addr: addr(i), Start: int64(i + 1)}, seeds, uint64(i)))
 		f.next = append(f.next, t0.Add(time.Duration(f.rng.IntN(300))*time.Millisecond))
 	}
@@ -54,10 +56,14 @@
 }
 
 func (f *fleet) deliver(s beat.Send) {
-	for i, a := range f.addrs {
-		if a == s.To && !f.dead[i] && f.rng.Float64() >= f.loss {
-			f.tables[i].Receive(f.now, s.Gossip)
-		}
+	i, ok := f.index[s.To]
+	if !ok || f.dead[i] || f.rng.Float64() < f.loss {
+		return
+	}
+	f.sent++
+	f.members += len(s.Gossip.Members)
+	for _, answer := range f.tables[i].Receive(f.now, s.Gossip) {
+		f.deliver(answer)
 	}
 }
 
@@ -73,7 +79,7 @@
 // Guards against daemons that don't find each other through one live seed before
 // the first clients come.
 func TestDaemonsFindEachOther(t *testing.T) {
-	for name, n := range map[string]int{"one": 1, "six": 6, "nine": 9, "hundred": 100} {
+	for name, n := range map[string]int{"one": 1, "six": 6, "nine": 9, "hundred": 100, "planned size": 350} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(n, 0.02)
 			f.run(startTime, nothing)
@@ -89,7 +95,7 @@
 // Guards against live daemons that are taken for dead, which moves the ownership
 // of state: none may be lost in 30 s with one message in fifty lost.
 func TestLiveDaemonsStay(t *testing.T) {
-	for name, n := range map[string]int{"six": 6, "hundred": 100} {
+	for name, n := range map[string]int{"six": 6, "nine": 9, "hundred": 100, "planned size": 350} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(n, 0.02)
 			f.run(startTime, nothing)
@@ -135,17 +141,67 @@
 
 // Guards against a fleet whose halves don't find each other after a cut.
 func TestHalvesMeetAgain(t *testing.T) {
-	f := newFleet(6, 0)
-	f.run(2*time.Second, nothing)
-	cut := f.loss
-	f.loss = 1
-	f.run(3*time.Second, nothing)
-	f.loss = cut
-	f.run(3*time.Second, nothing)
-	for i, table := range f.tables {
-		if got := len(table.Alive(f.now)); got != 6 {
-			t.Errorf("daemon %d sees %d of 6 after the cut", i, got)
-		}
+	cases := map[string]struct {
+		n              int
+		cut, recovered time.Duration
+	}{
+		"six":             {6, 3 * time.Second, 3 * time.Second},
+		"sixty":           {60, 3 * time.Second, recoveryTime},
+		"sixty, long cut": {60, 20 * time.Second, recoveryTime},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(c.n, 0)
+			f.run(startTime, nothing)
+			f.loss = 1
+			f.run(c.cut, nothing)
+			f.loss = 0
+			f.run(c.recovered, nothing)
+			for i, table := range f.tables {
+				if got := len(table.Alive(f.now)); got != c.n {
+					t.Errorf("daemon %d sees %d of %d after the cut", i, got, c.n)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a wide fleet that keeps most of its daemons as live ones after
+// they were lost at once.
+func TestHerdGoes(t *testing.T) {
+	for name, left := range map[string]int{"two in five": 40, "one": 1} {
+		t.Run(name, func(t *testing.T) {
+			const n = 100
+			f := newFleet(n, 0.02)
+			f.run(startTime, nothing)
+			for _, i := range f.rng.Perm(n)[left:] {
+				f.dead[i] = true
+			}
+			f.run(recoveryTime, nothing)
+			for i, table := range f.tables {
+				if got := len(table.Alive(f.now)); !f.dead[i] && got != left {
+					t.Errorf("daemon %d sees %d of %d daemons", i, got, left)
+				}
+			}
+		})
+	}
+}
+
+// Guards against heartbeats that grow with the fleet: of the 15 KB/s that a
+// daemon may use for control, membership gets a fifth, in both directions. A
+// member takes about 25 bytes and the head of a datagram 30.
+func TestLoadStaysFlat(t *testing.T) {
+	const budget = 15_000 / 5
+	for name, n := range map[string]int{"nine": 9, "hundred": 100, "planned size": 350} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(n, 0.02)
+			f.run(startTime, nothing)
+			f.sent, f.members = 0, 0
+			f.run(20*time.Second, nothing)
+			if each := 2 * (f.members*25 + f.sent*30) / n / 20; each > budget {
+				t.Errorf("%d bytes a second and daemon, want at most %d", each, budget)
+			}
+		})
 	}
 }
 
--- a/internal/peer/beat/node.go
+++ b/internal/peer/beat/node.go
@@ -83,8 +83,11 @@
 		return
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.table.Receive(time.Now(), g)
+	answers := n.table.Receive(time.Now(), g)
+	n.mu.Unlock()
+	for _, s := range answers {
+		n.socket.Send(gram.Beat, s.Gossip, s.To)
+	}
 }
 
 // Alive returns the live daemons, this one included.
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -24,8 +24,9 @@
 	// readPause joins changes that come together.
 	readPause = 20 * time.Millisecond
 	// idlePause follows a read that changed nothing: entries of many servers are
-	// renewed so often that each read would return at once.
-	idlePause = 100 * time.Millisecond
+	// renewed so often that each read would return at once. It is small beside the
+	// seconds in which changes have to be in force.
+	idlePause = 250 * time.Millisecond
 	// noticeLife is how long a notice of a reader stands for a read of this
 	// daemon: two lost notices don't cause a read.
 	noticeLife = 1200 * time.Millisecond
