Stop requests that crash their servers; share the view of live daemons

Cause: nothing counted servers that died of a request. One content that came again and again crashed a server each time, at any daemon.

Ruled out: the route's attempts as a bound; they hold for one attempt of a client only. Strikes without the order of deaths: sound requests that ran side by side at servers which died together would be refused.

Two deaths one after the other refuse the content for a minute; a run that ends well clears it. Membership keeps its list of live daemons for 20 ms, as each request asks for it.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -25,6 +25,7 @@
 	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/grant"
+	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/follow"
 	"citronrock.example/citronrock/internal/route/notice"
@@ -65,6 +66,7 @@
 	beats    *beat.Node
 	table    *fleet.Table
 	prober   *probe.Prober
+	guard    *crash.Guard
 	grants   *grant.Node
 	follower *follow.Follower
 	server   *serve.Server
@@ -106,11 +108,12 @@
 	r.table = fleet.New(
 		fleet.WithChanged(func() { r.grants.Refresh() }),
 		fleet.WithSuspect(func(s fleet.Server) { r.prober.Suspect(s) }))
-	r.prober = probe.New(r.table, r.same, p.Log)
+	r.guard = crash.New(s.Peer, r.socket, r.beats, p.Log)
+	r.prober = probe.New(r.table, r.same, p.Log, probe.WithLost(r.guard.Lost))
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
-	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain))
-	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain),
+	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard))
+	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard),
 		stream.WithWasted(func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -246,6 +249,11 @@
 		r.refuse(w, c, &o, "the service of this route is not configured")
 		return o
 	}
+	if r.guard.Suspect(c) {
+		o.Status, o.Result, o.Reason, o.After = http.StatusServiceUnavailable, "refused", string(citronrock.ReasonSuspect), crash.Life
+		r.refuse(w, c, &o, "earlier runs of this request crashed servers")
+		return o
+	}
 	return r.dispatch(w, req, c, route, service, o)
 }
 
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -305,6 +305,9 @@
 		f := asFault(err)
 		note(time.Now(), outcome(ctx, f), 0)
 		j.attempt("decode", s, begun, f)
+		if f.Fault == event.FaultBroken && ctx.Err() == nil {
+			j.guard.Broke(j.call, s, begun)
+		}
 		return j.undecoded(ctx, s, f)
 	}
 	defer reply.Close()
@@ -319,11 +322,15 @@
 	f := j.relay(ctx, cancel, reply)
 	if f == nil {
 		note(time.Now(), fleet.OK, 0)
+		j.guard.Passed(j.call)
 		j.outcome.Result, j.outcome.Status = "ok", http.StatusOK
 		return finish
 	}
 	note(time.Now(), outcome(ctx, f), 0)
 	j.attempt("stream", s, begun, f)
+	if f.Fault == event.FaultBroken && ctx.Err() == nil {
+		j.guard.Broke(j.call, s, begun)
+	}
 	return j.interrupted(ctx, s, f)
 }
 
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -17,6 +17,7 @@
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/room/grant"
 	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/plan"
 )
@@ -36,6 +37,7 @@
 	quota    *quota.Quota
 	log      *lines.Log
 	wasted   func(service string, tokens int)
+	guard    *crash.Guard
 
 	mu    sync.Mutex
 	sizes map[string]*size
@@ -55,6 +57,9 @@
 	return func(h *Handler) { h.wasted = f }
 }
 
+// WithGuard sets what counts the engines that a request crashed.
+func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
+
 // New returns a handler that obtains engines from a granter.
 func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, g Granter, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, granter: g, quota: q, log: log,
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -16,6 +16,7 @@
 	"citronrock.example/citronrock/internal/front/entry"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/plan"
 )
@@ -43,6 +44,7 @@
 	ingress  citronrock.Ingress
 	quota    *quota.Quota
 	log      *lines.Log
+	guard    *crash.Guard
 }
 
 // Option changes a setting of a handler.
@@ -51,6 +53,9 @@
 // WithDomain sets the failure domain whose servers are preferred.
 func WithDomain(domain string) Option { return func(h *Handler) { h.domain = domain } }
 
+// WithGuard sets what counts the servers that a request crashed.
+func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
+
 // New returns a handler that sends to the servers of a table.
 func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log}
@@ -184,6 +189,12 @@
 	a, fault, err := j.exchange(cut, s)
 	took := time.Since(begun)
 	note(time.Now(), health(ctx, a, fault), took)
+	switch {
+	case a != nil:
+		j.guard.Passed(j.call)
+	case fault == event.FaultBroken:
+		j.guard.Broke(j.call, s, begun)
+	}
 	if err != nil || fault != event.FaultNone {
 		text := "server reports a failure"
 		if err != nil {
--- a/internal/peer/beat/node.go
+++ b/internal/peer/beat/node.go
@@ -9,6 +9,10 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// seenFor is how old the result of Alive may be: requests ask for it far more
+// often than it changes.
+const seenFor = 20 * time.Millisecond
+
 // Node runs the membership of one daemon over a socket.
 type Node struct {
 	socket *gram.Socket
@@ -17,6 +21,9 @@
 	mu    sync.Mutex
 	table *Table
 	alive map[netip.AddrPort]int64
+	// seen is what Alive returned last, at seenAt.
+	seen   []Seen
+	seenAt time.Time
 
 	stop chan struct{}
 	done chan struct{}
@@ -90,11 +97,15 @@
 	}
 }
 
-// Alive returns the live daemons, this one included.
+// Alive returns the live daemons, this one included, as of the last few
+// milliseconds. Callers must not change it.
 func (n *Node) Alive() []Seen {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table.Alive(time.Now())
+	if now := time.Now(); now.Sub(n.seenAt) > seenFor {
+		n.seen, n.seenAt = n.table.Alive(now), now
+	}
+	return n.seen
 }
 
 // Known returns the number of daemons that were alive within the last minute,
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -25,10 +25,11 @@
 	Drop
 	Report
 	Notice
+	Strike
 )
 
 // Kinds are the names of all kinds.
-var Kinds = map[Kind]string{Beat: "beat", Ask: "ask", Answer: "answer", Drop: "drop", Report: "report", Notice: "notice"}
+var Kinds = map[Kind]string{Beat: "beat", Ask: "ask", Answer: "answer", Drop: "drop", Report: "report", Notice: "notice", Strike: "strike"}
 
 const (
 	// version changes with each incompatible change of a message.
--- /dev/null
+++ b/internal/route/crash/crash_test.go
@@ -0,0 +1,148 @@
+package crash_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/peer/beat"
+	"citronrock.example/citronrock/internal/peer/gram"
+	"citronrock.example/citronrock/internal/route/crash"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+)
+
+// network passes messages between guards at once.
+type network struct {
+	handlers map[netip.AddrPort]gram.Handler
+	sent     int
+}
+
+// port is the socket of one daemon.
+type port struct {
+	net  *network
+	addr netip.AddrPort
+}
+
+func (p port) Handle(_ gram.Kind, h gram.Handler) { p.net.handlers[p.addr] = h }
+
+func (p port) Decode(body []byte, message any) bool { return cbor.Unmarshal(body, message) == nil }
+
+func (p port) Send(_ gram.Kind, message any, to ...netip.AddrPort) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	for _, addr := range to {
+		p.net.sent++
+		p.net.handlers[addr](p.addr, body)
+	}
+}
+
+func (p port) Alive() []beat.Seen {
+	var out []beat.Seen
+	for addr := range p.net.handlers {
+		out = append(out, beat.Seen{Member: beat.Member{Addr: addr}})
+	}
+	return out
+}
+
+func guards(n int) []*crash.Guard {
+	net := &network{handlers: map[netip.AddrPort]gram.Handler{}}
+	var out []*crash.Guard
+	for i := range n {
+		p := port{net, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)}
+		out = append(out, crash.New(p.addr, p, p, hclog.NewNullLogger()))
+	}
+	return out
+}
+
+func call(body string) *entry.Call {
+	return &entry.Call{Method: "POST", Host: "h", Target: "/x", Body: []byte(body)}
+}
+
+func server(id string) fleet.Server { return fleet.Server{ID: id, Born: time.UnixMilli(5)} }
+
+// dies lets a server die of a request that began just now.
+func dies(g *crash.Guard, c *entry.Call, id string) {
+	began := time.Now()
+	time.Sleep(10 * time.Millisecond)
+	g.Broke(c, server(id), began)
+	time.Sleep(time.Millisecond)
+	g.Lost(server(id))
+}
+
+// Guards against a request that crashes one server after the other, at whichever
+// daemon it arrives, and against sound requests that are refused.
+func TestSuspect(t *testing.T) {
+	bad := call("bad")
+	cases := map[string]struct {
+		play func(g []*crash.Guard)
+		want bool
+	}{
+		"one death":                 {func(g []*crash.Guard) { dies(g[0], bad, "a") }, false},
+		"two deaths at two daemons": {func(g []*crash.Guard) { dies(g[0], bad, "a"); dies(g[1], bad, "b") }, true},
+		"two deaths of one server's processes": {func(g []*crash.Guard) {
+			dies(g[0], bad, "a")
+			later := server("a")
+			later.Born = time.UnixMilli(9)
+			began := time.Now()
+			time.Sleep(time.Millisecond)
+			g[0].Broke(bad, later, began)
+			g[0].Lost(later)
+		}, true},
+		"connection broke after the death was found": {func(g []*crash.Guard) {
+			dies(g[0], bad, "a")
+			began := time.Now()
+			time.Sleep(time.Millisecond)
+			g[0].Lost(server("b"))
+			time.Sleep(time.Millisecond)
+			g[0].Broke(bad, server("b"), began)
+		}, true},
+		"deaths of another request": {func(g []*crash.Guard) { dies(g[0], call("x"), "a"); dies(g[0], call("x"), "b") }, false},
+		"broken connections of live servers": {func(g []*crash.Guard) {
+			g[0].Broke(bad, server("a"), time.Now())
+			time.Sleep(time.Second)
+			g[0].Broke(bad, server("b"), time.Now())
+		}, false},
+		"servers that die side by side": {func(g []*crash.Guard) {
+			began := time.Now()
+			time.Sleep(time.Millisecond)
+			for _, id := range []string{"a", "b", "c"} {
+				g[0].Broke(bad, server(id), began)
+				g[0].Lost(server(id))
+			}
+		}, false},
+		"a run survived": {func(g []*crash.Guard) {
+			dies(g[0], bad, "a")
+			time.Sleep(time.Millisecond)
+			g[2].Passed(bad)
+			time.Sleep(time.Millisecond)
+			dies(g[1], bad, "b")
+		}, false},
+		"a minute ago": {func(g []*crash.Guard) {
+			dies(g[0], bad, "a")
+			dies(g[1], bad, "b")
+			time.Sleep(crash.Life)
+		}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := guards(3)
+				c.play(all)
+				for i, g := range all {
+					if got := g.Suspect(bad); got != c.want {
+						t.Errorf("daemon %d: suspect %v, want %v", i, got, c.want)
+					}
+				}
+				if all[0].Suspect(call("good")) {
+					t.Error("another request is suspect")
+				}
+			})
+		})
+	}
+}
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -29,6 +29,7 @@
 	log   hclog.Logger
 	dial  func(ctx context.Context, to netip.AddrPort) error
 	same  func(ctx context.Context, s fleet.Server) (bool, error)
+	lost  func(s fleet.Server)
 
 	mu     sync.Mutex
 	active map[string]bool
@@ -45,10 +46,13 @@
 	return func(p *Prober) { p.dial = f }
 }
 
+// WithLost sets a function that is called when a server is found dead.
+func WithLost(f func(s fleet.Server)) Option { return func(p *Prober) { p.lost = f } }
+
 // New returns a prober for the servers of a table. Same tells whether a server
 // that can be reached again is still the one of its entry.
 func New(table *fleet.Table, same func(ctx context.Context, s fleet.Server) (bool, error), log hclog.Logger, opts ...Option) *Prober {
-	p := &Prober{table: table, log: log, dial: dial, same: same, active: map[string]bool{}}
+	p := &Prober{table: table, log: log, dial: dial, same: same, lost: func(fleet.Server) {}, active: map[string]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(p)
@@ -96,6 +100,7 @@
 		known := p.table.SetDown(s, err != nil)
 		if err != nil && !down {
 			p.log.Warn("server lost", "server", s.ID, "service", s.Service, "addr", s.Addr.String(), "error", err.Error())
+			p.lost(s)
 		}
 		if err == nil && down {
 			p.log.Info("server regained", "server", s.ID, "service", s.Service, "took", time.Since(begun).Milliseconds())
