Learn the stage of engines from their reports

An engine of another stage answers 421, which was taken for another process at its address and left it out for 30 s.

Ruled out: a lost order; the engine had accepted it. Reports of orders between daemons: the one that gave the order may be dead.

Change: the engine that refused a prompt is reported to the owner; owners ask such engines, new owners all engines, and take stage and busy from the answer for two seconds against what is published. After a 421 of a model engine its identity is asked before it is left out.

TestUnknownRunsCount expects that a new ledger asks prefill engines, too; the check names both now.

TestNewOwnerLearnsStage.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -113,7 +113,7 @@
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
 	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard))
-	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard),
+	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithVerify(r.prober.Verify),
 		stream.WithWasted(func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -163,8 +163,8 @@
 
 // same tells whether a backend server is still the one of its entry.
 func (r *Router) same(ctx context.Context, s fleet.Server) (bool, error) {
-	path := ""
-	if d := r.follower.Document(); d != nil {
+	path := "" // the report of a model engine, which needs no slot
+	if d := r.follower.Document(); d != nil && s.Stage == fleet.Plain {
 		path = d.Services[s.Service].Health
 	}
 	return r.backends.Same(ctx, s, path)
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -103,11 +103,11 @@
 
 // release gives back what the request holds.
 func (j *job) release(ctx context.Context) {
-	j.endLease(false)
+	j.endLease("")
 	j.dropCache(ctx)
 }
 
-func (j *job) endLease(full bool) {
+func (j *job) endLease(full string) {
 	if j.lease != nil {
 		j.lease.Close(full)
 		j.lease = nil
@@ -234,11 +234,11 @@
 	}
 	if j.table.IsResting(time.Now(), j.lease.Decode) {
 		// The prompt would be read in vain.
-		return j.elsewhere(ctx, j.lease.Decode, false, true)
+		return j.elsewhere(ctx, j.lease.Decode, "", true)
 	}
 	s, ok := j.table.Get(time.Now(), j.lease.Prefill)
 	if !ok {
-		return j.elsewhere(ctx, j.lease.Prefill, false, true)
+		return j.elsewhere(ctx, j.lease.Prefill, "", true)
 	}
 	cut, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
@@ -255,14 +255,19 @@
 	f := asFault(err)
 	note(time.Now(), outcome(ctx, f), 0)
 	j.attempt("prefill", s, begun, f)
+	full := ""
+	if f.Fault == event.FaultRefused {
+		full = s.ID // its owner finds out why
+	}
 	if f.Misdirected {
-		j.table.Misdirected(time.Now(), s)
+		j.verify(s)
 	}
-	return j.elsewhere(ctx, s.ID, false, f.Fault == event.FaultUnsent || j.quota.Take(j.service.Name))
+	return j.elsewhere(ctx, s.ID, full, f.Fault == event.FaultUnsent || j.quota.Take(j.service.Name))
 }
 
-// elsewhere prepares another round without an engine.
-func (j *job) elsewhere(ctx context.Context, id string, full, allowed bool) step {
+// elsewhere prepares another round without an engine. full is the engine that
+// refused.
+func (j *job) elsewhere(ctx context.Context, id, full string, allowed bool) step {
 	j.endLease(full)
 	if !allowed {
 		j.fail(ctx, "budget")
@@ -293,7 +298,7 @@
 func (j *job) decode(ctx context.Context) step {
 	s, ok := j.table.Get(time.Now(), j.lease.Decode)
 	if !ok {
-		return j.elsewhere(ctx, j.lease.Decode, false, true)
+		return j.elsewhere(ctx, j.lease.Decode, "", true)
 	}
 	j.countSend()
 	begun := time.Now()
@@ -337,7 +342,7 @@
 // undecoded follows a decode request without an answer.
 func (j *job) undecoded(ctx context.Context, s fleet.Server, f *entry.Fault) step {
 	if f.Misdirected {
-		j.table.Misdirected(time.Now(), s)
+		j.verify(s)
 	}
 	switch {
 	case f.Fault == event.FaultUnsent:
@@ -345,16 +350,16 @@
 		if j.cache != nil && time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
 			j.dropCache(ctx)
 		}
-		return j.elsewhere(ctx, s.ID, false, true)
+		return j.elsewhere(ctx, s.ID, "", true)
 	case f.Fault == event.FaultRefused && f.Full && j.cache != nil:
 		// The ledger had room, so that a lost cache is the likelier cause: the
 		// caches of some engines lapse early.
 		j.table.Rest(time.Now(), j.reader, lapseRest)
 		j.exclude(j.reader)
 		j.dropCache(ctx)
-		return j.elsewhere(ctx, "", true, j.quota.Take(j.service.Name))
+		return j.elsewhere(ctx, "", s.ID, j.quota.Take(j.service.Name))
 	case f.Fault == event.FaultRefused:
-		return j.elsewhere(ctx, s.ID, f.Full, j.quota.Take(j.service.Name))
+		return j.elsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
 	}
 	j.cache = nil // the engine may have taken it
 	j.runs++
@@ -366,7 +371,7 @@
 func (j *job) interrupted(ctx context.Context, s fleet.Server, f *entry.Fault) step {
 	may := j.route.Resume && j.runs < j.route.Attempts && ctx.Err() == nil
 	if may && j.quota.Take(j.service.Name) {
-		j.endLease(false)
+		j.endLease("")
 		j.exclude(s.ID)
 		return again
 	}
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -38,6 +38,7 @@
 	log      *lines.Log
 	wasted   func(service string, tokens int)
 	guard    *crash.Guard
+	verify   func(fleet.Server)
 
 	mu    sync.Mutex
 	sizes map[string]*size
@@ -57,13 +58,17 @@
 	return func(h *Handler) { h.wasted = f }
 }
 
+// WithVerify sets a function that finds out whether an engine that says that a
+// request is not for it is still the one of its entry: it may have another stage.
+func WithVerify(f func(fleet.Server)) Option { return func(h *Handler) { h.verify = f } }
+
 // WithGuard sets what counts the engines that a request crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
 // New returns a handler that obtains engines from a granter.
 func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, g Granter, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, granter: g, quota: q, log: log,
-		wasted: func(string, int) {}, sizes: map[string]*size{}, leads: map[string]time.Duration{}}
+		wasted: func(string, int) {}, verify: func(fleet.Server) {}, sizes: map[string]*size{}, leads: map[string]time.Duration{}}
 	for _, o := range opts {
 		o(h)
 	}
--- a/internal/room/grant/grant_test.go
+++ b/internal/room/grant/grant_test.go
@@ -139,7 +139,7 @@
 		if _, err := acquire(nodes[3]); !errors.As(err, &refused) || refused.Owner != nodes[1].self {
 			t.Errorf("error %v, want a refusal by the next owner while the only slot is taken", err)
 		}
-		lease.Close(false)
+		lease.Close("")
 		time.Sleep(500 * time.Millisecond)
 		if lease, err = acquire(nodes[3]); err != nil || lease.Owner != nodes[1].self {
 			t.Errorf("lease %+v, error %v after the slot is free; want one from the next owner", lease, err)
@@ -174,7 +174,7 @@
 				if load := nodes[0].Loads()[service]; load.Runs != 1 {
 					t.Errorf("%d runs at the owner for one lease", load.Runs)
 				}
-				lease.Close(false)
+				lease.Close("")
 				time.Sleep(2 * time.Second)
 				if load := nodes[0].Loads()[service]; load.Runs != 0 {
 					t.Errorf("%d runs at the owner after the lease was closed", load.Runs)
--- a/internal/room/grant/lease.go
+++ b/internal/room/grant/lease.go
@@ -73,8 +73,9 @@
 // Wrote tells that the prompt has been read.
 func (l *Lease) Wrote() { l.phase.Store(uint32(ledger.Writing)) }
 
-// Close gives back the lease. Full tells that the decode engine had no room.
-func (l *Lease) Close(full bool) {
+// Close gives back the lease. Full is the engine that refused the request, empty
+// for none.
+func (l *Lease) Close(full string) {
 	if l.closed.Swap(true) {
 		return
 	}
@@ -83,8 +84,8 @@
 		delete(m.leases, l.ID)
 		m.ended[l.ID] = now
 		m.until = now.Add(endedFor)
-		if full {
-			m.full[l.Decode] = now
+		if full != "" {
+			m.full[full] = now
 		}
 		l.node.reportSoon(now)
 	})
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -81,7 +81,7 @@
 	l.changing[id] = now.Add(switchTime)
 	e := l.engines[id]
 	e.Stage = stage
-	l.orders[id], l.engines[id] = e, e
+	l.orders[id], l.engines[id] = order{Engine: e}, e
 	l.dirty = true
 	return Change{Engine: id, Stage: stage}, true
 }
@@ -111,6 +111,28 @@
 	l.boundAt = now
 }
 
+// order is a stage that stands against what an engine has published.
+type order struct {
+	Engine
+	// until is when a stage that was learned from the engine no longer counts, zero
+	// for one that this ledger ordered.
+	until time.Time
+}
+
+// learnStage takes the stage that an engine reports. Another owner may have
+// ordered it, and what engines publish lags.
+func (l *Ledger) learnStage(now time.Time, e Engine, stage fleet.Stage) {
+	if stage == fleet.Plain || stage == e.Stage {
+		return
+	}
+	if o, ok := l.orders[e.ID]; ok && o.until.IsZero() {
+		return // the report is older than the order
+	}
+	e.Stage = stage
+	l.orders[e.ID], l.engines[e.ID] = order{e, now.Add(learnedFor)}, e
+	l.dirty = true
+}
+
 // Kept takes back a change that the engine did not accept.
 func (l *Ledger) Kept(engine string) {
 	delete(l.changing, engine)
@@ -119,7 +141,7 @@
 
 // restaged returns the engines with the stages that they have accepted. What an
 // engine publishes lags, and does not come at all while the store is away.
-func (l *Ledger) restaged(engines []Engine) []Engine {
+func (l *Ledger) restaged(now time.Time, engines []Engine) []Engine {
 	if len(l.orders) == 0 {
 		return engines
 	}
@@ -130,7 +152,7 @@
 		o, ok := l.orders[e.ID]
 		switch {
 		case !ok:
-		case o.Stage == e.Stage || !o.Born.Equal(e.Born):
+		case o.Stage == e.Stage || !o.Born.Equal(e.Born) || !o.until.IsZero() && now.After(o.until):
 			delete(l.orders, e.ID)
 		default:
 			out[i].Stage = o.Stage
--- a/internal/room/ledger/foreign.go
+++ b/internal/room/ledger/foreign.go
@@ -16,6 +16,12 @@
 	// inspectAgain is the time after which an engine with unknown runs, or one
 	// that refused a granted request, is asked again.
 	inspectAgain = 700 * time.Millisecond
+	// busyFor is how long an engine that carries out an order of another owner is
+	// left alone, until it is asked again.
+	busyFor = 2 * inspectAgain
+	// learnedFor is how long a stage that an engine reports stands against what it
+	// has published.
+	learnedFor = 2 * time.Second
 	// idleAfter is the time without asks after which a ledger counts as idle.
 	idleAfter = 4 * time.Second
 	// foreignLife is how long unknown runs count without a newer report: about
@@ -38,6 +44,8 @@
 	// accepted since its start.
 	Busy   bool
 	Orders int
+	// Stage is what the engine does, Plain when it does not say.
+	Stage fleet.Stage
 }
 
 // Foreign is what runs that the ledger does not know hold at an engine.
@@ -53,23 +61,27 @@
 	at     time.Time
 }
 
-// Inspect returns the decode engines that should be asked for their usage.
+// Inspect returns the engines that should be asked for their usage: those with
+// runs that the ledger may not know, and those that refused or change their
+// stage.
 func (l *Ledger) Inspect(now time.Time) []string {
 	if l.begun.IsZero() || now.Sub(l.askedAt) > idleAfter {
 		return nil
 	}
 	var out []string
 	for id, e := range l.engines {
-		if e.Stage != fleet.Decode || now.Sub(l.inspected[id]) < inspectAgain {
+		if now.Sub(l.inspected[id]) < inspectAgain {
 			continue
 		}
 		_, unknown := l.foreign[id]
-		if _, asked := l.inspected[id]; !asked || unknown || now.Sub(l.full[id]) < inspectAgain ||
-			now.Sub(l.begun) < inspectFor && now.Sub(l.inspected[id]) > inspectFor {
+		_, asked := l.inspected[id]
+		if !asked || unknown || l.busy[id] || now.Sub(l.full[id]) < inspectAgain ||
+			e.Stage == fleet.Decode && now.Sub(l.begun) < inspectFor && now.Sub(l.inspected[id]) > inspectFor {
 			l.inspected[id] = now
 			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -80,8 +92,17 @@
 	if !ok {
 		return
 	}
-	if u.Busy && !l.isChanging(now, engine) {
-		l.changing[engine] = now.Add(inspectAgain)
+	delete(l.busy, engine)
+	if u.Busy {
+		l.busy[engine] = true
+		if !l.isChanging(now, engine) {
+			l.changing[engine] = now.Add(busyFor)
+		}
+	}
+	l.learnStage(now, e, u.Stage)
+	if l.engines[engine].Stage != fleet.Decode {
+		delete(l.foreign, engine)
+		return
 	}
 	// The report is of the past: runs that have begun since are missing there and
 	// runs that have ended since are still in it.
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -140,7 +140,9 @@
 	// were last ordered to change.
 	changing, ordered map[string]time.Time
 	// orders are the stages that engines have accepted and not published yet.
-	orders map[string]Engine
+	orders map[string]order
+	// busy are engines that carry out an order, as they report.
+	busy map[string]bool
 	// steadySince is when an engine last came, went or failed.
 	steadySince time.Time
 	// boundSince and boundAt are when asks began to wait for a prefill engine and
@@ -164,13 +166,13 @@
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
-		changing: map[string]time.Time{}, ordered: map[string]time.Time{}, orders: map[string]Engine{},
+		changing: map[string]time.Time{}, ordered: map[string]time.Time{}, orders: map[string]order{}, busy: map[string]bool{},
 		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace}
 }
 
 // SetEngines replaces the engines that new work may go to.
 func (l *Ledger) SetEngines(now time.Time, engines []Engine) {
-	engines = l.restaged(engines)
+	engines = l.restaged(now, engines)
 	if l.differ(engines) || len(l.resting()) > 0 {
 		l.steadySince = now
 	}
--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -164,8 +165,8 @@
 	l := ledger.New("s")
 	l.SetEngines(t0, engines(1, 4, 20000))
 	own(t, l.Ask(t0, edge1, ask(1)), 1)
-	if ids := l.Inspect(t0.Add(10 * time.Millisecond)); len(ids) != 1 {
-		t.Fatalf("engines to inspect %v, want d1", ids)
+	if ids := l.Inspect(t0.Add(10 * time.Millisecond)); !slices.Equal(ids, []string{"d1", "p1"}) {
+		t.Fatalf("engines to inspect %v, want d1, and p1 for its stage", ids)
 	}
 	l.SetUsage(t0.Add(20*time.Millisecond), "d1", ledger.Usage{Tokens: 15000, Running: 2})
 	if got := own(t, l.Ask(t0.Add(30*time.Millisecond), edge1, ask(2)), 2); got.Verdict == ledger.Granted {
@@ -268,6 +269,51 @@
 	}
 }
 
+// Guards against a new owner that sends prompts to an engine which the owner
+// before has turned: each was refused, and budgets for repeats ran out.
+func TestNewOwnerLearnsStage(t *testing.T) {
+	list := []ledger.Engine{{ID: "pa", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000},
+		{ID: "pb", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}, {ID: "da", Stage: fleet.Decode, Slots: 12, Tokens: 100_000}}
+	cases := map[string]struct {
+		usage ledger.Usage
+		// want is whether pa reads prompts and makes answers after the report.
+		reads, makes bool
+	}{
+		"nothing special":      {ledger.Usage{Stage: fleet.Prefill}, true, false},
+		"says nothing":         {ledger.Usage{}, true, false},
+		"carries out an order": {ledger.Usage{Busy: true, Stage: fleet.Prefill}, false, false},
+		"has turned":           {ledger.Usage{Stage: fleet.Decode}, false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, list)
+			own(t, l.Ask(t0, edge1, ask(1)), 1)
+			if ids := l.Inspect(t0); !slices.Contains(ids, "pa") {
+				t.Errorf("a new ledger asks %v", ids)
+			}
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Full: []string{"pa"}})
+			now := t0.Add(600 * time.Millisecond)
+			l.SetUsage(now, "pa", c.usage)
+			l.SetEngines(now, list)
+			without := func(id string) ledger.Answer {
+				a := ask(2)
+				a.ID, a.Without = uint64(100+len(id)), []string{id}
+				return own(t, l.Ask(now, edge2, a), a.ID)
+			}
+			if got := without("pb").Prefill == "pa"; got != c.reads {
+				t.Errorf("pa reads prompts: %v, want %v", got, c.reads)
+			}
+			if got := without("da ").Decode == "pa" || without("da").Decode == "pa"; got != c.makes {
+				t.Errorf("pa makes answers: %v, want %v", got, c.makes)
+			}
+			if c.usage.Busy && !slices.Contains(l.Inspect(now.Add(time.Second)), "pa") {
+				t.Error("pa is not asked again while it carries out an order")
+			}
+		})
+	}
+}
+
 // Guards against the last sound prefill engines being turned to decode while
 // another one is down, and against a service that stays short of prefill.
 func TestBalanceWithLostEngines(t *testing.T) {
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -69,7 +69,10 @@
 }
 
 // Suspect begins to check a server unless that is going on.
-func (p *Prober) Suspect(s fleet.Server) {
+func (p *Prober) Suspect(s fleet.Server) { p.start(s, func() { p.check(s) }) }
+
+// start runs f for a server unless it is being checked.
+func (p *Prober) start(s fleet.Server, f func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.active[s.ID] || p.ctx.Err() != nil {
@@ -77,13 +80,24 @@
 	}
 	p.active[s.ID] = true
 	p.all.Go(func() {
-		p.check(s)
+		f()
 		p.mu.Lock()
 		delete(p.active, s.ID)
 		p.mu.Unlock()
 	})
 }
 
+// Verify finds out whether a server that says that a request is not for it is
+// still the one of its entry.
+func (p *Prober) Verify(s fleet.Server) {
+	p.start(s, func() {
+		if err := p.identify(s); err != nil {
+			p.log.Warn("server not verified", "server", s.ID, "service", s.Service, "error", err.Error())
+			p.table.Misdirected(time.Now(), s)
+		}
+	})
+}
+
 // check marks the server as down until a connection can be opened.
 func (p *Prober) check(s fleet.Server) {
 	begun := time.Now()
