Take changes of many servers together

Cause: each change of a server made a daemon take all servers of all services again.

Change: a change marks the servers as stale; they are taken at once if that was not done lately, else with the next tick, at most a twentieth of the time. Engines are looked at for questions ten times a second.

--- a/internal/room/grant/grant_test.go
+++ b/internal/room/grant/grant_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -248,3 +251,27 @@
 		})
 	}
 }
+
+// Guards against control messages that are lost while thousands of servers
+// start: each change made the daemon take all servers again.
+func TestManyServersStart(t *testing.T) {
+	nodes, _ := start(t, 1)
+	defer stop(nodes)
+	n := nodes[0]
+	var lost atomic.Int64
+	n.log = hclog.New(&hclog.LoggerOptions{Level: hclog.Warn, Output: io.Discard, Exclude: func(hclog.Level, string, ...any) bool {
+		lost.Add(1)
+		return true
+	}})
+	table := fleet.New(fleet.WithChanged(n.Refresh))
+	n.wait(func(time.Time) { n.fleet = table })
+	for i := range 3000 {
+		table.Put(fleet.Server{ID: fmt.Sprint("d", i), Service: service, Stage: fleet.Decode, Beat: 1})
+	}
+	for end := time.Now().Add(5 * time.Second); n.stale.Load() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if lost.Load() > 0 || n.stale.Load() {
+		t.Errorf("%d messages lost, changes not taken: %v", lost.Load(), n.stale.Load())
+	}
+}
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -40,6 +40,13 @@
 	fullFor = 250 * time.Millisecond
 	// usageTimeout bounds the question for an engine's usage.
 	usageTimeout = 400 * time.Millisecond
+	// refreshPause is the least time between two takings of the servers, and
+	// refreshRest its multiple of the time that one takes: thousands of servers that
+	// start together change one by one.
+	refreshPause = 5 * time.Millisecond
+	refreshRest  = 20
+	// inspectEvery is the time between looks for engines to ask.
+	inspectEvery = 100 * time.Millisecond
 	// shunFor is how long a daemon that does not answer asks is passed over.
 	shunFor = 500 * time.Millisecond
 )
@@ -94,6 +101,12 @@
 	looked, begun time.Time
 	fence         int64
 
+	// refreshAt is when the servers may be taken again, inspectAt when engines may
+	// be asked again.
+	refreshAt, inspectAt time.Time
+	// stale is set while changes of the servers were not taken.
+	stale atomic.Bool
+
 	next atomic.Uint64
 	load sync.Map
 }
@@ -209,11 +222,16 @@
 }
 
 // Refresh takes the current entries and health of the backend servers and tells
-// the owners soon.
+// the owners soon. Changes that come together are taken together.
 func (n *Node) Refresh() {
+	if n.stale.Swap(true) {
+		return
+	}
 	n.do(func(now time.Time) {
-		n.refresh(now)
-		n.reportSoon(now)
+		if now.After(n.refreshAt) {
+			n.refresh(now)
+			n.reportSoon(now)
+		}
 	})
 }
 
@@ -226,6 +244,11 @@
 }
 
 func (n *Node) refresh(now time.Time) {
+	n.stale.Store(false)
+	begun := time.Now()
+	defer func() {
+		n.refreshAt = now.Add(max(refreshRest*time.Since(begun), refreshPause))
+	}()
 	for service, room := range n.rooms {
 		var engines []ledger.Engine
 		for _, s := range n.fleet.Usable(now, service) {
@@ -305,6 +328,10 @@
 	}
 	n.inspect(now)
 	n.balance(now)
+	if n.stale.Load() && now.After(n.refreshAt) {
+		n.refresh(now)
+		n.reportSoon(now)
+	}
 	if now.After(n.reportAt) {
 		n.reportAt = now.Add(min(max(reportFirst, reportEach*time.Duration(n.peers)), reportLimit))
 		n.refresh(now)
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -14,6 +14,10 @@
 
 // inspect asks engines for their usage where a ledger may lack runs.
 func (n *Node) inspect(now time.Time) {
+	if now.Before(n.inspectAt) {
+		return
+	}
+	n.inspectAt = now.Add(inspectEvery)
 	for service, l := range n.ledgers {
 		for _, id := range l.Inspect(now) {
 			s, ok := n.fleet.Get(now, id)
