--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -76,6 +76,8 @@
 	unary    *unary.Handler
 	stream   *stream.Handler
 	stopping atomic.Bool
+	// end is when a stopping router ends.
+	end atomic.Pointer[time.Time]
 	// started is closed once all parts are there. The listeners open before, so
 	// that requests may come earlier.
 	started chan struct{}
@@ -113,7 +115,7 @@
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
 	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard))
-	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithVerify(r.prober.Verify),
+	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithVerify(r.prober.Verify), stream.WithEnd(r.endsAt),
 		stream.WithWasted(func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -205,6 +207,9 @@
 	} else {
 		o = r.route(w, req, c)
 	}
+	if o.Result == "gone" && r.server.Cut() {
+		o.Result, o.Reason = "broken", "stop"
+	}
 	o.Took = time.Since(received)
 	o.Age, _ = r.follower.Age()
 	r.log.End(o)
@@ -309,16 +314,26 @@
 	return http.StatusBadRequest
 }
 
+// endsAt returns when this router ends, zero while it is not stopping.
+func (r *Router) endsAt() time.Time {
+	if end := r.end.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // Seeds takes changed seeds after a reload of the settings.
 func (r *Router) Seeds(seeds []netip.AddrPort) { r.beats.Seeds(seeds) }
 
 // Stop serves the requests in flight, and those that still come, and ends
 // within the grace period.
 func (r *Router) Stop() {
+	end := time.Now().Add(max(r.settings.Bounds.Grace-endSpare, time.Second))
+	r.end.Store(&end)
 	r.stopping.Store(true)
 	r.log.Info("stop", "open", r.server.Open())
 	r.beats.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), max(r.settings.Bounds.Grace-endSpare, time.Second))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	r.server.Stop(ctx, noticeTime)
 	r.follower.Close()
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -43,6 +43,7 @@
 
 	open     atomic.Int64
 	stopping atomic.Bool
+	cut      atomic.Bool
 	done     chan struct{}
 }
 
@@ -146,6 +147,9 @@
 // Open returns the number of requests in flight.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
+// Cut reports whether requests were cut off at the end of the grace period.
+func (s *Server) Cut() bool { return s.cut.Load() }
+
 // Stop serves on for the notice, so that the balancer can move new connections
 // elsewhere. It then closes the listener and kept connections without a request,
 // and returns when all requests are answered, when ctx ends at the latest.
@@ -165,6 +169,7 @@
 		all.Go(func() {
 			if err := server.Shutdown(ctx); err != nil {
 				s.log.Warn("requests cut off at the end of the grace period", "open", s.Open(), "error", err.Error())
+				s.cut.Store(true)
 				server.Close()
 			}
 		})
--- /dev/null
+++ b/internal/front/stream/fault.go
@@ -0,0 +1,34 @@
+package stream
+
+import (
+	"context"
+	"errors"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// asFault returns the fault of an error of a sender.
+func asFault(err error) *entry.Fault {
+	var f *entry.Fault
+	if errors.As(err, &f) {
+		return f
+	}
+	return &entry.Fault{Fault: event.FaultBroken, Err: err}
+}
+
+// outcome tells what a fault showed about its server.
+func outcome(ctx context.Context, f *entry.Fault) fleet.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return fleet.Unknown
+	case f.Fault == event.FaultUnsent:
+		return fleet.Unreachable
+	case f.Fault == event.FaultRefused:
+		return fleet.Busy
+	case f.Fault == event.FaultStalled:
+		return fleet.Silent
+	}
+	return fleet.Broken
+}
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -41,6 +41,11 @@
 	// resumed is taken for dead, and stallFloor the shortest such time.
 	stallFor   = 4
 	stallFloor = 1200 * time.Millisecond
+	// endMargin is the multiple of the mean time of an answer that must be left
+	// before this daemon ends, and stopWait the time after which a client that is
+	// refused for that comes back, to another daemon.
+	endMargin = 1.5
+	stopWait  = 100 * time.Millisecond
 	// freeTimeout bounds the release of a KV cache.
 	freeTimeout = 400 * time.Millisecond
 	// answerLimit bounds an answer other than a stream in bytes.
@@ -166,6 +171,12 @@
 		j.lease, j.leased = grant.Unaccounted(s.ID), time.Now()
 		return true
 	}
+	if end := j.end(); !j.begun && !end.IsZero() && time.Until(end) < time.Duration(endMargin*float64(j.stay(j.service.Name))) {
+		// Another daemon can make the whole answer.
+		j.outcome.After = stopWait
+		j.fail(ctx, "stop")
+		return false
+	}
 	elapsed := time.Since(j.call.Received)
 	slack := j.route.Target - elapsed - j.lead(j.service.Name)
 	ask := ledger.Ask{Service: j.service.Name, Prompt: prompt(j.call), Expect: j.expect(j.route.Name, j.call),
@@ -216,15 +227,6 @@
 		"took", lines.Ms(time.Since(begun)))
 }
 
-// asFault returns the fault of an error of a sender.
-func asFault(err error) *entry.Fault {
-	var f *entry.Fault
-	if errors.As(err, &f) {
-		return f
-	}
-	return &entry.Fault{Fault: event.FaultBroken, Err: err}
-}
-
 // prefill has the prompt read, unless it is or the decode engine has to do it.
 // A prefill does not run the request, so that it may be repeated.
 func (j *job) prefill(ctx context.Context) step {
@@ -279,21 +281,6 @@
 	return again
 }
 
-// outcome tells what a fault showed about its server.
-func outcome(ctx context.Context, f *entry.Fault) fleet.Outcome {
-	switch {
-	case ctx.Err() != nil:
-		return fleet.Unknown
-	case f.Fault == event.FaultUnsent:
-		return fleet.Unreachable
-	case f.Fault == event.FaultRefused:
-		return fleet.Busy
-	case f.Fault == event.FaultStalled:
-		return fleet.Silent
-	}
-	return fleet.Broken
-}
-
 // decode has the answer made and passes it on.
 func (j *job) decode(ctx context.Context) step {
 	s, ok := j.table.Get(time.Now(), j.lease.Decode)
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -80,5 +80,6 @@
 		j.begin(reply)
 	}
 	j.learn(j.route.Name, j.call, j.made())
+	j.learnStay(j.service.Name, time.Since(j.leased))
 	return nil
 }
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -39,10 +39,14 @@
 	wasted   func(service string, tokens int)
 	guard    *crash.Guard
 	verify   func(fleet.Server)
+	// end is when this daemon ends, zero while it is not stopping.
+	end func() time.Time
 
 	mu    sync.Mutex
 	sizes map[string]*size
 	leads map[string]time.Duration
+	// stays are the times from the grants to the ends of answers by service.
+	stays map[string]time.Duration
 }
 
 // Option changes a setting of a handler.
@@ -62,13 +66,18 @@
 // request is not for it is still the one of its entry: it may have another stage.
 func WithVerify(f func(fleet.Server)) Option { return func(h *Handler) { h.verify = f } }
 
+// WithEnd sets a function that tells when this daemon ends, zero while it is not
+// stopping.
+func WithEnd(f func() time.Time) Option { return func(h *Handler) { h.end = f } }
+
 // WithGuard sets what counts the engines that a request crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
 // New returns a handler that obtains engines from a granter.
 func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, g Granter, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, granter: g, quota: q, log: log,
-		wasted: func(string, int) {}, verify: func(fleet.Server) {}, sizes: map[string]*size{}, leads: map[string]time.Duration{}}
+		wasted: func(string, int) {}, verify: func(fleet.Server) {}, end: func() time.Time { return time.Time{} },
+		sizes: map[string]*size{}, leads: map[string]time.Duration{}, stays: map[string]time.Duration{}}
 	for _, o := range opts {
 		o(h)
 	}
@@ -147,6 +156,24 @@
 	h.leads[service] = was + time.Duration(leadWeight*float64(d-was))
 }
 
+// stay is the time from a grant to the end of an answer, zero while it is not
+// known.
+func (h *Handler) stay(service string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stays[service]
+}
+
+func (h *Handler) learnStay(service string, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	was, ok := h.stays[service]
+	if !ok {
+		was = d
+	}
+	h.stays[service] = was + time.Duration(leadWeight*float64(d-was))
+}
+
 // prompt is the length of a call's prompt in tokens.
 func prompt(c *entry.Call) int {
 	if c.Prompt > 0 {
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -37,6 +37,8 @@
 	breaks   bool
 	// hangs keeps the stream open after its events.
 	hangs bool
+	// lasts is the time before the first event.
+	lasts time.Duration
 }
 
 // world is a fake of the engines and of the ledger's owner.
@@ -84,6 +86,7 @@
 	if r.fault != nil {
 		return nil, r.fault
 	}
+	time.Sleep(r.lasts)
 	var body bytes.Buffer
 	for i := r.from; i <= r.to; i++ {
 		fmt.Fprintf(&body, "id: %d\ndata: x\n\n", i)
@@ -143,7 +146,18 @@
 	t.Helper()
 	w.freed = make(chan string, 8)
 	servers := table()
-	h := stream.New(servers, w, ingress{}, w, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+	h := newHandler(servers, w)
+	rec, o := handle(t, h, resume, limit)
+	return rec, o, servers
+}
+
+func newHandler(servers *fleet.Table, w *world, opts ...stream.Option) *stream.Handler {
+	return stream.New(servers, w, ingress{}, w, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"), opts...)
+}
+
+// handle has a handler serve one request.
+func handle(t *testing.T, h *stream.Handler, resume bool, limit time.Duration) (*httptest.ResponseRecorder, lines.Outcome) {
+	t.Helper()
 	route := &plan.Route{Name: "r", Kind: plan.Stream, Timeout: limit, Target: 900 * time.Millisecond,
 		Gap: 300 * time.Millisecond, Resume: resume, Attempts: 2, Model: true}
 	service := plan.Service{Name: "s", Engine: &plan.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
@@ -151,8 +165,39 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	rec := httptest.NewRecorder()
-	o := h.Serve(ctx, rec, c, route, service, time.Now().Add(limit))
-	return rec, o, servers
+	return rec, h.Serve(ctx, rec, c, route, service, time.Now().Add(limit))
+}
+
+// Guards against a stopping daemon that takes streams which its end would cut
+// off, and against one that refuses those that it can finish.
+func TestStopping(t *testing.T) {
+	cases := map[string]struct {
+		left   time.Duration
+		status int
+	}{
+		"not stopping":  {0, http.StatusOK},
+		"time is left":  {5 * time.Second, http.StatusOK},
+		"it ends soon":  {250 * time.Millisecond, http.StatusServiceUnavailable},
+		"it has to end": {-time.Second, http.StatusServiceUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := &world{runs: []run{{status: 200, from: 1, to: 4, lasts: 200 * time.Millisecond}}}
+			w.freed = make(chan string, 8)
+			var end time.Time
+			h := newHandler(table(), w, stream.WithEnd(func() time.Time { return end }))
+			if rec, _ := handle(t, h, false, 3*time.Second); rec.Code != http.StatusOK {
+				t.Fatalf("status %d before the stop", rec.Code)
+			}
+			if c.left != 0 {
+				end = time.Now().Add(c.left)
+			}
+			rec, o := handle(t, h, false, 3*time.Second)
+			if rec.Code != c.status || c.status != http.StatusOK && (o.Reason != "stop" || o.After <= 0 || len(w.sends) != 1) {
+				t.Errorf("status %d, reason %q, after %v, %d sendings; want status %d", rec.Code, o.Reason, o.After, len(w.sends), c.status)
+			}
+		})
+	}
 }
 
 // events are the first n events of a stream.
