Search large fleets in part and find runs by their engines

Cause: an ask compared all engines, each with a sorted copy of all runs, and did so for each queued ask whenever one came or ended; a report walked through all runs.

Ruled out: the exchange of messages; 2.0 kB a second and daemon there.

Change: runs are indexed by daemon and by engine. Beyond 64 engines an ask compares 32, from a place that differs by ask, and all only when none of these has room. What had no room is not tried again before memory comes free, or 60 ms later. Old runs and answers are looked for every 20 ms.

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -66,7 +66,7 @@
 	switch {
 	case len(prefill) > want && len(rest) == 0 && now.Sub(l.steadySince) > steadyFor:
 		// An engine that has prompts to read would refuse them.
-		from = slices.DeleteFunc(from, func(id string) bool { return l.unread(id) > 0 })
+		from = slices.DeleteFunc(slices.Clone(from), func(id string) bool { return l.unread(id) > 0 })
 	case len(prefill) < want && l.lacking(now) && len(decode) > 1:
 		from, stage = l.idlest(decode), fleet.Prefill
 	default:
@@ -82,7 +82,7 @@
 	e := l.engines[id]
 	e.Stage = stage
 	l.orders[id], l.engines[id] = order{Engine: e}, e
-	l.dirty = true
+	l.changed()
 	return Change{Engine: id, Stage: stage}, true
 }
 
@@ -90,7 +90,7 @@
 // runs have ended.
 func (l *Ledger) idlest(ids []string) []string {
 	runs := map[string]int{}
-	for _, r := range l.runs {
+	for _, r := range l.runs.all {
 		runs[r.Decode]++
 	}
 	least := runs[slices.MinFunc(ids, func(a, b string) int { return cmp.Compare(runs[a], runs[b]) })]
@@ -130,7 +130,7 @@
 	}
 	e.Stage = stage
 	l.orders[e.ID], l.engines[e.ID] = order{e, now.Add(learnedFor)}, e
-	l.dirty = true
+	l.changed()
 }
 
 // Kept takes back a change that the engine did not accept.
@@ -166,16 +166,19 @@
 	return out
 }
 
-// staged returns the names of the engines of a stage, in order.
+// staged returns the names of the engines of a stage, in order. The caller must
+// not change them.
 func (l *Ledger) staged(stage fleet.Stage) []string {
-	var out []string
-	for _, e := range l.engines {
-		if e.Stage == stage {
-			out = append(out, e.ID)
+	if l.ids == nil {
+		l.ids = map[fleet.Stage][]string{}
+		for _, e := range l.engines {
+			l.ids[e.Stage] = append(l.ids[e.Stage], e.ID)
+		}
+		for _, list := range l.ids {
+			slices.Sort(list)
 		}
 	}
-	slices.Sort(out)
-	return out
+	return l.ids[stage]
 }
 
 // wanted returns the number of prefill engines that n engines should have.
@@ -185,7 +188,7 @@
 		return 0, false
 	}
 	need, count := 0, 0
-	for _, r := range l.runs {
+	for _, r := range l.runs.all {
 		need += r.Prompt + r.Expect
 		count++
 	}
--- a/internal/room/ledger/foreign.go
+++ b/internal/room/ledger/foreign.go
@@ -107,8 +107,8 @@
 	// The report is of the past: runs that have begun since are missing there and
 	// runs that have ended since are still in it.
 	tokens, slots := 0, 0
-	for _, r := range l.runs {
-		if r.Decode == engine && r.Phase == Writing {
+	for _, r := range l.runs.decode[engine] {
+		if r.Phase == Writing {
 			run := r.at(now, l.pace)
 			tokens += run.growth().held
 			slots++
@@ -127,7 +127,7 @@
 	f := Foreign{Tokens: u.Tokens - tokens, Slots: u.Running + u.Waiting - slots, at: now}
 	if f.Slots <= 0 || float64(f.Tokens) < tolerance*float64(e.Tokens) {
 		delete(l.foreign, engine)
-		l.dirty = true
+		l.freed()
 		return
 	}
 	l.foreign[engine] = f
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -20,6 +20,9 @@
 	// reportLife is how long a report counts when no newer one comes. Daemons
 	// report once a second at least.
 	reportLife = 2500 * time.Millisecond
+	// expireEvery is the time between looks for runs and answers that are old, far
+	// below their lives.
+	expireEvery = 20 * time.Millisecond
 	// placeEvery is the time after which queued asks are tried again though
 	// nothing has ended: outputs that grow as expected make room, too.
 	placeEvery = 60 * time.Millisecond
@@ -119,7 +122,7 @@
 type Ledger struct {
 	service  string
 	engines  map[string]Engine
-	runs     map[runKey]*entry
+	runs     runs
 	sources  map[netip.AddrPort]*source
 	queue    []*waiting
 	full     map[string]time.Time
@@ -160,11 +163,18 @@
 	// dirty is set when a queued ask may have got room.
 	dirty  bool
 	placed time.Time
+	// tight is what had no room since memory last came free.
+	tight tight
+	// ids are the names of the engines by stage, in order; nil when they have to be
+	// collected.
+	ids map[fleet.Stage][]string
+	// expired is when old runs and answers were last dropped.
+	expired time.Time
 }
 
 // New returns an empty ledger.
 func New(service string) *Ledger {
-	return &Ledger{service: service, engines: map[string]Engine{}, runs: map[runKey]*entry{},
+	return &Ledger{service: service, engines: map[string]Engine{}, runs: newRuns(),
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
 		changing: map[string]time.Time{}, ordered: map[string]time.Time{}, orders: map[string]order{}, busy: map[string]bool{},
 		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace}
@@ -179,11 +189,11 @@
 	if l.same(engines) {
 		return
 	}
-	l.dirty = true
 	clear(l.engines)
 	for _, e := range engines {
 		l.engines[e.ID] = e
 	}
+	l.changed()
 }
 
 // differ tells whether an engine came, went or has a new process.
@@ -224,21 +234,21 @@
 	for _, run := range r.Runs {
 		listed[run.Lease] = true
 		k := runKey{edge, r.Start, run.Lease}
-		e := l.runs[k]
+		e := l.runs.all[k]
 		if e == nil {
 			e = &entry{granted: now}
-			l.runs[k] = e
 		}
 		l.learn(now, e, run)
-		e.Run, e.listed, e.reported = run, true, now
+		l.runs.put(k, e, run)
+		e.listed, e.reported = true, now
 	}
 	for _, id := range r.Ended {
 		if !listed[id] {
 			l.end(now, runKey{edge, r.Start, id})
 		}
 	}
-	for k, e := range l.runs {
-		if k.edge == edge && !listed[k.lease] && (e.listed || now.Sub(e.granted) > doubt) {
+	for k, e := range l.runs.edges[edge] {
+		if !listed[k.lease] && (e.listed || now.Sub(e.granted) > doubt) {
 			l.end(now, k)
 		}
 	}
@@ -255,7 +265,7 @@
 
 // end frees the memory of a run.
 func (l *Ledger) end(now time.Time, k runKey) {
-	e := l.runs[k]
+	e := l.runs.all[k]
 	if e == nil {
 		return
 	}
@@ -264,8 +274,8 @@
 		l.stay += time.Duration(stayWeight * float64(now.Sub(e.granted)-l.stay))
 	}
 	l.past = append(l.past, past{e.Decode, e.Prompt + e.Made, now})
-	delete(l.runs, k)
-	l.dirty = true
+	l.runs.remove(k)
+	l.freed()
 }
 
 // forget drops all that a daemon that died had.
@@ -277,20 +287,28 @@
 // drop drops the runs of a daemon whose reports ended. Its asks stay: a daemon
 // without runs reports nothing.
 func (l *Ledger) drop(edge netip.AddrPort) {
-	maps.DeleteFunc(l.runs, func(k runKey, e *entry) bool { return k.edge == edge && e.listed })
+	for k, e := range l.runs.edges[edge] {
+		if e.listed {
+			l.runs.remove(k)
+		}
+	}
 	delete(l.sources, edge)
-	l.dirty = true
+	l.freed()
 }
 
 func (l *Ledger) expire(now time.Time) {
+	if now.Sub(l.expired) < expireEvery {
+		return
+	}
+	l.expired = now
 	for edge, s := range l.sources {
 		if now.Sub(s.at) > reportLife {
 			l.drop(edge)
 		}
 	}
-	for k, e := range l.runs {
+	for k, e := range l.runs.all {
 		if !e.listed && now.Sub(e.granted) > reportLife {
-			delete(l.runs, k)
+			l.runs.remove(k)
 		}
 	}
 	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return now.Sub(w.heard) > reportLife })
@@ -326,7 +344,7 @@
 			total += e.Tokens
 		}
 	}
-	for _, r := range l.runs {
+	for _, r := range l.runs.all {
 		used += r.Prompt + max(r.Expect, r.Made)
 	}
 	if total == 0 {
@@ -338,5 +356,5 @@
 // Load returns the number of runs and queued asks and the share of decode memory
 // in use.
 func (l *Ledger) Load() (runs, queued int, load float64) {
-	return len(l.runs), len(l.queue), l.load()
+	return len(l.runs.all), len(l.queue), l.load()
 }
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,18 +18,79 @@
 	return out
 }
 
-// usable returns the engines of a stage that an ask may use, in order of names.
-// Engines that daemons can't reach are left out, unless that leaves none.
-func (l *Ledger) usable(now time.Time, a *Ask, stage fleet.Stage) []Engine {
+// Large fleets are searched in part.
+const (
+	// searchAll is the number of engines up to which all are compared for an ask.
+	searchAll = 64
+	// searchSome is the number that is compared in a larger fleet. The best of so
+	// many is nearly as good as the best of all.
+	searchSome = 32
+	// searchStride spreads the places from which successive asks search.
+	searchStride = 7919
+)
+
+// verdict tells whether an ask was placed, and what it lacks.
+type verdict int
+
+const (
+	placed verdict = iota
+	noRoom
+	noReader
+)
+
+// tight is what had no room: an ask that is as large would have none either.
+type tight struct {
+	since          time.Time
+	room, reader   bool
+	prompt, expect int
+}
+
+func (t *tight) note(a *Ask, v verdict) {
+	switch {
+	case len(a.Without) > 0:
+	case v == noReader:
+		t.reader = true
+	case !t.room || a.Prompt <= t.prompt && a.Expect <= t.expect:
+		t.room, t.prompt, t.expect = true, a.Prompt, a.Expect
+	}
+}
+
+func (t *tight) excludes(a *Ask) bool {
+	return t.room && a.Prompt >= t.prompt && a.Expect >= t.expect || t.reader && !a.Read
+}
+
+// freed notes that memory may have come free.
+func (l *Ledger) freed() { l.dirty, l.tight = true, tight{} }
+
+// changed notes that engines have changed.
+func (l *Ledger) changed() {
+	l.freed()
+	l.ids = nil
+}
+
+// candidates returns the engines of a stage that an ask may use, in order of
+// names. Engines that daemons can't reach are left out, unless that leaves none.
+// In a large fleet only some are returned, from a place that differs by ask.
+func (l *Ledger) candidates(now time.Time, a *Ask, stage fleet.Stage, all bool) []string {
 	rest := l.resting()
-	var sound, doubtful []Engine
-	for _, e := range l.engines {
+	ids := l.staged(stage)
+	want := len(ids)
+	if want > searchAll && !all {
+		want = searchSome
+	}
+	var sound, doubtful []string
+	for i := 0; i < len(ids) && len(sound) < want; i++ {
+		at := i
+		if want < len(ids) {
+			at = int((a.ID*searchStride + uint64(i)) % uint64(len(ids)))
+		}
+		id := ids[at]
 		switch {
-		case e.Stage != stage || l.isChanging(now, e.ID) || slices.Contains(a.Without, e.ID):
-		case rest[e.ID]:
-			doubtful = append(doubtful, e)
+		case l.isChanging(now, id) || slices.Contains(a.Without, id):
+		case rest[id]:
+			doubtful = append(doubtful, id)
 		default:
-			sound = append(sound, e)
+			sound = append(sound, id)
 		}
 	}
 	if len(sound) == 0 {
@@ -38,24 +98,42 @@
 	}
 	if len(sound) == 0 && stage == fleet.Prefill && len(a.Without) > 0 {
 		// A decode engine that reads a prompt itself stalls the runs beside it.
-		return l.usable(now, &Ask{}, stage)
+		return l.candidates(now, &Ask{ID: a.ID}, stage, all)
 	}
-	slices.SortFunc(sound, func(x, y Engine) int { return cmp.Compare(x.ID, y.ID) })
 	return sound
 }
 
 // place chooses a decode engine with room and the prefill engine with the
 // shortest queue. Prefill is empty when the ask needs none or none is there.
-func (l *Ledger) place(now time.Time, a *Ask) (decode, prefill string, ok bool) {
-	var best Engine
+func (l *Ledger) place(now time.Time, a *Ask) (decode, prefill string, v verdict) {
+	best, ok := l.roomiest(now, a, l.candidates(now, a, fleet.Decode, false))
+	if !ok && len(l.staged(fleet.Decode)) > searchAll {
+		best, ok = l.roomiest(now, a, l.candidates(now, a, fleet.Decode, true))
+	}
+	if !ok {
+		return "", "", noRoom
+	}
+	if a.Read {
+		return best.ID, "", placed
+	}
+	reader, queue := l.reader(now, a, best)
+	if pace := l.readPace(); pace > 0 && float64(queue) > pace*readLimit.Seconds() {
+		l.noteBound(now)
+		return "", "", noReader
+	}
+	return best.ID, reader, placed
+}
+
+// roomiest returns the engine with the most room for an ask, if there is one.
+func (l *Ledger) roomiest(now time.Time, a *Ask, ids []string) (best Engine, ok bool) {
 	low := 0.0
-	grown := l.grown(now)
-	for _, e := range l.usable(now, a, fleet.Decode) {
-		if now.Sub(l.full[e.ID]) < fullFor {
+	for _, id := range ids {
+		e := l.engines[id]
+		if now.Sub(l.full[id]) < fullFor {
 			continue
 		}
-		need, slots := need(grown[e.ID], a)
-		tokens, taken := l.unknown(now, e.ID)
+		need, slots := need(l.grown(now, id), a)
+		tokens, taken := l.unknown(now, id)
 		need, slots = need+tokens, slots+taken
 		// A request that is larger than the share that is granted needs an engine
 		// of its own.
@@ -70,23 +148,16 @@
 			best, low, ok = e, cost, true
 		}
 	}
-	if !ok || a.Read {
-		return best.ID, "", ok
-	}
-	reader, queue := l.reader(now, a, best)
-	if pace := l.readPace(); pace > 0 && float64(queue) > pace*readLimit.Seconds() {
-		l.noteBound(now)
-		return "", "", false
-	}
-	return best.ID, reader, true
+	return best, ok
 }
 
-// grown returns the runs of each decode engine.
-func (l *Ledger) grown(now time.Time) map[string][]growth {
-	out := make(map[string][]growth, len(l.engines))
-	for _, e := range l.runs {
+// grown returns the runs of a decode engine.
+func (l *Ledger) grown(now time.Time, engine string) []growth {
+	list := l.runs.decode[engine]
+	out := make([]growth, 0, len(list)+1)
+	for _, e := range list {
 		r := e.at(now, l.pace)
-		out[r.Decode] = append(out[r.Decode], r.growth())
+		out = append(out, r.growth())
 	}
 	return out
 }
@@ -95,7 +166,7 @@
 // an ask added.
 func need(runs []growth, a *Ask) (tokens, slots int) {
 	added := Run{Prompt: a.Prompt, Expect: a.Expect}
-	list := append(slices.Clone(runs), added.growth())
+	list := append(runs, added.growth())
 	return peak(list), len(list)
 }
 
@@ -103,8 +174,8 @@
 // ask, and their number.
 func (l *Ledger) reader(now time.Time, a *Ask, decode Engine) (id string, queue int) {
 	best, low := "", 0
-	for _, e := range l.usable(now, a, fleet.Prefill) {
-		unread := l.unread(e.ID)
+	for _, id := range l.candidates(now, a, fleet.Prefill, false) {
+		e, unread := l.engines[id], l.unread(id)
 		cost := unread
 		if e.Domain != decode.Domain {
 			cost += crossPrefill
@@ -119,8 +190,8 @@
 // unread is the number of tokens in the queue of a prefill engine.
 func (l *Ledger) unread(engine string) int {
 	n := 0
-	for _, r := range l.runs {
-		if r.Prefill == engine && r.Phase == Reading {
+	for _, r := range l.runs.prefill[engine] {
+		if r.Phase == Reading {
 			n += r.Prompt
 		}
 	}
@@ -130,13 +201,13 @@
 // predict estimates how long an ask with a number of asks before it will wait.
 // A reason is returned when it can't be served at all.
 func (l *Ledger) predict(now time.Time, w *waiting, ahead int) (time.Duration, string) {
-	engines := l.usable(now, &w.Ask, fleet.Decode)
+	engines := l.candidates(now, &w.Ask, fleet.Decode, false)
 	if len(engines) == 0 {
 		return longestReturn, ReasonEngine
 	}
 	large := 0
-	for _, e := range engines {
-		large = max(large, e.Tokens)
+	for _, id := range engines {
+		large = max(large, l.engines[id].Tokens)
 	}
 	if w.Prompt > large {
 		return longestReturn, ReasonLarge
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -78,14 +78,21 @@
 	if len(l.queue) == 0 || !l.dirty && now.Sub(l.placed) < placeEvery {
 		return nil
 	}
+	if now.Sub(l.tight.since) > placeEvery {
+		l.tight = tight{since: now} // runs have grown and ended by estimate
+	}
 	l.dirty, l.placed = false, now
 	var out []Answer
 	l.order(now)
 	kept := l.queue[:0]
 	for _, w := range l.queue {
-		if d, p, ok := l.place(now, &w.Ask); ok {
-			out = append(out, l.grant(now, w, d, p))
-			continue
+		if !l.tight.excludes(&w.Ask) {
+			d, p, v := l.place(now, &w.Ask)
+			if v == placed {
+				out = append(out, l.grant(now, w, d, p))
+				continue
+			}
+			l.tight.note(&w.Ask, v)
 		}
 		if now.After(w.refusal) {
 			wait, reason := l.predict(now, w, len(kept))
@@ -124,7 +131,7 @@
 	if prefill == "" {
 		run.Phase = Writing
 	}
-	l.runs[w.key()] = &entry{Run: run, granted: now}
+	l.runs.put(w.key(), &entry{granted: now}, run)
 	delete(l.refused, w.Subject)
 	a := Answer{To: w.edge, Service: l.service, Start: w.Start, ID: w.ID, Verdict: Granted,
 		Decode: decode, Prefill: prefill, Wait: now.Sub(w.asked), Load: float32(l.load())}
--- /dev/null
+++ b/internal/room/ledger/runs.go
@@ -0,0 +1,57 @@
+package ledger
+
+import "net/netip"
+
+// runs are the runs of a ledger, found by their daemon and by their engines, so
+// that an ask or a report costs as much as what it concerns.
+type runs struct {
+	all             map[runKey]*entry
+	edges           map[netip.AddrPort]map[runKey]*entry
+	decode, prefill map[string]map[runKey]*entry
+}
+
+func newRuns() runs {
+	return runs{all: map[runKey]*entry{}, edges: map[netip.AddrPort]map[runKey]*entry{},
+		decode: map[string]map[runKey]*entry{}, prefill: map[string]map[runKey]*entry{}}
+}
+
+// put adds a run or replaces what is known of it.
+func (r *runs) put(k runKey, e *entry, run Run) {
+	if r.all[k] == e && e.Decode == run.Decode && e.Prefill == run.Prefill {
+		e.Run = run
+		return
+	}
+	r.remove(k)
+	e.Run = run
+	r.all[k] = e
+	index(r.edges, k.edge, k, e)
+	index(r.decode, e.Decode, k, e)
+	index(r.prefill, e.Prefill, k, e)
+}
+
+func (r *runs) remove(k runKey) {
+	e := r.all[k]
+	if e == nil {
+		return
+	}
+	delete(r.all, k)
+	unindex(r.edges, k.edge, k)
+	unindex(r.decode, e.Decode, k)
+	unindex(r.prefill, e.Prefill, k)
+}
+
+func index[T comparable](m map[T]map[runKey]*entry, at T, k runKey, e *entry) {
+	list := m[at]
+	if list == nil {
+		list = map[runKey]*entry{}
+		m[at] = list
+	}
+	list[k] = e
+}
+
+func unindex[T comparable](m map[T]map[runKey]*entry, at T, k runKey) {
+	delete(m[at], k)
+	if len(m[at]) == 0 {
+		delete(m, at)
+	}
+}
