Check a server again that became suspect during a check

Ruled out: lost strikes; datagrams on loopback were not dropped, and the engine was never found dead in the daemon's log.

Change: a suspicion that comes during a check leads to another check.

Figures: TestSuspectWhileChecked fails without the change.

--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -31,7 +31,9 @@
 	same  func(ctx context.Context, s fleet.Server) (bool, error)
 	lost  func(s fleet.Server)
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// active are servers that are being checked, with whether another check was
+	// asked for meanwhile.
 	active map[string]bool
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -71,22 +73,37 @@
 // Suspect begins to check a server unless that is going on.
 func (p *Prober) Suspect(s fleet.Server) { p.start(s, func() { p.check(s) }) }
 
-// start runs f for a server unless it is being checked.
+// start runs f for a server. While that goes on, it is only noted that the server
+// has to be checked again: what made it suspect may be newer than the check.
 func (p *Prober) start(s fleet.Server, f func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.active[s.ID] || p.ctx.Err() != nil {
+	if _, ok := p.active[s.ID]; ok || p.ctx.Err() != nil {
+		p.active[s.ID] = true
 		return
 	}
-	p.active[s.ID] = true
+	p.active[s.ID] = false
 	p.all.Go(func() {
 		f()
-		p.mu.Lock()
-		delete(p.active, s.ID)
-		p.mu.Unlock()
+		for p.another(s.ID) {
+			p.check(s)
+		}
 	})
 }
 
+// another reports whether a server has to be checked again, and ends its checks
+// otherwise.
+func (p *Prober) another(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active[id] && p.ctx.Err() == nil {
+		p.active[id] = false
+		return true
+	}
+	delete(p.active, id)
+	return false
+}
+
 // Verify finds out whether a server that says that a request is not for it is
 // still the one of its entry.
 func (p *Prober) Verify(s fleet.Server) {
--- a/internal/route/probe/probe_test.go
+++ b/internal/route/probe/probe_test.go
@@ -63,3 +63,32 @@
 		})
 	}
 }
+
+// Guards against a server that dies while it is still being checked for an
+// earlier suspicion: it was not checked again, and its death not counted.
+func TestSuspectWhileChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.Server{ID: "x", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Beat: 1}
+		table := fleet.New()
+		table.Put(s)
+		var dials, lost atomic.Int32
+		dial := func(context.Context, netip.AddrPort) error {
+			if dials.Add(1) == 1 {
+				time.Sleep(100 * time.Millisecond)
+				return nil
+			}
+			return errRefused
+		}
+		same := func(context.Context, fleet.Server) (bool, error) { return true, nil }
+		p := probe.New(table, same, hclog.NewNullLogger(), probe.WithDial(dial), probe.WithLost(func(fleet.Server) { lost.Add(1) }))
+		defer p.Close()
+		p.Suspect(s)
+		time.Sleep(50 * time.Millisecond)
+		p.Suspect(s)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		if !table.IsResting(time.Now(), "x") || lost.Load() != 1 {
+			t.Errorf("left alone: %v, found dead %d times, want once", table.IsResting(time.Now(), "x"), lost.Load())
+		}
+	})
+}
