Turn a prefill engine where a service has no other

Ruled out: no other stage; the entry says prefill, and nothing but an order changes it.

Change: an owner orders a prefill engine to decode when its service has had no decode engine for three seconds and has requests.

TestOnlyPrefillEngines.

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -19,6 +19,9 @@
 	smallService = 4
 	// balanceRuns is the number of ended runs from which the figures hold.
 	balanceRuns = 20
+	// noDecodeFor is how long a service must have had no decode engine before a
+	// prefill engine is turned: entries come and go around crashes and outages.
+	noDecodeFor = 3 * time.Second
 	// orderAgain is the time after which an engine may be ordered again.
 	orderAgain = 30 * time.Second
 	// switchShare is the share of a stage's engines that change at once.
@@ -57,6 +60,9 @@
 		}
 		changing++
 	}
+	if id := l.onlyReaders(now, prefill, decode, keyed); id != "" && changing == 0 {
+		return l.turn(now, id, fleet.Decode, switchTime), true
+	}
 	want, ok := l.wanted(len(prefill) + len(decode))
 	rest := l.resting()
 	if !ok || changing > 0 && float64(changing+1) > switchShare*float64(len(prefill)) {
@@ -76,14 +82,34 @@
 	if len(from) == 0 {
 		return Change{}, false
 	}
-	id := keyed(from)
+	return l.turn(now, keyed(from), stage, switchTime), true
+}
+
+// onlyReaders returns the engine to turn in a service that has had no decode
+// engine for a while, so that none of its requests can be served.
+func (l *Ledger) onlyReaders(now time.Time, prefill, decode []string, keyed func(ids []string) string) string {
+	if len(decode) > 0 || len(prefill) == 0 {
+		l.noDecodeSince = time.Time{}
+		return ""
+	}
+	if l.noDecodeSince.IsZero() {
+		l.noDecodeSince = now
+	}
+	if now.Sub(l.noDecodeSince) < noDecodeFor || now.Sub(l.askedAt) > idleAfter {
+		return ""
+	}
+	return keyed(prefill)
+}
+
+// turn notes the order of a change.
+func (l *Ledger) turn(now time.Time, id string, stage fleet.Stage, switchTime time.Duration) Change {
 	l.ordered[id] = now
 	l.changing[id] = now.Add(switchTime)
 	e := l.engines[id]
 	e.Stage = stage
 	l.orders[id], l.engines[id] = order{Engine: e}, e
 	l.changed()
-	return Change{Engine: id, Stage: stage}, true
+	return Change{Engine: id, Stage: stage}
 }
 
 // idlest returns the engines with the fewest runs. An engine changes once its
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -148,6 +148,8 @@
 	busy map[string]bool
 	// steadySince is when an engine last came, went or failed.
 	steadySince time.Time
+	// noDecodeSince is when the last decode engine went, zero while there is one.
+	noDecodeSince time.Time
 	// boundSince and boundAt are when asks began to wait for a prefill engine and
 	// when one last did.
 	boundSince, boundAt time.Time
--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -269,6 +270,50 @@
 	}
 }
 
+// Guards against a service that has prefill engines only, as where it has one
+// engine: all its requests were refused for good.
+func TestOnlyPrefillEngines(t *testing.T) {
+	cases := map[string]struct {
+		prefill, decode int
+		want            int
+	}{
+		"one engine":     {1, 0, 1},
+		"three of them":  {3, 0, 1},
+		"one can decode": {1, 1, 0},
+		"there are none": {0, 0, 0},
+		"one that does":  {0, 1, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var list []ledger.Engine
+			for i := range c.prefill {
+				list = append(list, ledger.Engine{ID: fmt.Sprint("p", i), Stage: fleet.Prefill, Slots: 8, Tokens: 100_000})
+			}
+			for i := range c.decode {
+				list = append(list, ledger.Engine{ID: fmt.Sprint("d", i), Stage: fleet.Decode, Slots: 8, Tokens: 100_000})
+			}
+			l := ledger.New("s")
+			l.SetEngines(t0, list)
+			orders := 0
+			for i := range uint64(100) {
+				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+				l.Ask(now, edge1, ask(i+1))
+				if got, ok := l.Balance(now, 6*time.Second, func(ids []string) string { return ids[0] }); ok {
+					if orders++; got.Stage != fleet.Decode || now.Sub(t0) < time.Second {
+						t.Errorf("order %+v after %v", got, now.Sub(t0))
+					}
+				}
+			}
+			if orders != c.want {
+				t.Errorf("%d orders, want %d", orders, c.want)
+			}
+			if a := own(t, l.Ask(t0.Add(20*time.Second), edge2, ask(1000)), 1000); c.want > 0 && a.Verdict != ledger.Granted {
+				t.Errorf("answer %+v, want a grant", a)
+			}
+		})
+	}
+}
+
 // Guards against a new owner that sends prompts to an engine which the owner
 // before has turned: each was refused, and budgets for repeats ran out.
 func TestNewOwnerLearnsStage(t *testing.T) {
