Take everything from another daemon in a large fleet

Change: with more than eight others a daemon takes the state of one of three at random and reads from the store what has changed since, so that a stale daemon misleads nobody. Until one has read the store about four do so, for five seconds; then each does. A daemon waits 50 ms for others before its first read.

TestCrowdLoadsFromPeers.

--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -27,6 +27,16 @@
 	// renewed so often that each read would return at once. It is small beside the
 	// seconds in which changes have to be in force.
 	idlePause = 250 * time.Millisecond
+	// startPause lets the daemon hear of others before its first read.
+	startPause = 50 * time.Millisecond
+	// crowd is the number of other daemons from which one that needs everything
+	// takes it from another one; the store could not serve all of them at once.
+	// Meanwhile loaders of them read the store. crowdPause is the time between
+	// tries, and crowdPatience the time after which each reads the store itself.
+	crowd         = 8
+	loaders       = 4
+	crowdPause    = 250 * time.Millisecond
+	crowdPatience = 5 * time.Second
 	// noticeLife is how long a notice of a reader stands for a read of this
 	// daemon: two lost notices don't cause a read.
 	noticeLife = 1200 * time.Millisecond
@@ -48,6 +58,8 @@
 	// be sent.
 	Tell(notice.Notice) time.Duration
 	Handle(func(notice.Notice))
+	// Others is the number of other daemons.
+	Others() int
 	// Fetch returns what another daemon knows.
 	Fetch(ctx context.Context) (*citronrock.State, error)
 }
@@ -69,6 +81,9 @@
 	untold     bool
 	told, next time.Time
 
+	// loading is when the daemon began to need everything.
+	loading time.Time
+
 	document atomic.Pointer[plan.Document]
 	// failed is set when the first read failed.
 	failed   atomic.Bool
@@ -143,7 +158,8 @@
 
 func (f *Follower) run(ctx context.Context) {
 	fails, loaded := 0, false
-	timer := time.NewTimer(0)
+	f.loading = time.Now()
+	timer := time.NewTimer(startPause)
 	defer timer.Stop()
 	for {
 		select {
@@ -178,7 +194,9 @@
 			return
 		case errors.Is(err, citronrock.ErrHistory):
 			f.log.Warn("history of the store lost, reading everything", "revision", f.revision)
-			loaded, pause = false, 0
+			loaded, pause, f.loading = false, 0, time.Now()
+		case errors.Is(err, errOthersLoad):
+			pause = crowdPause
 		case err != nil:
 			fails++
 			pause = min(againFirst<<min(fails-1, 8), againLimit)
@@ -255,30 +273,6 @@
 	return changed
 }
 
-// load reads everything.
-func (f *Follower) load(ctx context.Context) error {
-	state, err := f.store.Load(ctx)
-	if err != nil && f.document.Load() == nil {
-		// Without a store a fresh daemon serves by what the others know.
-		if known, lack := f.peers.Fetch(ctx); lack == nil {
-			f.log.Warn("store not read, state taken from another daemon", "revision", known.Revision,
-				"version", known.Document.Version, "error", err.Error())
-			state, err = known, nil
-		}
-	}
-	if err != nil {
-		f.failed.Store(true)
-		return err
-	}
-	now := time.Now()
-	f.table.Outage(now, false)
-	f.table.Reset(now, state.Servers, state.Revision)
-	f.install(state.Document)
-	f.changed.Reset()
-	f.note(state.Revision)
-	return nil
-}
-
 // changes reads what changed since the last read and tells the others.
 func (f *Follower) changes(ctx context.Context) error {
 	wait := time.Duration(0)
@@ -294,6 +288,13 @@
 		return err
 	}
 	now := time.Now()
+	f.untold = f.take(now, c) || f.untold
+	f.tell(now)
+	return nil
+}
+
+// take applies changes and reports whether there were any.
+func (f *Follower) take(now time.Time, c *citronrock.Changes) bool {
 	// Removals are judged by how long the store has been back.
 	f.table.Outage(now, false)
 	lapsed := f.table.Lapsed(now)
@@ -312,9 +313,7 @@
 	f.install(c.Document)
 	f.changed.Add(now, f.revision, events)
 	f.note(c.Revision)
-	f.untold = f.untold || len(events) > 0 || f.version() > before
-	f.tell(now)
-	return nil
+	return len(events) > 0 || f.version() > before
 }
 
 // tell tells the others what changed, and now and then that nothing has.
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -27,6 +27,9 @@
 	history []citronrock.Changes
 	down    bool
 	reads   int
+	loads   int
+	// forgotten makes reads of changes fail as if the history was lost.
+	forgotten bool
 }
 
 func (s *store) change(c citronrock.Changes) {
@@ -50,6 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.loads++
 	if s.down {
 		return nil, errDown
 	}
@@ -89,6 +93,9 @@
 	if s.down {
 		return nil, errDown
 	}
+	if s.forgotten {
+		return nil, citronrock.ErrHistory
+	}
 	out := &citronrock.Changes{Revision: s.at}
 	for _, c := range s.history {
 		if c.Revision > after {
@@ -107,6 +114,7 @@
 	reader bool
 	told   []notice.Notice
 	gap    time.Duration
+	others int
 	take   func(notice.Notice)
 	state  *citronrock.State
 }
@@ -117,6 +125,7 @@
 	return p.gap
 }
 func (p *peers) Handle(f func(notice.Notice)) { p.take = f }
+func (p *peers) Others() int                  { return p.others }
 func (p *peers) Fetch(context.Context) (*citronrock.State, error) {
 	if p.state == nil {
 		return nil, notice.ErrNoPeer
@@ -220,6 +229,48 @@
 	})
 }
 
+// Guards against a large fleet whose daemons all read everything from the store
+// when they start together, and against one that serves what a stale daemon
+// knows.
+func TestCrowdLoadsFromPeers(t *testing.T) {
+	known := &citronrock.State{Document: document(3), Servers: []fleet.Server{server()}, Revision: 1}
+	cases := map[string]struct {
+		others          int
+		state           *citronrock.State
+		down, forgotten bool
+		// loads is whether the store is read as a whole in five seconds.
+		loads   bool
+		version uint64
+	}{
+		"small fleet":                  {5, known, false, false, true, 4},
+		"large fleet":                  {300, known, false, false, false, 4},
+		"no daemon knows anything":     {300, nil, false, false, true, 4},
+		"history of the store is lost": {300, known, false, true, true, 4},
+		"store away":                   {300, known, true, false, false, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{doc: document(4), down: c.down, forgotten: c.forgotten}
+				s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+				s.change(citronrock.Changes{Document: document(4)})
+				p := &peers{state: c.state, others: c.others}
+				table := fleet.New()
+				f := follow.Start(s, table, p, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(6 * time.Second)
+				synctest.Wait()
+				if d := f.Document(); d == nil || d.Version != c.version || usable(table) != 1 {
+					t.Errorf("document %v, %d servers, want version %d", d, usable(table), c.version)
+				}
+				if s.loads > 0 != c.loads {
+					t.Errorf("the store was read as a whole %d times, want that: %v", s.loads, c.loads)
+				}
+			})
+		})
+	}
+}
+
 // Guards against servers that are dropped since their entries lapsed while the
 // store was away, and against servers that are kept though they did not come
 // back after its return.
--- /dev/null
+++ b/internal/route/follow/load.go
@@ -0,0 +1,76 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"citronrock.example/citronrock"
+)
+
+// errOthersLoad means that other daemons read the store for this one.
+var errOthersLoad = errors.New("other daemons read the store")
+
+// loadCrowd takes everything from another daemon, and what has changed since
+// from the store.
+func (f *Follower) loadCrowd(ctx context.Context) error {
+	state, err := f.peers.Fetch(ctx)
+	if err != nil {
+		return err
+	}
+	c, err := f.store.Watch(ctx, state.Revision, 0)
+	if errors.Is(err, citronrock.ErrHistory) || ctx.Err() != nil {
+		return err
+	}
+	if err != nil {
+		f.tellTaken(state, err)
+		c = &citronrock.Changes{Revision: state.Revision}
+	}
+	now := time.Now()
+	f.table.Outage(now, false)
+	f.table.Reset(now, state.Servers, state.Revision)
+	f.changed.Reset()
+	f.note(state.Revision)
+	f.take(now, c)
+	f.install(state.Document) // after what is newer
+	return nil
+}
+
+// tellTaken logs that the state of another daemon stands for a read of the store.
+func (f *Follower) tellTaken(s *citronrock.State, err error) {
+	f.log.Warn("store not read, state taken from another daemon", "revision", s.Revision,
+		"version", s.Document.Version, "error", err.Error())
+}
+
+// load reads everything.
+func (f *Follower) load(ctx context.Context) error {
+	if n := f.peers.Others(); n > crowd {
+		err := f.loadCrowd(ctx)
+		if err == nil {
+			return nil
+		}
+		if time.Since(f.loading) < crowdPatience && rand.IntN(n) >= loaders {
+			return errOthersLoad
+		}
+	}
+	state, err := f.store.Load(ctx)
+	if err != nil && f.document.Load() == nil {
+		// Without a store a fresh daemon serves by what the others know.
+		if known, lack := f.peers.Fetch(ctx); lack == nil {
+			f.tellTaken(known, err)
+			state, err = known, nil
+		}
+	}
+	if err != nil {
+		f.failed.Store(true)
+		return err
+	}
+	now := time.Now()
+	f.table.Outage(now, false)
+	f.table.Reset(now, state.Servers, state.Revision)
+	f.install(state.Document)
+	f.changed.Reset()
+	f.note(state.Revision)
+	return nil
+}
--- a/internal/route/notice/state.go
+++ b/internal/route/notice/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -83,11 +84,16 @@
 	return out, nil
 }
 
-// Fetch returns the newest state that another daemon has.
+// Others returns the number of other daemons.
+func (n *Node) Others() int { return len(n.members.Alive()) - 1 }
+
+// Fetch returns the newest state of some other daemons, chosen at random.
 func (n *Node) Fetch(ctx context.Context) (*citronrock.State, error) {
 	var best *citronrock.State
 	asked := 0
-	for _, m := range n.members.Alive() {
+	all := n.members.Alive()
+	for _, i := range rand.Perm(len(all)) {
+		m := all[i]
 		if m.Addr == n.self || asked == fetchTries {
 			continue
 		}
