Tell a suspicion from a copy of the entry

Ruled out: a race in the follower; it held the lock.

Change: the entry is copied under the lock.

Figures: TestSuspicionDuringChange shows the race without the change, none with it.

--- a/internal/route/fleet/fleet_test.go
+++ b/internal/route/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -148,3 +149,26 @@
 		})
 	}
 }
+
+// Guards against a suspicion that tells of a server while its entry is being
+// replaced; the race detector shows it.
+func TestSuspicionDuringChange(t *testing.T) {
+	table := fleet.New(fleet.WithSuspect(func(s fleet.Server) {
+		if s.ID != "x" {
+			t.Errorf("suspicion tells of %q", s.ID)
+		}
+	}))
+	table.Put(server("x", 1, 1))
+	var both sync.WaitGroup
+	both.Go(func() {
+		for i := range 500 {
+			table.Put(server("x", uint64(i+2), uint64(i+2)))
+		}
+	})
+	both.Go(func() {
+		for range 500 {
+			table.Begin("x")(time.Now(), fleet.Broken, time.Millisecond)
+		}
+	})
+	both.Wait()
+}
--- a/internal/route/fleet/health.go
+++ b/internal/route/fleet/health.go
@@ -88,10 +88,10 @@
 		r.open--
 		rested := r.health.resting(now)
 		r.health.note(now, o, took)
-		changed := rested != r.health.resting(now)
+		changed, s := rested != r.health.resting(now), r.Server
 		t.mu.Unlock()
 		if o == Broken || o == Unreachable || o == Silent {
-			t.suspect(r.Server)
+			t.suspect(s)
 		}
 		if changed {
 			t.changed()
