Predict queued asks again and refuse the hopeless ones at once

Ruled out: a shorter patience; it would refuse asks that are granted in time.

Change: each look at the queue compares the wait by what is ahead with the patience, and refuses at once what does not fit.

TestQueuedIsPredictedAgain fails without the change.

--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -270,6 +270,41 @@
 	}
 }
 
+// Guards against a queued ask that is told only at the end of its patience
+// though engines were lost that its prediction counted on.
+func TestQueuedIsPredictedAgain(t *testing.T) {
+	l := ledger.New("s")
+	all := engines(8, 4, 20_000)
+	l.SetEngines(t0, all)
+	now := t0
+	id := uint64(0)
+	var queued []uint64
+	for range 40 {
+		id++
+		a := ask(id)
+		a.Slack, a.Patience = 1500*time.Millisecond, 2*time.Second
+		if got := own(t, l.Ask(now, edge1, a), id); got.Verdict == ledger.Queued {
+			queued = append(queued, id)
+		}
+	}
+	if len(queued) < 2 {
+		t.Fatalf("%d asks are queued, want some", len(queued))
+	}
+	now = now.Add(100 * time.Millisecond)
+	l.SetEngines(now, engines(1, 4, 20_000))
+	refused := 0
+	for _, a := range l.Tick(now) {
+		if a.Verdict == ledger.Refused {
+			if refused++; a.After <= 0 || a.Reason != ledger.ReasonWait {
+				t.Errorf("answer %+v, want a refusal for its wait with a time to come back", a)
+			}
+		}
+	}
+	if refused < len(queued)-1 {
+		t.Errorf("%d of %d queued asks are told at once that seven of eight engines are lost", refused, len(queued))
+	}
+}
+
 // Guards against a service that has prefill engines only, as where it has one
 // engine: all its requests were refused for good.
 func TestOnlyPrefillEngines(t *testing.T) {
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -71,8 +71,8 @@
 	l.end(now, runKey{edge, start, id})
 }
 
-// Tick grants what has room, refuses asks that ran out of patience and forgets
-// what is old. It returns the answers to asks that were queued.
+// Tick grants what has room, refuses asks that ran out of patience or will by
+// what is known now, and forgets what is old. It returns the answers to asks that were queued.
 func (l *Ledger) Tick(now time.Time) []Answer {
 	l.expire(now)
 	if len(l.queue) == 0 || !l.dirty && now.Sub(l.placed) < placeEvery {
@@ -85,6 +85,7 @@
 	var out []Answer
 	l.order(now)
 	kept := l.queue[:0]
+	rate, need := l.rate(), 0.0
 	for _, w := range l.queue {
 		if !l.tight.excludes(&w.Ask) {
 			d, p, v := l.place(now, &w.Ask)
@@ -94,9 +95,15 @@
 			}
 			l.tight.note(&w.Ask, v)
 		}
-		if now.After(w.refusal) {
+		need += float64(w.Prompt + w.Expect)
+		if now.After(w.refusal) || rate > 0 && now.Add(time.Duration(hopeless*need/rate*float64(time.Second))).After(w.refusal) {
 			wait, reason := l.predict(now, w, len(kept))
-			out = append(out, l.refuse(now, w, wait, cmp.Or(reason, ReasonTired)))
+			need -= float64(w.Prompt + w.Expect)
+			otherwise := ReasonTired
+			if now.Before(w.refusal) {
+				otherwise = ReasonWait
+			}
+			out = append(out, l.refuse(now, w, wait, cmp.Or(reason, otherwise)))
 			continue
 		}
 		kept = append(kept, w)
