Ask engines for their identity by their health again

Cause: since stages are learned, the identity of a model engine was asked by its report, which any process at the address gives to anyone.

Ruled out: reports that did not reach the owner; the probing daemons said that the engines were back.

Change: identity by the health path, as before. A report that names another start of the process than the entry leaves the engine out at once. The stand-in's reports are given to anyone, too.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -165,8 +165,8 @@
 
 // same tells whether a backend server is still the one of its entry.
 func (r *Router) same(ctx context.Context, s fleet.Server) (bool, error) {
-	path := "" // the report of a model engine, which needs no slot
-	if d := r.follower.Document(); d != nil && s.Stage == fleet.Plain {
+	path := ""
+	if d := r.follower.Document(); d != nil {
 		path = d.Services[s.Service].Health
 	}
 	return r.backends.Same(ctx, s, path)
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
 
+	"citronrock.example/citronrock/internal/front/entry"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/fleet"
@@ -35,6 +37,10 @@
 	u, err := n.engines.Usage(ctx, s)
 	if err != nil {
 		n.log.Info("usage not known", "server", s.ID, "error", err.Error())
+		var f *entry.Fault
+		if errors.As(err, &f) && f.Misdirected {
+			n.fleet.Misdirected(time.Now(), s)
+		}
 		return
 	}
 	n.do(func(now time.Time) {
