--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -144,20 +144,25 @@
 	})
 }
 
-// Reader tells whether this daemon is one of those that read the store.
+// Reader tells whether this daemon is one of those that read the store. While no
+// daemon is mature, as when all start together, they are chosen of all.
 func (n *Node) Reader() bool {
 	alive := n.members.Alive()
-	names := make([]string, 0, len(alive))
+	names, all := make([]string, 0, len(alive)), make([]string, 0, len(alive))
 	for _, m := range alive {
+		all = append(all, m.Addr.String())
 		if m.Mature {
 			names = append(names, m.Addr.String())
 		}
 	}
+	if len(names) == 0 {
+		names = all
+	}
 	readers := fewReaders
 	if len(alive) > smallFleet {
 		readers = manyReaders
 	}
-	return len(names) <= readers || slices.Contains(owner.Top(key, names, readers), n.self.String())
+	return len(all) <= readers || slices.Contains(owner.Top(key, names, readers), n.self.String())
 }
 
 // Tell sends a notice to all other daemons. It returns the time until the next
--- a/internal/route/notice/notice_test.go
+++ b/internal/route/notice/notice_test.go
@@ -1,9 +1,11 @@
 package notice_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/route/notice"
 )
 
@@ -38,3 +40,45 @@
 		})
 	}
 }
+
+// crew is a set of live daemons.
+type crew []beat.Seen
+
+func (c crew) Alive() []beat.Seen { return c }
+
+// Guards against a fleet whose daemons all read the store for others while they
+// are young, and against one without a reader.
+func TestReader(t *testing.T) {
+	cases := map[string]struct {
+		young, mature int
+		// least and most bound the number of readers.
+		least, most int
+	}{
+		"alone":                   {1, 0, 1, 1},
+		"two":                     {0, 2, 2, 2},
+		"small fleet":             {0, 6, 2, 2},
+		"large fleet":             {0, 84, 3, 3},
+		"large fleet that starts": {84, 0, 3, 3},
+		"one survived":            {83, 1, 1, 1},
+		"a few fresh daemons":     {3, 81, 3, 3},
+		"small fleet that starts": {6, 0, 2, 2},
+		"one of two is young":     {1, 1, 2, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var all crew
+			for i := range c.young + c.mature {
+				all = append(all, beat.Seen{Member: beat.Member{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)}, Mature: i >= c.young})
+			}
+			readers := 0
+			for _, m := range all {
+				if notice.New(m.Addr, nil, all).Reader() {
+					readers++
+				}
+			}
+			if readers < c.least || readers > c.most {
+				t.Errorf("%d readers, want %d to %d", readers, c.least, c.most)
+			}
+		})
+	}
+}
