Search all prefill engines of a large fleet before an ask has to wait

Cause: reading the changes as a newcomer: decode engines were searched in full when a part of them had no room, prefill engines were not.

Conclusion: one rule for both stages.

--- a/internal/peer/beat/wide.go
+++ b/internal/peer/beat/wide.go
@@ -14,8 +14,7 @@
 			e.asked, e.tries = time.Time{}, 0
 		}
 	}
-	var out []Send
-	out = t.probe(now, live)
+	out := t.probe(now, live)
 	every := exchangeEvery
 	if now.Sub(t.begun) < youth {
 		every = youngEvery
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -116,8 +117,15 @@
 	if a.Read {
 		return best.ID, "", placed
 	}
-	reader, queue := l.reader(now, a, best)
-	if pace := l.readPace(); pace > 0 && float64(queue) > pace*readLimit.Seconds() {
+	limit := math.Inf(1)
+	if pace := l.readPace(); pace > 0 {
+		limit = pace * readLimit.Seconds()
+	}
+	reader, queue := l.reader(now, a, best, false)
+	if float64(queue) > limit && len(l.staged(fleet.Prefill)) > searchAll {
+		reader, queue = l.reader(now, a, best, true)
+	}
+	if float64(queue) > limit {
 		l.noteBound(now)
 		return "", "", noReader
 	}
@@ -171,10 +179,11 @@
 }
 
 // reader returns the prefill engine with the fewest tokens to read before an
-// ask, and their number.
-func (l *Ledger) reader(now time.Time, a *Ask, decode Engine) (id string, queue int) {
+// ask, and their number. In a large fleet only some are compared, unless all is
+// set.
+func (l *Ledger) reader(now time.Time, a *Ask, decode Engine, all bool) (id string, queue int) {
 	best, low := "", 0
-	for _, id := range l.candidates(now, a, fleet.Prefill, false) {
+	for _, id := range l.candidates(now, a, fleet.Prefill, all) {
 		e, unread := l.engines[id], l.unread(id)
 		cost := unread
 		if e.Domain != decode.Domain {
--- a/internal/room/ledger/scale_test.go
+++ b/internal/room/ledger/scale_test.go
@@ -89,3 +89,36 @@
 		})
 	}
 }
+
+// Guards against asks that are refused in a large fleet though some of its
+// engines have room, since only a part is searched.
+func TestLargeFleetIsUsedUp(t *testing.T) {
+	cases := map[string]struct {
+		read bool
+		want int
+	}{
+		// 300 decode engines hold six requests of 9,000 tokens within 95% of 60,000.
+		"decode engines": {true, 300 * 6},
+		// 100 prefill engines read 27,500 tokens in half a second; the prompt that
+		// exceeds that is the sixth.
+		"prefill engines": {false, 100 * 6},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCrowd(400, 0, 20)
+			granted := 0
+			for i := range uint64(2500) {
+				a := ask(i + 1)
+				a.Read = k.read
+				for _, got := range c.l.Ask(t0.Add(time.Duration(i)*10*time.Microsecond), c.edges[i%20], a) {
+					if got.Verdict == ledger.Granted {
+						granted++
+					}
+				}
+			}
+			if granted != k.want {
+				t.Errorf("%d grants, want %d", granted, k.want)
+			}
+		})
+	}
+}
