--- a/internal/front/stream/fault.go
+++ b/internal/front/stream/fault.go
@@ -3,12 +3,20 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/entry"
 	"citronrock.example/citronrock/internal/route/fleet"
 )
 
+// broke tells the guard of a run whose connection broke.
+func (j *job) broke(ctx context.Context, s fleet.Server, begun time.Time, f *entry.Fault) {
+	if f.Fault == event.FaultBroken && ctx.Err() == nil {
+		j.guard.Broke(j.call, s, begun)
+	}
+}
+
 // asFault returns the fault of an error of a sender.
 func asFault(err error) *entry.Fault {
 	var f *entry.Fault
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -297,9 +297,7 @@
 		f := asFault(err)
 		note(time.Now(), outcome(ctx, f), 0)
 		j.attempt("decode", s, begun, f)
-		if f.Fault == event.FaultBroken && ctx.Err() == nil {
-			j.guard.Broke(j.call, s, begun)
-		}
+		j.broke(ctx, s, begun, f)
 		return j.undecoded(ctx, s, f)
 	}
 	defer reply.Close()
@@ -320,9 +318,7 @@
 	}
 	note(time.Now(), outcome(ctx, f), 0)
 	j.attempt("stream", s, begun, f)
-	if f.Fault == event.FaultBroken && ctx.Err() == nil {
-		j.guard.Broke(j.call, s, begun)
-	}
+	j.broke(ctx, s, begun, f)
 	return j.interrupted(ctx, s, f)
 }
 
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -92,9 +92,9 @@
 	// sizeWeight is the least weight of one answer in the mean share.
 	sizeWeight = 0.03
 	// firstLead stands for the time from a grant to the first event until answers
-	// have shown it, and leadWeight is the weight of one answer.
+	// have shown it, and meanWeight is the weight of one answer in mean times.
 	firstLead  = 300 * time.Millisecond
-	leadWeight = 0.1
+	meanWeight = 0.1
 	// bytesPerToken stands for the size of a prompt that its client does not
 	// tell.
 	bytesPerToken = 4
@@ -149,11 +149,16 @@
 	return firstLead
 }
 
+// toward returns a mean time after one more value.
+func toward(mean, d time.Duration) time.Duration {
+	return mean + time.Duration(meanWeight*float64(d-mean))
+}
+
 func (h *Handler) learnLead(service string, d time.Duration) {
 	was := h.lead(service)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.leads[service] = was + time.Duration(leadWeight*float64(d-was))
+	h.leads[service] = toward(was, d)
 }
 
 // stay is the time from a grant to the end of an answer, zero while it is not
@@ -171,7 +176,7 @@
 	if !ok {
 		was = d
 	}
-	h.stays[service] = was + time.Duration(leadWeight*float64(d-was))
+	h.stays[service] = toward(was, d)
 }
 
 // prompt is the length of a call's prompt in tokens.
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -107,6 +107,9 @@
 	tries int
 }
 
+// answered notes that a probe is answered, or no longer counts.
+func (e *entry) answered() { e.asked, e.tries = time.Time{}, 0 }
+
 // Table is the membership as one daemon sees it.
 type Table struct {
 	self  Member
@@ -272,7 +275,8 @@
 	}
 	from := g.Members[0].Addr
 	e := t.known[from]
-	e.heard, e.asked, e.tries = now, time.Time{}, 0
+	e.heard = now
+	e.answered()
 	switch {
 	case g.All:
 		return []Send{{To: from, Gossip: t.all()}}
@@ -317,7 +321,7 @@
 			e.ended = now
 		}
 		e.Round, e.Dead, e.Leaving = m.Round, m.Dead, e.Leaving || m.Leaving
-		e.asked, e.tries = time.Time{}, 0
+		e.answered()
 		if news {
 			t.announce(m.Addr)
 		}
@@ -337,6 +341,23 @@
 	Mature bool
 }
 
+// Members tells which daemons are alive.
+type Members interface {
+	// Alive includes this daemon.
+	Alive() []Seen
+}
+
+// Others returns the addresses of the live daemons but self.
+func Others(m Members, self netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, other := range m.Alive() {
+		if other.Addr != self {
+			out = append(out, other.Addr)
+		}
+	}
+	return out
+}
+
 // Alive returns the live daemons, this one included, in order of address.
 func (t *Table) Alive(now time.Time) []Seen {
 	out := []Seen{{Member: t.self, Mature: !t.self.Leaving && now.Sub(t.begun) >= mature}}
--- a/internal/peer/beat/wide.go
+++ b/internal/peer/beat/wide.go
@@ -11,7 +11,7 @@
 func (t *Table) tickWide(now time.Time, live []netip.AddrPort, paused bool) []Send {
 	if paused {
 		for _, e := range t.known {
-			e.asked, e.tries = time.Time{}, 0
+			e.answered()
 		}
 	}
 	out := t.probe(now, live)
@@ -39,7 +39,8 @@
 	var out []Send
 	answering, silent := 0, 0
 	for i := 0; i < len(live) && answering < probed && i < t.reach; i++ {
-		addr := live[((at-1-i)%len(live)+len(live))%len(live)]
+		// at may be past the end, and the order goes on from the first to the last.
+		addr := live[(at-1-i+2*len(live))%len(live)]
 		e := t.known[addr]
 		if e.asked.IsZero() {
 			if now.Sub(e.heard) < fresh {
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -41,6 +41,13 @@
 // Handler takes a message. It must not block.
 type Handler func(from netip.AddrPort, body []byte)
 
+// Port sends messages to other daemons and passes on received ones.
+type Port interface {
+	Send(k Kind, message any, to ...netip.AddrPort)
+	Handle(k Kind, h Handler)
+	Decode(body []byte, message any) bool
+}
+
 // Socket sends and receives datagrams.
 type Socket struct {
 	conn     *net.UDPConn
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -53,18 +53,11 @@
 
 // Members tells which daemons are alive.
 type Members interface {
-	Alive() []beat.Seen
+	beat.Members
 	// Known is the number of daemons that were alive lately.
 	Known() int
 }
 
-// Socket sends datagrams and passes on received ones.
-type Socket interface {
-	Send(k gram.Kind, message any, to ...netip.AddrPort)
-	Handle(k gram.Kind, h gram.Handler)
-	Decode(body []byte, message any) bool
-}
-
 // Engines tell what they have in use and take orders.
 type Engines interface {
 	Usage(ctx context.Context, s fleet.Server) (ledger.Usage, error)
@@ -76,7 +69,7 @@
 	self    netip.AddrPort
 	start   int64
 	domain  string
-	socket  Socket
+	socket  gram.Port
 	members Members
 	fleet   *fleet.Table
 	engines Engines
@@ -136,7 +129,7 @@
 }
 
 // Start begins to serve and to ask.
-func Start(self beat.Member, domain string, socket Socket, members Members, table *fleet.Table, engines Engines, log hclog.Logger) *Node {
+func Start(self beat.Member, domain string, socket gram.Port, members Members, table *fleet.Table, engines Engines, log hclog.Logger) *Node {
 	n := &Node{self: self.Addr, start: self.Start, domain: domain, socket: socket, members: members,
 		fleet: table, engines: engines, log: log, commands: make(chan func(time.Time), 256),
 		stop: make(chan struct{}), done: make(chan struct{}),
--- /dev/null
+++ b/internal/room/ledger/balance_test.go
@@ -0,0 +1,252 @@
+package ledger_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/fleet"
+)
+
+// Guards against orders that swing engines back and forth, that take the last
+// prefill engines, or that hit an engine with prompts to read.
+func TestBalance(t *testing.T) {
+	l := ledger.New("s")
+	var list []ledger.Engine
+	for i := range 12 {
+		list = append(list, ledger.Engine{ID: "p" + string(rune('a'+i)), Stage: fleet.Prefill, Slots: 16, Tokens: 62000})
+	}
+	for i := range 23 {
+		list = append(list, ledger.Engine{ID: "d" + string(rune('a'+i)), Stage: fleet.Decode, Slots: 16, Tokens: 62000})
+	}
+	l.SetEngines(t0, list)
+	now, number, id := t0, uint64(0), uint64(0)
+	first := func(ids []string) string { return ids[0] }
+	ordered := map[string]int{}
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		number++
+		id++
+		own(t, l.Ask(now, edge1, ask(id)), id)
+		report := ledger.Report{Service: "s", Start: 1, Number: number, Pace: 55000}
+		const stay = 40 // runs that last four seconds each
+		for lease := id; lease > 0 && lease+stay > id; lease-- {
+			report.Runs = append(report.Runs, ledger.Run{Lease: lease, Decode: "d" + string(rune('a'+lease%23)),
+				Prompt: 5000, Expect: 4000, Made: int(id-lease) * 100, Phase: ledger.Writing})
+		}
+		l.Report(now, edge1, report)
+		c, ok := l.Balance(now, 6*time.Second, first)
+		if !ok {
+			continue
+		}
+		if c.Stage != fleet.Decode {
+			t.Fatalf("order %+v, want prefill engines turned to decode only", c)
+		}
+		ordered[c.Engine]++
+		for i := range list {
+			if list[i].ID == c.Engine {
+				list[i].Stage = c.Stage
+			}
+		}
+		l.SetEngines(t0, list)
+	}
+	if left := 12 - len(ordered); left < 2 || left > 9 {
+		t.Errorf("%d prefill engines are left of 12, want fewer than 10 and 2 at least", left)
+	}
+	for engine, n := range ordered {
+		if n > 1 {
+			t.Errorf("%s was ordered %d times", engine, n)
+		}
+	}
+}
+
+// Guards against orders to more engines than needed while the store is away, so
+// that an accepted order is not published.
+func TestUnpublishedOrder(t *testing.T) {
+	l := ledger.New("s")
+	list := []ledger.Engine{{ID: "pa", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000},
+		{ID: "pb", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}, {ID: "pc", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}}
+	for _, id := range []string{"da", "db", "dc", "dd"} {
+		list = append(list, ledger.Engine{ID: id, Stage: fleet.Decode, Slots: 12, Tokens: 100_000})
+	}
+	orders := 0
+	var changed string
+	for i := range uint64(400) {
+		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+		l.SetEngines(t0, list)
+		own(t, l.Ask(now, edge1, ask(i+1)), i+1)
+		report := ledger.Report{Service: "s", Start: 1, Number: i + 1, Pace: 55000}
+		for lease := i + 1; lease > 0 && lease+40 > i+1; lease-- {
+			report.Runs = append(report.Runs, ledger.Run{Lease: lease, Decode: "da", Prompt: 5000, Expect: 4000,
+				Made: int(i+1-lease) * 100, Phase: ledger.Writing})
+		}
+		l.Report(now, edge1, report)
+		if c, ok := l.Balance(now, 6*time.Second, func(ids []string) string { return ids[0] }); ok {
+			orders++
+			changed = c.Engine
+		}
+	}
+	if orders != 1 {
+		t.Fatalf("%d orders, want one of three prefill engines turned", orders)
+	}
+	now := t0.Add(41 * time.Second)
+	a := ask(1000)
+	a.Without = []string{"da", "db", "dc", "dd"}
+	if got := own(t, l.Ask(now, edge2, a), 1000); got.Decode != changed {
+		t.Errorf("answer %+v, want a grant of %s, which decodes by now", got, changed)
+	}
+}
+
+// Guards against a service that has prefill engines only, as where it has one
+// engine: all its requests were refused for good.
+func TestOnlyPrefillEngines(t *testing.T) {
+	cases := map[string]struct {
+		prefill, decode int
+		want            int
+	}{
+		"one engine":     {1, 0, 1},
+		"three of them":  {3, 0, 1},
+		"one can decode": {1, 1, 0},
+		"there are none": {0, 0, 0},
+		"one that does":  {0, 1, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var list []ledger.Engine
+			for i := range c.prefill {
+				list = append(list, ledger.Engine{ID: fmt.Sprint("p", i), Stage: fleet.Prefill, Slots: 8, Tokens: 100_000})
+			}
+			for i := range c.decode {
+				list = append(list, ledger.Engine{ID: fmt.Sprint("d", i), Stage: fleet.Decode, Slots: 8, Tokens: 100_000})
+			}
+			l := ledger.New("s")
+			l.SetEngines(t0, list)
+			orders := 0
+			for i := range uint64(100) {
+				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+				l.Ask(now, edge1, ask(i+1))
+				if got, ok := l.Balance(now, 6*time.Second, func(ids []string) string { return ids[0] }); ok {
+					if orders++; got.Stage != fleet.Decode || now.Sub(t0) < time.Second {
+						t.Errorf("order %+v after %v", got, now.Sub(t0))
+					}
+				}
+			}
+			if orders != c.want {
+				t.Errorf("%d orders, want %d", orders, c.want)
+			}
+			if a := own(t, l.Ask(t0.Add(20*time.Second), edge2, ask(1000)), 1000); c.want > 0 && a.Verdict != ledger.Granted {
+				t.Errorf("answer %+v, want a grant", a)
+			}
+		})
+	}
+}
+
+// Guards against a new owner that sends prompts to an engine which the owner
+// before has turned: each was refused, and budgets for repeats ran out.
+func TestNewOwnerLearnsStage(t *testing.T) {
+	list := []ledger.Engine{{ID: "pa", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000},
+		{ID: "pb", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}, {ID: "da", Stage: fleet.Decode, Slots: 12, Tokens: 100_000}}
+	cases := map[string]struct {
+		usage ledger.Usage
+		// want is whether pa reads prompts and makes answers after the report.
+		reads, makes bool
+	}{
+		"nothing special":      {ledger.Usage{Stage: fleet.Prefill}, true, false},
+		"says nothing":         {ledger.Usage{}, true, false},
+		"carries out an order": {ledger.Usage{Busy: true, Stage: fleet.Prefill}, false, false},
+		"has turned":           {ledger.Usage{Stage: fleet.Decode}, false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, list)
+			own(t, l.Ask(t0, edge1, ask(1)), 1)
+			if ids := l.Inspect(t0); !slices.Contains(ids, "pa") {
+				t.Errorf("a new ledger asks %v", ids)
+			}
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Full: []string{"pa"}})
+			now := t0.Add(600 * time.Millisecond)
+			l.SetUsage(now, "pa", c.usage)
+			l.SetEngines(now, list)
+			without := func(id string) ledger.Answer {
+				a := ask(2)
+				a.ID, a.Without = uint64(100+len(id)), []string{id}
+				return own(t, l.Ask(now, edge2, a), a.ID)
+			}
+			if got := without("pb").Prefill == "pa"; got != c.reads {
+				t.Errorf("pa reads prompts: %v, want %v", got, c.reads)
+			}
+			if got := without("da ").Decode == "pa" || without("da").Decode == "pa"; got != c.makes {
+				t.Errorf("pa makes answers: %v, want %v", got, c.makes)
+			}
+			if c.usage.Busy && !slices.Contains(l.Inspect(now.Add(time.Second)), "pa") {
+				t.Error("pa is not asked again while it carries out an order")
+			}
+		})
+	}
+}
+
+// Guards against the last sound prefill engines being turned to decode while
+// another one is down, and against a service that stays short of prefill.
+func TestBalanceWithLostEngines(t *testing.T) {
+	cases := map[string]struct {
+		prefill int
+		down    bool
+		want    map[fleet.Stage]bool
+	}{
+		"one of three is down": {3, true, nil},
+		"three, all sound":     {3, false, map[fleet.Stage]bool{fleet.Decode: true}},
+		"one is left":          {1, false, map[fleet.Stage]bool{fleet.Prefill: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			var list []ledger.Engine
+			for i := range 7 {
+				e := ledger.Engine{ID: "e" + string(rune('a'+i)), Stage: fleet.Decode, Slots: 12, Tokens: 100_000}
+				if i < c.prefill {
+					e.Stage = fleet.Prefill
+				}
+				list = append(list, e)
+			}
+			l.SetEngines(t0, list)
+			got := map[fleet.Stage]bool{}
+			var id uint64
+			for i := range uint64(100) {
+				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+				report := ledger.Report{Service: "s", Start: 1, Number: i + 1, Pace: 55000}
+				if c.down {
+					report.Resting = []string{"ea"}
+				}
+				for range 2 {
+					id++
+					a := ask(id)
+					a.Expect = 5000
+					own(t, l.Ask(now, edge1, a), id)
+				}
+				for lease := id; lease > 0 && lease+60 > id; lease-- {
+					run := ledger.Run{Lease: lease, Decode: list[3+lease%4].ID, Prompt: 5000, Expect: 5000,
+						Made: int(id-lease) * 30, Phase: ledger.Writing}
+					if id-lease < 20 && c.prefill == 1 {
+						run.Phase, run.Prefill = ledger.Reading, "ea"
+					}
+					report.Runs = append(report.Runs, run)
+				}
+				l.Report(now, edge1, report)
+				if change, ok := l.Balance(now, 6*time.Second, func(ids []string) string { return ids[0] }); ok {
+					got[change.Stage] = true
+				}
+			}
+			if len(got) != len(c.want) {
+				t.Errorf("orders to %v, want %v", got, c.want)
+			}
+			for stage := range c.want {
+				if !got[stage] {
+					t.Errorf("no order to %v", stage)
+				}
+			}
+		})
+	}
+}
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -26,9 +26,6 @@
 	// placeEvery is the time after which queued asks are tried again though
 	// nothing has ended: outputs that grow as expected make room, too.
 	placeEvery = 60 * time.Millisecond
-	// hopeless is the share of its predicted wait that must fit the patience of a
-	// queued ask; else it is refused before that ends.
-	hopeless = 1.0
 	// firstPace stands for the tokens that a run makes in a second until reports
 	// have shown it, paceWeight is the weight of one report.
 	firstPace  = 500
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -96,7 +96,7 @@
 			l.tight.note(&w.Ask, v)
 		}
 		need += float64(w.Prompt + w.Expect)
-		if now.After(w.refusal) || rate > 0 && now.Add(time.Duration(hopeless*need/rate*float64(time.Second))).After(w.refusal) {
+		if now.After(w.refusal) || rate > 0 && now.Add(time.Duration(need/rate*float64(time.Second))).After(w.refusal) {
 			wait, reason := l.predict(now, w, len(kept))
 			need -= float64(w.Prompt + w.Expect)
 			otherwise := ReasonTired
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -33,23 +33,11 @@
 	largest = 100
 )
 
-// Members tells which daemons are alive.
-type Members interface {
-	Alive() []beat.Seen
-}
-
-// Socket sends datagrams and passes on received ones.
-type Socket interface {
-	Send(k gram.Kind, message any, to ...netip.AddrPort)
-	Handle(k gram.Kind, h gram.Handler)
-	Decode(body []byte, message any) bool
-}
-
 // Guard counts strikes at one daemon. A nil Guard counts none.
 type Guard struct {
 	self    netip.AddrPort
-	socket  Socket
-	members Members
+	socket  gram.Port
+	members beat.Members
 	log     hclog.Logger
 
 	mu    sync.Mutex
@@ -85,7 +73,7 @@
 }
 
 // New returns the guard of the daemon at self.
-func New(self netip.AddrPort, socket Socket, members Members, log hclog.Logger) *Guard {
+func New(self netip.AddrPort, socket gram.Port, members beat.Members, log hclog.Logger) *Guard {
 	g := &Guard{self: self, socket: socket, members: members, log: log, table: strike.New(strike.WithLife(Life)),
 		broken: map[string][]run{}, dead: map[string]time.Time{}, last: map[uint64]time.Time{}}
 	socket.Handle(gram.Strike, func(_ netip.AddrPort, body []byte) {
@@ -219,12 +207,7 @@
 	if len(records) == 0 {
 		return
 	}
-	var to []netip.AddrPort
-	for _, m := range g.members.Alive() {
-		if m.Addr != g.self {
-			to = append(to, m.Addr)
-		}
-	}
+	to := beat.Others(g.members, g.self)
 	for part := range slices.Chunk(records, largest) {
 		g.socket.Send(gram.Strike, message{part}, to...)
 	}
--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -110,27 +110,15 @@
 // Reset forgets the changes, after a read of everything.
 func (l *Log) Reset() { l.reads = nil }
 
-// Members tells which daemons are alive.
-type Members interface {
-	Alive() []beat.Seen
-}
-
-// Socket sends datagrams and passes on received ones.
-type Socket interface {
-	Send(k gram.Kind, message any, to ...netip.AddrPort)
-	Handle(k gram.Kind, h gram.Handler)
-	Decode(body []byte, message any) bool
-}
-
 // Node sends and receives the notices of one daemon.
 type Node struct {
 	self    netip.AddrPort
-	socket  Socket
-	members Members
+	socket  gram.Port
+	members beat.Members
 }
 
 // New returns the node of the daemon at self.
-func New(self netip.AddrPort, socket Socket, members Members) *Node {
+func New(self netip.AddrPort, socket gram.Port, members beat.Members) *Node {
 	return &Node{self: self, socket: socket, members: members}
 }
 
@@ -168,12 +156,7 @@
 // Tell sends a notice to all other daemons. It returns the time until the next
 // one may be sent.
 func (n *Node) Tell(m Notice) time.Duration {
-	var to []netip.AddrPort
-	for _, other := range n.members.Alive() {
-		if other.Addr != n.self {
-			to = append(to, other.Addr)
-		}
-	}
+	to := beat.Others(n.members, n.self)
 	n.socket.Send(gram.Notice, m, to...)
 	return costEach * time.Duration(len(to))
 }
