Answer connections that wait when the router stops or limits change

Cause: a stop closed the listener while clients' connections, with their requests, waited in its queue, which resets them. A change of the limits closed a connection that had been accepted for the server with the old limits. Answers to requests in flight at the signal did not say that their connection ends, so that clients sent the next request on it.

Ruled out: requests on kept connections during the notice, which were answered already (TestStopClosesKeptConnections).

Change: the listener takes connections for another 100 ms before it closes; an accepted connection goes to the server of the newest limits; the header of each answer written while stopping closes the connection.

A connection that is opened between the last accept and the close can still be reset.

--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,12 @@
 	// idleSpare is added to the published idle time, so that a client that keeps
 	// to it never meets a closed connection.
 	idleSpare = 2 * time.Second
+	// writeTimeout bounds the time in which a client reads an answer, unless the
+	// handler sets another one.
+	writeTimeout = 40 * time.Second
+	// lastAccept is how long the listener of a stopping server still takes
+	// connections that clients have opened.
+	lastAccept = 100 * time.Millisecond
 	// acceptAgain is the pause after a connection could not be accepted.
 	acceptAgain = 50 * time.Millisecond
 )
@@ -32,7 +39,7 @@
 // Server serves clients at one address. The limits of a configuration apply to
 // connections that are accepted after it.
 type Server struct {
-	listener net.Listener
+	listener *net.TCPListener
 	handler  http.Handler
 	log      hclog.Logger
 
@@ -64,8 +71,7 @@
 	}
 }
 
-// end makes Accept return. Connections that are waiting are closed by their
-// sender.
+// end makes Accept return. Connections that are waiting go to the next feed.
 func (f *feed) end() { f.once.Do(func() { close(f.done) }) }
 
 // Close is called by the server of the feed.
@@ -78,7 +84,7 @@
 
 // Listen begins to serve clients.
 func Listen(addr netip.AddrPort, handler http.Handler, log hclog.Logger) (*Server, error) {
-	l, err := net.Listen("tcp4", addr.String())
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, eris.Wrapf(err, "can't listen for clients at %s; check that the port is free", addr)
 	}
@@ -94,7 +100,7 @@
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
@@ -102,17 +108,37 @@
 			time.Sleep(acceptAgain)
 			continue
 		}
+		s.pass(conn)
+	}
+}
+
+// pass gives a connection to the http.Server of the limits in force. A request
+// may already be on it, so that it is not closed when new limits replace that
+// server meanwhile.
+func (s *Server) pass(conn net.Conn) {
+	for {
 		s.mu.Lock()
 		f := s.current
 		s.mu.Unlock()
 		select {
 		case f.conns <- conn:
+			return
 		case <-f.done:
-			conn.Close()
 		}
 	}
 }
 
+// drain takes the connections that clients have opened, and closes the listener.
+// Closing alone would reset those that wait to be accepted, with their requests.
+func (s *Server) drain() {
+	if err := s.listener.SetDeadline(time.Now().Add(lastAccept)); err != nil {
+		s.log.Warn("connections that wait may be reset", "error", err.Error())
+		s.listener.Close()
+	}
+	<-s.done
+	s.listener.Close()
+}
+
 // SetLimits makes limits apply to new connections.
 func (s *Server) SetLimits(l plan.Limits) {
 	s.mu.Lock()
@@ -123,7 +149,7 @@
 	s.limits = l
 	f := &feed{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.listener.Addr()}
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: l.Header,
-		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleSpare, ErrorLog: s.log.StandardLogger(nil)}
+		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleSpare, WriteTimeout: writeTimeout, ErrorLog: s.log.StandardLogger(nil)}
 	if s.current != nil {
 		s.current.end()
 	}
@@ -138,10 +164,38 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	if s.stopping.Load() || len(r.TransferEncoding) > 0 {
-		w.Header().Set("Connection", "close")
+	s.handler.ServeHTTP(&ending{ResponseWriter: w, server: s, chunked: len(r.TransferEncoding) > 0}, r)
+}
+
+// ending is a writer that tells a client with the header of its answer whether
+// the connection ends with it. A stop may begin while the answer is made.
+type ending struct {
+	http.ResponseWriter
+	server  *Server
+	chunked bool
+	wrote   bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (e *ending) Unwrap() http.ResponseWriter { return e.ResponseWriter }
+
+// WriteHeader writes the header of the answer.
+func (e *ending) WriteHeader(status int) {
+	if !e.wrote && status >= http.StatusOK {
+		e.wrote = true
+		if e.chunked || e.server.stopping.Load() {
+			e.Header().Set("Connection", "close")
+		}
 	}
-	s.handler.ServeHTTP(w, r)
+	e.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer's body.
+func (e *ending) Write(p []byte) (int, error) {
+	if !e.wrote {
+		e.WriteHeader(http.StatusOK)
+	}
+	return e.ResponseWriter.Write(p)
 }
 
 // Open returns the number of requests in flight.
@@ -159,8 +213,7 @@
 	case <-ctx.Done():
 	case <-time.After(notice):
 	}
-	s.listener.Close()
-	<-s.done
+	s.drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.current.end()
--- /dev/null
+++ b/internal/front/serve/stop_test.go
@@ -0,0 +1,128 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/plan"
+	"github.com/hashicorp/go-hclog"
+)
+
+// idle returns a server that does not accept yet.
+func idle(t *testing.T) *Server {
+	t.Helper()
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{listener: l, log: hclog.NewNullLogger(), done: make(chan struct{}),
+		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+	return s
+}
+
+// ask opens a connection and sends a request on it.
+func ask(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func answered(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Errorf("no answer: %v", err)
+		return
+	}
+	resp.Body.Close()
+	if !resp.Close {
+		t.Error("the answer does not say that the connection ends")
+	}
+}
+
+func stop(t *testing.T, s *Server) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s.Stop(ctx, 0)
+}
+
+// Guards against a stop that resets connections which clients have opened, with
+// their requests, since they wait to be accepted.
+func TestStopTakesWaitingConnections(t *testing.T) {
+	s := idle(t)
+	s.SetLimits(plan.Limits{HeaderWait: time.Second, Idle: time.Second})
+	var conns []net.Conn
+	for range 20 {
+		conns = append(conns, ask(t, s))
+	}
+	go func() {
+		defer close(s.done)
+		s.accept()
+	}()
+	stop(t, s)
+	for _, c := range conns {
+		answered(t, c)
+	}
+}
+
+// Guards against a change of the limits that closes a connection with a request
+// on it.
+func TestSetLimitsKeepsAcceptedConnections(t *testing.T) {
+	s := idle(t)
+	old := &feed{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.listener.Addr()}
+	s.current = old // no server takes connections from it
+	go func() {
+		defer close(s.done)
+		s.accept()
+	}()
+	conn := ask(t, s)
+	time.Sleep(20 * time.Millisecond)
+	s.SetLimits(plan.Limits{HeaderWait: time.Second, Idle: time.Second})
+	s.stopping.Store(true)
+	answered(t, conn)
+	stop(t, s)
+}
+
+// Guards against an answer made during a stop that invites the client to send
+// its next request on a connection which is about to end.
+func TestAnswerDuringStopEndsConnection(t *testing.T) {
+	s := idle(t)
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s.handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-finish
+		_, _ = io.WriteString(w, "ok")
+	})
+	s.SetLimits(plan.Limits{HeaderWait: time.Second, Idle: time.Second})
+	go func() {
+		defer close(s.done)
+		s.accept()
+	}()
+	conn := ask(t, s)
+	<-begun
+	var group sync.WaitGroup
+	group.Go(func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		s.Stop(ctx, 200*time.Millisecond)
+	})
+	time.Sleep(50 * time.Millisecond)
+	close(finish)
+	answered(t, conn)
+	group.Wait()
+}
