Bound and contain what servers, daemons and clients may send

Ruled out: endless heads, interim answers, chunk extensions and trailers of engines end at the limits that stand (trip.TestEndlessBytes passes on the old code, too); slow but sound streams of an event a second are not cut.

After: all tests of the packages pass with the race detector.

Not covered: the same paths of citronrockd.

--- a/internal/back/trip/trip_test.go
+++ b/internal/back/trip/trip_test.go
@@ -157,3 +157,47 @@
 		t.Error("connection is open half a second after its request ended")
 	}
 }
+
+// Guards against bytes without an end, where an answer should be, that a request
+// reads for good.
+func TestEndlessBytes(t *testing.T) {
+	cases := map[string]struct {
+		start, again string
+		// body tells that the header is an answer's, so that the caller bounds what
+		// it reads.
+		body bool
+	}{
+		"one line":             {"HTTP/1.1 200 OK\r\nX: ", "xxxxxxxx", false},
+		"header fields":        {"HTTP/1.1 200 OK\r\n", "X: y\r\n", false},
+		"no answer at all":     {"", "\x00\x01\x02\n", false},
+		"interim answers":      {"", "HTTP/1.1 103 Early Hints\r\n\r\n", false},
+		"chunk extensions":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "xxxxxxxx", true},
+		"extension each chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n", true},
+		"trailers":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			sent := 0
+			done := make(chan struct{})
+			to := server(t, func(conn net.Conn, r *bufio.Reader) {
+				defer close(done)
+				readAll(r)
+				_, _ = io.WriteString(conn, c.start)
+				part := strings.Repeat(c.again, 100)
+				for {
+					n, err := io.WriteString(conn, part)
+					if sent += n; err != nil {
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			begun := time.Now()
+			if text, err := do(ctx, to, ""); err == nil || time.Since(begun) > 5*time.Second {
+				t.Errorf("%d bytes, error %v after %s", len(text), err, time.Since(begun))
+			}
+			<-done
+		})
+	}
+}
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -97,6 +97,19 @@
 // SetLength sets the length of a body in bytes.
 func SetLength(h http.Header, n int) { h.Set("Content-Length", strconv.Itoa(n)) }
 
+// writeSpare is the time beyond a request's deadline after which an answer is
+// given up whose client does not read it. An answer that is ready at the deadline
+// is still delivered.
+const writeSpare = 2 * time.Second
+
+// LimitWrites bounds the time in which a client has to read the answer to a
+// request with a deadline. Without it a client that never reads would keep the
+// request, and what it holds, for good.
+func LimitWrites(w http.ResponseWriter, deadline time.Time) {
+	// Writers other than connections have no deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeSpare))
+}
+
 // Promise tells whether clients take a status as the word that a request has not
 // run and never will.
 func Promise(status int) bool {
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/grant"
@@ -129,6 +130,7 @@
 		}))
 	}
 	return errors.Join(append(failed,
+		r.meter.Gauge("panics", "panics since the start; the work on which each came up was given up", panics.Caught),
 		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.Open()) }),
 		r.meter.Gauge("peers", "live daemons, this one included", func() int64 { return int64(len(r.beats.Alive())) }),
 		r.meter.Gauge("version", "version of the configuration in force", func() int64 {
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,11 +16,13 @@
 	"citronrock.example/citronrock/internal/conf/site"
 	"citronrock.example/citronrock/internal/daemon/meter"
 	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/serve"
 	"citronrock.example/citronrock/internal/front/stream"
 	"citronrock.example/citronrock/internal/front/unary"
 	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/grant"
@@ -44,11 +45,19 @@
 	// defaultWait is the time limit of a client that names none on a route that
 	// names none.
 	defaultWait = 30 * time.Second
+	// defaultBody bounds a body in bytes while no limit is published.
+	defaultBody = 16 << 20
 	// noticeTime is how long a stopping daemon takes new connections: the balancer
 	// needs two failed questions, a second apart, to move them elsewhere.
 	noticeTime = 2500 * time.Millisecond
 	// omittedEvery is the time between lines about missing lines.
 	omittedEvery = 10 * time.Second
+	// bodyShare is the share of the process's memory for bodies. The collector lets
+	// garbage grow to as much again.
+	bodyShare = 0.25
+	// fullWait is the time after which a client is asked to come back that was
+	// refused for lack of memory.
+	fullWait = time.Second
 	// endSpare is the part of the grace period that is kept for the end itself.
 	endSpare = 400 * time.Millisecond
 )
@@ -75,6 +84,7 @@
 	admin    []*http.Server
 	unary    *unary.Handler
 	stream   *stream.Handler
+	memory   *memory.Budget
 	stopping atomic.Bool
 	// end is when a stopping router ends.
 	end atomic.Pointer[time.Time]
@@ -114,8 +124,12 @@
 	r.prober = probe.New(r.table, r.same, p.Log, probe.WithLost(r.guard.Lost))
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
 	budget := quota.New(s.Bounds.Retry, s.Bounds.Slack, func() int { return len(r.beats.Alive()) })
-	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard))
-	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithVerify(r.prober.Verify), stream.WithEnd(r.endsAt),
+	r.memory = memory.New(memory.Default)
+	if s.Memory > 0 {
+		r.memory = memory.New(int64(bodyShare * float64(s.Memory)))
+	}
+	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory))
+	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.grants, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.Verify), stream.WithEnd(r.endsAt),
 		stream.WithWasted(func(service string, tokens int) { p.Meter.Waste(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -200,6 +214,14 @@
 		c = &entry.Call{}
 	}
 	c.Received = received
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler { //nolint:errorlint // net/http compares it, too
+			panics.Note(r.log, "request "+c.ID, v)
+		} else if v == nil {
+			return
+		}
+		panic(http.ErrAbortHandler) // closes the connection without a complete answer
+	}()
 	o := lines.Outcome{Request: c.ID}
 	if err != nil {
 		o.Status, o.Result, o.Reason = http.StatusBadRequest, "refused", string(citronrock.ReasonInvalid)
@@ -218,7 +240,7 @@
 		r.meter.First(o.Service, o.Route, o.First)
 	}
 	if o.Result == "broken" || o.Result == "gone" {
-		panic(http.ErrAbortHandler) // closes the connection without a complete answer
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -242,11 +264,19 @@
 		return o
 	}
 	o.Route = route.Name
-	if status := r.readBody(w, req, c, d.Limits); status != 0 {
+	body, status := r.readBody(w, req, d.Limits)
+	defer body.Free()
+	if status != 0 {
 		o.Status, o.Result, o.Reason = status, "refused", "body"
+		if status == http.StatusServiceUnavailable {
+			o.Reason, o.After = "memory", fullWait
+		}
 		r.refuse(w, c, &o, http.StatusText(status))
 		return o
 	}
+	if body != nil {
+		c.Body = body.Bytes
+	}
 	o.Service = route.Pick(c.ID)
 	service, ok := d.Services[o.Service]
 	if !ok {
@@ -283,11 +313,11 @@
 	return out
 }
 
-// readBody reads the body of a request within the published limits. It returns
-// the status of a failure, 0 for none.
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request, c *entry.Call, l plan.Limits) int {
+// readBody reads the body of a request, nil for none, within the published
+// limits. It returns the status of a failure, 0 for none.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, l plan.Limits) (*memory.Body, int) {
 	if req.ContentLength == 0 {
-		return 0
+		return nil, 0
 	}
 	control := http.NewResponseController(w)
 	wait := defaultWait
@@ -295,23 +325,24 @@
 		wait = l.HeaderWait
 	}
 	_ = control.SetReadDeadline(time.Now().Add(wait)) // connections of net/http have one
-	body := req.Body
+	limit := int64(defaultBody)
 	if l.Body > 0 {
-		body = http.MaxBytesReader(w, req.Body, int64(l.Body))
+		limit = int64(l.Body)
 	}
-	var err error
-	c.Body, err = io.ReadAll(body)
+	body, err := r.memory.Read(http.MaxBytesReader(w, req.Body, limit), limit)
 	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
-		return 0
-	case errors.As(err, &large):
-		return http.StatusRequestEntityTooLarge
+		return body, 0
+	case errors.As(err, &large) || errors.Is(err, memory.ErrLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, memory.ErrFull):
+		return nil, http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return http.StatusRequestTimeout
+		return nil, http.StatusRequestTimeout
 	}
-	return http.StatusBadRequest
+	return nil, http.StatusBadRequest
 }
 
 // endsAt returns when this router ends, zero while it is not stopping.
--- a/internal/front/stream/events.go
+++ b/internal/front/stream/events.go
@@ -5,49 +5,93 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"citronrock.example/citronrock/internal/front/memory"
 )
 
 // eventLimit bounds one event in bytes.
 const eventLimit = 1 << 20
 
-var (
-	errPart  = errors.New("stream ends within an event")
-	errLarge = errors.New("event is larger than the router can hold")
-)
+// smallEvent is the size in bytes up to which events need no share of the memory
+// for bodies.
+const smallEvent = 64 << 10
+
+var errPart = errors.New("stream ends within an event")
+
+// sent is one whole event of a stream.
+type sent struct {
+	// bytes are the event with its empty line, valid until the next one is read.
+	bytes []byte
+	// id is empty when the event has none.
+	id string
+	// empty events have neither an ID nor data. They show that a connection lives
+	// and not that an answer goes on.
+	empty bool
+}
 
 // reader splits a stream into whole events.
 type reader struct {
-	in    *bufio.Reader
-	event []byte
+	in     *bufio.Reader
+	event  []byte
+	memory *memory.Budget
+	// taken is the memory of a large event.
+	taken int64
+}
+
+// newReader returns a reader that takes the memory of large events from a budget.
+// Close must be called.
+func newReader(in io.Reader, b *memory.Budget) *reader {
+	return &reader{in: bufio.NewReader(in), memory: b}
 }
 
-func newReader(in io.Reader) *reader { return &reader{in: bufio.NewReader(in)} }
+// close gives back the memory of a large event.
+func (r *reader) close() { r.memory.Give(r.taken) }
 
-// next returns the bytes of the next whole event, with its empty line, and its
-// ID, empty when it has none. The error is io.EOF after the last event. The
-// bytes are valid until the next call.
-func (r *reader) next() (event []byte, id string, err error) {
+// hold keeps a part of an event.
+func (r *reader) hold(part []byte) error {
+	r.event = append(r.event, part...)
+	if len(r.event) > eventLimit {
+		return memory.ErrLarge
+	}
+	if len(r.event) > smallEvent && r.taken == 0 {
+		if !r.memory.Take(eventLimit) {
+			return memory.ErrFull
+		}
+		r.taken = eventLimit
+	}
+	return nil
+}
+
+// next returns the next whole event. The error is io.EOF after the last one.
+func (r *reader) next() (sent, error) {
 	r.event = r.event[:0]
+	e := sent{empty: true}
+	start := true // of a line
 	for {
 		line, err := r.in.ReadSlice('\n')
-		r.event = append(r.event, line...)
-		if len(r.event) > eventLimit {
-			return nil, "", errLarge
+		if err := r.hold(line); err != nil {
+			return sent{}, err
+		}
+		if start && (bytes.HasPrefix(line, []byte("id:")) || bytes.HasPrefix(line, []byte("data"))) {
+			e.empty = false
 		}
+		whole := start
+		start = !errors.Is(err, bufio.ErrBufferFull)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
+		case !start:
 			continue
 		case errors.Is(err, io.EOF) && len(r.event) > 0:
-			return nil, "", errPart
+			return sent{}, errPart
 		case err != nil:
-			return nil, "", err
+			return sent{}, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok && whole {
+			e.id = string(bytes.TrimSpace(value))
 		}
-		if len(text) == 0 {
-			return r.event, id, nil
+		if len(text) == 0 && whole {
+			e.bytes = r.event
+			return e, nil
 		}
 	}
 }
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -1,10 +1,8 @@
 package stream
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -364,16 +362,16 @@
 
 // other passes on an answer that is no stream.
 func (j *job) other(ctx context.Context, s fleet.Server, reply *entry.Reply) step {
-	var body bytes.Buffer
-	_, err := body.ReadFrom(io.LimitReader(reply.Body, answerLimit))
+	body, err := j.memory.Read(reply.Body, answerLimit)
+	defer body.Free()
 	if err != nil || entry.Promise(reply.Status) || j.begun {
 		return j.interrupted(ctx, s, &entry.Fault{Fault: event.FaultFailed, Err: errors.New("engine answers " + http.StatusText(reply.Status))})
 	}
 	j.outcome.Result, j.outcome.Reason, j.outcome.Status = "failed", "server", reply.Status
 	j.answered = true
 	entry.CopyHeader(j.out.Header(), reply.Header)
-	entry.SetLength(j.out.Header(), body.Len())
+	entry.SetLength(j.out.Header(), len(body.Bytes))
 	j.out.WriteHeader(reply.Status)
-	_, _ = j.out.Write(body.Bytes()) // a failed write shows that the client left
+	_, _ = j.out.Write(body.Bytes) // a failed write shows that the client left
 	return finish
 }
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -23,10 +23,11 @@
 		stall = time.AfterFunc(limit, func() { cancel(errStall) })
 		defer stall.Stop()
 	}
-	events := newReader(reply.Body)
+	events := newReader(reply.Body, j.memory)
+	defer events.close()
 	flush := http.NewResponseController(j.out)
 	for {
-		bytes, id, err := events.next()
+		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return j.ended(reply)
 		}
@@ -37,20 +38,23 @@
 			}
 			return &entry.Fault{Fault: fault, Err: err}
 		}
-		if stall != nil {
+		if stall != nil && !e.empty {
 			stall.Reset(limit)
 		}
 		if !j.begun {
 			j.begin(reply)
 		}
-		if _, err = j.out.Write(bytes); err == nil {
+		if _, err = j.out.Write(e.bytes); err == nil {
 			err = flush.Flush()
 		}
 		if err != nil {
 			return &entry.Fault{Fault: event.FaultBroken, Err: err}
 		}
-		if id != "" {
-			j.last = id
+		if e.empty {
+			continue
+		}
+		if e.id != "" {
+			j.last = e.id
 		}
 		j.events++
 		j.lease.Made(j.made())
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -13,6 +13,7 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/room/grant"
@@ -38,6 +39,7 @@
 	log      *lines.Log
 	wasted   func(service string, tokens int)
 	guard    *crash.Guard
+	memory   *memory.Budget
 	verify   func(fleet.Server)
 	// end is when this daemon ends, zero while it is not stopping.
 	end func() time.Time
@@ -73,6 +75,9 @@
 // WithGuard sets what counts the engines that a request crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
+// WithMemory sets the budget for what is held in memory of answers.
+func WithMemory(b *memory.Budget) Option { return func(h *Handler) { h.memory = b } }
+
 // New returns a handler that obtains engines from a granter.
 func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, g Granter, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, granter: g, quota: q, log: log,
@@ -202,8 +207,11 @@
 // connection must be closed, since part of an answer was sent.
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *entry.Call, r *plan.Route, s plan.Service, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, call: c, route: r, service: s, deadline: deadline, out: w, last: c.After}
-	j.run(ctx)
-	j.release(ctx)
+	entry.LimitWrites(w, deadline)
+	func() {
+		defer j.release(ctx) // also after a panic: others need the room
+		j.run(ctx)
+	}()
 	o := &j.outcome
 	o.Sends, o.Events, o.Prompt = j.sends, j.events, prompt(c)
 	if errors.Is(context.Cause(ctx), context.Canceled) && o.Result != "ok" {
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -3,10 +3,8 @@
 package unary
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +12,7 @@
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/retry"
 	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/route/crash"
@@ -45,6 +44,7 @@
 	quota    *quota.Quota
 	log      *lines.Log
 	guard    *crash.Guard
+	memory   *memory.Budget
 }
 
 // Option changes a setting of a handler.
@@ -56,6 +56,9 @@
 // WithGuard sets what counts the servers that a request crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
+// WithMemory sets the budget for answers, which are held in memory as a whole.
+func WithMemory(b *memory.Budget) Option { return func(h *Handler) { h.memory = b } }
+
 // New returns a handler that sends to the servers of a table.
 func New(table *fleet.Table, b citronrock.Backends, i citronrock.Ingress, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log}
@@ -68,7 +71,7 @@
 // answer is a whole answer of a server.
 type answer struct {
 	*entry.Reply
-	body   []byte
+	body   *memory.Body
 	server string
 }
 
@@ -92,6 +95,7 @@
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *entry.Call, r *plan.Route, service string, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, call: c, route: r, service: service, deadline: deadline}
 	a, v := j.run(ctx)
+	defer j.free(a)
 	out := lines.Outcome{Sends: j.sends}
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		out.Result, out.Reason = "gone", "client"
@@ -102,6 +106,7 @@
 		if a.Status >= http.StatusInternalServerError {
 			out.Result, out.Reason = "failed", "server"
 		}
+		entry.LimitWrites(w, deadline)
 		deliver(w, a)
 		return out
 	}
@@ -131,7 +136,7 @@
 			return a, retry.Verdict{}
 		}
 		if a != nil {
-			j.kept = a
+			j.keep(a)
 		}
 		if ctx.Err() != nil {
 			v := j.verdict(fault, nil)
@@ -147,6 +152,21 @@
 	}
 }
 
+// keep holds the newest failure that a server reported.
+func (j *job) keep(a *answer) {
+	j.free(nil)
+	j.kept = a
+}
+
+// free gives back the memory of the answers.
+func (j *job) free(a *answer) {
+	for _, held := range []*answer{a, j.kept} {
+		if held != nil {
+			held.body.Free()
+		}
+	}
+}
+
 // budget returns the permission for one more sending after a fault. Only what
 // may have arrived at a server counts against the service's budget.
 func (j *job) budget(f event.Fault) func() bool {
@@ -226,17 +246,14 @@
 		return nil, f.Fault, err
 	}
 	defer reply.Close()
-	var body bytes.Buffer
-	n, err := body.ReadFrom(io.LimitReader(reply.Body, answerLimit+1))
-	if err == nil && n > answerLimit {
-		err = errors.New("answer is larger than the router can hold")
-	}
+	body, err := j.memory.Read(reply.Body, answerLimit)
 	if err != nil {
 		return nil, event.FaultBroken, err
 	}
-	a := &answer{Reply: reply, body: body.Bytes(), server: s.ID}
+	a := &answer{Reply: reply, body: body, server: s.ID}
 	switch {
 	case entry.Promise(reply.Status):
+		body.Free()
 		// The server did not say that it has not run the request, so that this
 		// status must not reach the client.
 		return nil, event.FaultBroken, errors.New("status promises more than the server says: " + http.StatusText(reply.Status))
@@ -270,7 +287,7 @@
 // deliver passes a whole answer to the client.
 func deliver(w http.ResponseWriter, a *answer) {
 	entry.CopyHeader(w.Header(), a.Header)
-	entry.SetLength(w.Header(), len(a.body))
+	entry.SetLength(w.Header(), len(a.body.Bytes))
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.body) // a failed write shows that the client left
+	_, _ = w.Write(a.body.Bytes) // a failed write shows that the client left
 }
--- /dev/null
+++ b/internal/logs/panics/panics_test.go
@@ -0,0 +1,38 @@
+package panics_test
+
+import (
+	"strings"
+	"testing"
+
+	"citronrock.example/citronrock/internal/logs/panics"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Guards against a panic that ends the process or that leaves no trace.
+func TestCatch(t *testing.T) {
+	var out strings.Builder
+	log := hclog.New(&hclog.LoggerOptions{Output: &out, JSONFormat: true})
+	before := panics.Caught()
+	func() {
+		defer panics.Catch(log, "datagram")
+		var list []int
+		_ = list[len(list)]
+	}()
+	if got := panics.Caught() - before; got != 1 {
+		t.Errorf("%d panics counted, want 1", got)
+	}
+	for _, part := range []string{"datagram", "index out of range", "TestCatch"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("log line lacks %q: %s", part, out.String())
+		}
+	}
+}
+
+// Guards against a line and a count where nothing failed.
+func TestCatchWithoutPanic(t *testing.T) {
+	before := panics.Caught()
+	func() { defer panics.Catch(hclog.NewNullLogger(), "datagram") }()
+	if panics.Caught() != before {
+		t.Error("a panic was counted")
+	}
+}
--- /dev/null
+++ b/internal/peer/beat/fuzz_test.go
@@ -0,0 +1,45 @@
+package beat
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Guards against messages of other daemons that crash a daemon or make it tell
+// without end.
+func FuzzReceive(f *testing.F) {
+	self := Member{Addr: netip.MustParseAddrPort("10.0.0.1:7000"), Start: 1}
+	for _, g := range []Gossip{
+		{},
+		{Members: []Member{{}}},
+		{Members: []Member{{Addr: netip.MustParseAddrPort("10.0.0.2:7000"), Start: -1, Dead: true, Round: 1 << 31}}, All: true},
+		{Members: []Member{{Addr: netip.MustParseAddrPort("[::1]:0"), Start: 9}, self}, Ask: true, Old: true},
+	} {
+		body, err := cbor.Marshal(g)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Add([]byte("\xbf\xff"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var g Gossip
+		if cbor.Unmarshal(body, &g) != nil {
+			return
+		}
+		table, now := New(self, nil, 1), time.Unix(100, 0)
+		for range 3 {
+			if n := len(table.Receive(now, g)); n > 1 {
+				t.Errorf("%d answers to one message", n)
+			}
+			table.Tick(now)
+			now = now.Add(wideEvery)
+		}
+		if len(table.Alive(now)) == 0 {
+			t.Error("the daemon does not know itself")
+		}
+	})
+}
--- a/internal/peer/beat/node.go
+++ b/internal/peer/beat/node.go
@@ -89,14 +89,18 @@
 	if !n.socket.Decode(body, &g) {
 		return
 	}
-	n.mu.Lock()
-	answers := n.table.Receive(time.Now(), g)
-	n.mu.Unlock()
-	for _, s := range answers {
+	for _, s := range n.take(g) {
 		n.socket.Send(gram.Beat, s.Gossip, s.To)
 	}
 }
 
+// take applies a message and returns the answers to it.
+func (n *Node) take(g Gossip) []Send {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Receive(time.Now(), g)
+}
+
 // Alive returns the live daemons, this one included, as of the last few
 // milliseconds. Callers must not change it.
 func (n *Node) Alive() []Seen {
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"citronrock.example/citronrock/internal/logs/panics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
@@ -116,10 +117,16 @@
 			s.bad.Add(1)
 			continue
 		}
-		(*h)(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), append([]byte(nil), buffer[2:n]...))
+		s.handle(*h, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), append([]byte(nil), buffer[2:n]...))
 	}
 }
 
+// handle passes on one datagram. What a handler can't cope with ends with it.
+func (s *Socket) handle(h Handler, from netip.AddrPort, body []byte) {
+	defer panics.Catch(s.log, "datagram")
+	h(from, body)
+}
+
 // Decode reads a message and counts the ones that can't be read.
 func (s *Socket) Decode(body []byte, message any) bool {
 	if err := cbor.Unmarshal(body, message); err != nil {
--- /dev/null
+++ b/internal/peer/gram/panic_test.go
@@ -0,0 +1,34 @@
+package gram_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/peer/gram"
+)
+
+// Guards against one message that a handler can't cope with and that ends the
+// process.
+func TestPanicEndsOneDatagram(t *testing.T) {
+	from, _ := listen(t)
+	to, addr := listen(t)
+	got := make(chan int, 8)
+	to.Handle(gram.Beat, func(_ netip.AddrPort, body []byte) {
+		var list []int
+		if to.Decode(body, &list) {
+			got <- list[2]
+		}
+	})
+	for _, list := range [][]int{{1}, {}, {1, 2, 3}} {
+		from.Send(gram.Beat, list, addr)
+	}
+	select {
+	case v := <-got:
+		if v != 3 {
+			t.Errorf("got %d, want 3", v)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no message is handled after one that panicked")
+	}
+}
--- a/internal/room/grant/balance.go
+++ b/internal/room/grant/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/owner"
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/fleet"
 )
@@ -85,6 +86,7 @@
 // order gives an order to an engine, if the engine has accepted none since it
 // was asked.
 func (n *Node) order(service string, s fleet.Server, o Order) {
+	defer panics.Catch(n.log, "order to an engine")
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	u, err := n.engines.Usage(ctx, s)
--- a/internal/room/grant/grant_test.go
+++ b/internal/room/grant/grant_test.go
@@ -275,3 +275,16 @@
 		t.Errorf("%d messages lost, changes not taken: %v", lost.Load(), n.stale.Load())
 	}
 }
+
+// Guards against one message that ends the daemon which owns a ledger, or leaves
+// it without its control goroutine.
+func TestPanicEndsOneMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes, _ := start(t, 2)
+		defer stop(nodes)
+		nodes[0].wait(func(time.Time) { panic("message") })
+		if lease, err := acquire(nodes[1]); err != nil || lease.Owner != nodes[0].self {
+			t.Errorf("lease %+v, error %v after a panic; want one from the owner", lease, err)
+		}
+	})
+}
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/owner"
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/ledger"
@@ -160,13 +161,24 @@
 		case <-n.stop:
 			return
 		case f := <-n.commands:
-			f(time.Now())
+			n.safely(f)
 		case <-tick.C:
-			n.tick(time.Now())
+			n.safely(n.tick)
 		}
 	}
 }
 
+// safely runs f on the control goroutine. A message that f can't cope with must
+// not end the daemon.
+func (n *Node) safely(f func(now time.Time)) {
+	defer func() {
+		if v := recover(); v != nil {
+			panics.Note(n.log, "control message", v)
+		}
+	}()
+	f(time.Now())
+}
+
 // do runs f on the control goroutine. Datagrams that arrive while it is behind
 // are dropped, as if they were lost.
 func (n *Node) do(f func(now time.Time)) {
@@ -190,7 +202,10 @@
 func (n *Node) wait(f func(now time.Time)) {
 	done := make(chan struct{})
 	select {
-	case n.commands <- func(now time.Time) { f(now); close(done) }:
+	case n.commands <- func(now time.Time) {
+		defer close(done)
+		f(now)
+	}:
 	case <-n.done:
 		return
 	}
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/front/entry"
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/fleet"
@@ -32,6 +33,7 @@
 }
 
 func (n *Node) usage(service string, s fleet.Server) {
+	defer panics.Catch(n.log, "usage of an engine")
 	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
 	defer cancel()
 	u, err := n.engines.Usage(ctx, s)
@@ -114,7 +116,7 @@
 	}
 	n.do(func(now time.Time) {
 		if _, ok := n.rooms[a.Service]; ok {
-			n.send(n.ledger(a.Service).Ask(now, from, a))
+			n.send(n.ledger(a.Service).Ask(now, from, a.Bound()))
 		}
 	})
 }
@@ -156,7 +158,7 @@
 	}
 	n.do(func(now time.Time) {
 		if _, ok := n.rooms[r.Service]; ok {
-			n.ledger(r.Service).Report(now, from, r)
+			n.ledger(r.Service).Report(now, from, r.Bound())
 		}
 	})
 }
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -97,6 +97,37 @@
 	Rank int `cbor:"13,keyasint,omitempty"`
 }
 
+// Bounds of what other daemons report: far above what engines can hold, and
+// small enough that sums don't overflow.
+const (
+	mostTokens = 1 << 31
+	mostWait   = time.Hour
+)
+
+func bound(tokens int) int { return min(max(tokens, 0), mostTokens) }
+
+func boundWait(d time.Duration) time.Duration { return min(max(d, -mostWait), mostWait) }
+
+// Bound returns the ask with its figures within bounds.
+func (a Ask) Bound() Ask {
+	a.Prompt, a.Expect = bound(a.Prompt), bound(a.Expect)
+	a.Slack, a.Patience, a.Back = boundWait(a.Slack), boundWait(a.Patience), boundWait(a.Back)
+	a.Return = boundWait(a.Return)
+	return a
+}
+
+// Bound returns the report with its figures within bounds.
+func (r Report) Bound() Report {
+	for i := range r.Runs {
+		run := &r.Runs[i]
+		run.Prompt, run.Expect, run.Made = bound(run.Prompt), bound(run.Expect), bound(run.Made)
+	}
+	if !(r.Pace >= 0 && r.Pace <= mostTokens) { // NaN is no pace either
+		r.Pace = 0
+	}
+	return r
+}
+
 // Verdict is the outcome of an ask.
 type Verdict uint8
 
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -23,7 +23,15 @@
 
 // String returns the name that logs use.
 func (s Stage) String() string {
-	return [...]string{"plain", "prefill", "decode"}[s]
+	switch s {
+	case Plain:
+		return "plain"
+	case Prefill:
+		return "prefill"
+	case Decode:
+		return "decode"
+	}
+	return "unknown"
 }
 
 // Server is the published entry of one backend server.
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/notice"
 	"citronrock.example/citronrock/internal/route/plan"
@@ -50,6 +51,11 @@
 	backlog = 16
 )
 
+var (
+	errMissed = errors.New("changes before the notice were missed")
+	errPanic  = errors.New("what was read could not be applied")
+)
+
 // Peers tell each other what they read.
 type Peers interface {
 	// Reader tells whether this daemon reads for others.
@@ -166,7 +172,7 @@
 		case <-ctx.Done():
 			return
 		case n := <-f.notices:
-			if !loaded || f.hear(n) {
+			if !loaded || f.safely("notice", func() error { return f.hear(n) }) == nil {
 				continue
 			}
 		case <-timer.C:
@@ -178,9 +184,9 @@
 		begun := time.Now()
 		var err error
 		if loaded {
-			err = f.changes(ctx)
+			err = f.safely("read of changes", func() error { return f.changes(ctx) })
 		} else {
-			err = f.load(ctx)
+			err = f.safely("read of everything", func() error { return f.load(ctx) })
 		}
 		pause := idlePause
 		switch {
@@ -216,16 +222,27 @@
 	}
 }
 
-// hear takes the notice of another daemon. It returns false when this daemon has
+// safely returns a panic of do as an error: what was read stays in force.
+func (f *Follower) safely(work string, do func() error) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			panics.Note(f.log, work, v)
+			err = errPanic
+		}
+	}()
+	return do()
+}
+
+// hear takes the notice of another daemon. The error tells that this daemon has
 // to read the store itself.
-func (f *Follower) hear(n notice.Notice) bool {
+func (f *Follower) hear(n notice.Notice) error {
 	if n.At <= f.revision && n.Version <= f.version() {
 		f.heard = time.Now()
 		f.note(f.revision)
-		return true
+		return nil
 	}
 	if n.Base > f.revision || n.Version > f.version() {
-		return false
+		return errMissed
 	}
 	now := time.Now()
 	f.table.Outage(now, false)
@@ -246,7 +263,7 @@
 	f.changed.Add(now, f.revision, events)
 	f.heard = now
 	f.note(n.At)
-	return true
+	return nil
 }
 
 func (f *Follower) version() uint64 {
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -340,3 +340,26 @@
 		})
 	}
 }
+
+// Guards against a configuration that ends the process when it is applied, or the
+// reads of the store.
+func TestPanicEndsOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{doc: document(1)}
+		f := follow.Start(s, fleet.New(), &peers{reader: true}, hclog.NewNullLogger(), follow.WithApply(func(d *plan.Document) {
+			if d.Version == 2 {
+				panic("configuration")
+			}
+		}))
+		defer f.Close()
+		time.Sleep(100 * time.Millisecond)
+		s.change(citronrock.Changes{Document: document(2)})
+		time.Sleep(2 * time.Second)
+		s.change(citronrock.Changes{Document: document(3)})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if v := f.Document().Version; v != 3 {
+			t.Errorf("version %d in force, want 3", v)
+		}
+	})
+}
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/route/fleet"
 	"github.com/hashicorp/go-hclog"
 )
@@ -84,13 +85,19 @@
 	}
 	p.active[s.ID] = false
 	p.all.Go(func() {
-		f()
+		p.safely(f)
 		for p.another(s.ID) {
-			p.check(s)
+			p.safely(func() { p.check(s) })
 		}
 	})
 }
 
+// safely runs a check. One that fails must not keep the server from later ones.
+func (p *Prober) safely(f func()) {
+	defer panics.Catch(p.log, "check of a server")
+	f()
+}
+
 // another reports whether a server has to be checked again, and ends its checks
 // otherwise.
 func (p *Prober) another(id string) bool {
