Keep the room of runs whose daemon is silent until engines tell

Cause: the owner of a ledger dropped the runs of a daemon 2.5 s after its last report and granted their memory anew. Engines go on with the runs of a daemon that is only cut off from its owner or slow to report, so that they preempted them.

Ruled out: a daemon that started again; its engines' connections were closed.

Change: the runs of a silent daemon that decode engines work on count as runs that the ledger does not know; the engines are asked at once, and their answer decides.

Before: TestSilentDaemonKeepsItsRoom grants a second run on a full engine. After: passes, with the package's other tests.

--- a/internal/room/ledger/foreign.go
+++ b/internal/room/ledger/foreign.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -133,6 +134,13 @@
 	l.foreign[engine] = f
 }
 
+// addForeign counts one more unknown run at an engine, which is asked soon.
+func (l *Ledger) addForeign(now time.Time, engine string, tokens int) {
+	held, slots := l.unknown(now, engine)
+	l.foreign[engine] = Foreign{Tokens: held + tokens, Slots: slots + 1, at: now}
+	delete(l.inspected, engine)
+}
+
 // unknown returns the memory and slots that runs unknown to the ledger hold at
 // an engine. They end one after the other.
 func (l *Ledger) unknown(now time.Time, engine string) (tokens, slots int) {
@@ -145,5 +153,5 @@
 		delete(l.foreign, engine)
 		return 0, 0
 	}
-	return int(left * float64(f.Tokens)), int(left * float64(f.Slots))
+	return int(left * float64(f.Tokens)), int(math.Round(left * float64(f.Slots)))
 }
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -283,12 +283,6 @@
 // forget drops all that a daemon that died had.
 func (l *Ledger) forget(edge netip.AddrPort) {
 	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return w.edge == edge })
-	l.drop(edge)
-}
-
-// drop drops the runs of a daemon whose reports ended. Its asks stay: a daemon
-// without runs reports nothing.
-func (l *Ledger) drop(edge netip.AddrPort) {
 	for k, e := range l.runs.edges[edge] {
 		if e.listed {
 			l.runs.remove(k)
@@ -298,6 +292,25 @@
 	l.freed()
 }
 
+// lose drops the runs of a daemon whose reports ended. The daemon may only be
+// silent, and engines go on with its runs, so that what these hold counts as
+// foreign until the engines tell. Its asks stay: a daemon without runs reports
+// nothing.
+func (l *Ledger) lose(now time.Time, edge netip.AddrPort) {
+	for k, e := range l.runs.edges[edge] {
+		if !e.listed {
+			continue
+		}
+		if e.Phase == Writing {
+			run := e.at(now, l.pace)
+			l.addForeign(now, e.Decode, run.growth().held)
+		}
+		l.runs.remove(k)
+	}
+	delete(l.sources, edge)
+	l.freed()
+}
+
 func (l *Ledger) expire(now time.Time) {
 	if now.Sub(l.expired) < expireEvery {
 		return
@@ -305,7 +318,7 @@
 	l.expired = now
 	for edge, s := range l.sources {
 		if now.Sub(s.at) > reportLife {
-			l.drop(edge)
+			l.lose(now, edge)
 		}
 	}
 	for k, e := range l.runs.all {
--- a/internal/room/ledger/ledger_test.go
+++ b/internal/room/ledger/ledger_test.go
@@ -160,6 +160,40 @@
 	}
 }
 
+// Guards against room that is given away since a daemon was silent for a while,
+// though its engines still work for it: they would preempt its runs.
+func TestSilentDaemonKeepsItsRoom(t *testing.T) {
+	cases := map[string]struct {
+		usage *ledger.Usage
+		free  bool
+	}{
+		"engine not asked yet":      {nil, false},
+		"engine works on":           {&ledger.Usage{Tokens: 15300, Running: 1}, false},
+		"engine has ended the run":  {&ledger.Usage{}, true},
+		"engine holds a cache only": {&ledger.Usage{Tokens: 15300}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(1, 4, 20000))
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Runs: []ledger.Run{
+				{Lease: 1, Decode: "d1", Prompt: 15000, Expect: 4000, Made: 100, Phase: ledger.Writing}}})
+			own(t, l.Ask(t0.Add(time.Second), edge2, ask(2)), 2)
+			now := t0.Add(2600 * time.Millisecond)
+			l.Tick(now)
+			if ids := l.Inspect(now); !slices.Contains(ids, "d1") {
+				t.Fatalf("engines to ask %v, want d1", ids)
+			}
+			if c.usage != nil {
+				l.SetUsage(now, "d1", *c.usage)
+			}
+			if got := own(t, l.Ask(now, edge2, ask(3)), 3); (got.Verdict == ledger.Granted) != c.free {
+				t.Errorf("answer %+v, want a grant: %v", got, c.free)
+			}
+		})
+	}
+}
+
 // Guards against grants of memory that runs of dead daemons still hold.
 func TestUnknownRunsCount(t *testing.T) {
 	l := ledger.New("s")
