--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -133,10 +133,10 @@
 func (s *Server) drain() {
 	if err := s.listener.SetDeadline(time.Now().Add(lastAccept)); err != nil {
 		s.log.Warn("connections that wait may be reset", "error", err.Error())
-		s.listener.Close()
+		_ = s.listener.Close() // what fails is logged above
 	}
 	<-s.done
-	s.listener.Close()
+	_ = s.listener.Close() // it takes no more connections
 }
 
 // SetLimits makes limits apply to new connections.
