Let the readers of a large fleet find out when the store is back

Change: a daemon that is no reader tries again after 1.5 to 3 s once two reads have failed. Readers try as before and tell when the store is back.

--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -230,6 +230,10 @@
 			fails++
 			pause = min(againFirst<<min(fails-1, 8), againLimit)
 			f.again = time.Now().Add(pause)
+			if fails >= downAfter && !f.peers.Reader() && f.peers.Others() > crowd {
+				// The readers try on, and tell when the store is back.
+				pause = silentLimit + rand.N(silentLimit)
+			}
 			if fails == downAfter {
 				f.log.Warn("store lost", "error", err.Error(), "revision", f.revision)
 			}
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -537,6 +537,37 @@
 	return r.store.Watch(ctx, after, wait)
 }
 
+// Guards against a large fleet whose daemons all try a store that is down: 4,084
+// calls in eight seconds at 295 daemons.
+func TestOutageOfLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, span = 200, 8 * time.Second
+		s := &store{doc: document(1)}
+		s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+		c := new(crowd)
+		for range n {
+			c.all = append(c.all, &member{crowd: c})
+		}
+		for _, m := range c.all {
+			f := follow.Start(s, fleet.New(), m, hclog.NewNullLogger())
+			defer f.Close()
+		}
+		time.Sleep(8 * time.Second)
+		synctest.Wait()
+		s.mu.Lock()
+		s.reads, s.down = 0, true
+		s.mu.Unlock()
+		time.Sleep(span)
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// Two tries at first, and one in 1.5 s or more from then on.
+		if most := n * (2 + int(span/(1500*time.Millisecond))); s.reads > most {
+			t.Errorf("%d calls in %s, want %d at most", s.reads, span, most)
+		}
+	})
+}
+
 // Guards against a large fleet whose daemons all read the store when its readers
 // are turned away, 2,950 calls in eight seconds at 295 daemons, and against one
 // that hears of a removal late then.
