Wait for a decode engine that is turned until it has changed

An engine ends its runs before it changes: i-f5c24e6215 published its new stage 8.7 s after the order.

Ruled out: engines without memory; the refusing ones are just those ordered.

Change: a decode engine that was turned gets no prompt until it has published or reported its stage, or 20 s have passed; from the time of a change on it is asked. One that reports its old stage has not accepted the order.

Test: TestOrderedEngineChangesLate; three of its five cases fail on the code before (a prompt six seconds after the order in each).

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -34,6 +34,9 @@
 	// lackPause at most, before a decode engine is ordered to prefill.
 	lackFor   = time.Second
 	lackPause = 500 * time.Millisecond
+	// changeLimit is the time after an order from which an engine that tells nothing
+	// is taken to have changed: its last runs have ended long before.
+	changeLimit = 20 * time.Second
 	// promptWeight is the weight of one ask in the mean length of prompts.
 	promptWeight = 0.05
 )
@@ -108,6 +111,7 @@
 	e := l.engines[id]
 	e.Stage = stage
 	l.orders[id], l.engines[id] = order{Engine: e}, e
+	delete(l.inspected, id)
 	l.changed()
 	return Change{Engine: id, Stage: stage}
 }
@@ -143,6 +147,8 @@
 	// until is when a stage that was learned from the engine no longer counts, zero
 	// for one that this ledger ordered.
 	until time.Time
+	// done is set once the engine has reported an ordered stage.
+	done bool
 }
 
 // learnStage takes the stage that an engine reports. Another owner may have
@@ -155,7 +161,7 @@
 		return // the report is older than the order
 	}
 	e.Stage = stage
-	l.orders[e.ID], l.engines[e.ID] = order{e, now.Add(learnedFor)}, e
+	l.orders[e.ID], l.engines[e.ID] = order{Engine: e, until: now.Add(learnedFor)}, e
 	l.changed()
 }
 
@@ -264,8 +270,35 @@
 	l.need += (float64(a.Prompt+a.Expect) - l.need) * weight
 }
 
-// isChanging tells whether an engine is on its way to another stage.
+// isChanging tells whether an engine is on its way to another stage. It may take
+// longer than a change takes by itself, as its runs end first.
 func (l *Ledger) isChanging(now time.Time, id string) bool {
 	until, ok := l.changing[id]
-	return ok && now.Before(until)
+	return ok && now.Before(until) || l.isOrdered(now, id)
+}
+
+// isOrdered tells whether a decode engine that this ledger turned has neither
+// published nor reported its new stage. Prefill engines are turned while they
+// have nothing to do, so that their time is known.
+func (l *Ledger) isOrdered(now time.Time, id string) bool {
+	o, ok := l.orders[id]
+	return ok && o.until.IsZero() && !o.done && o.Stage == fleet.Prefill && now.Sub(l.ordered[id]) < changeLimit
+}
+
+// noteChange takes the report of an engine that was ordered to change its stage
+// and should have done so.
+func (l *Ledger) noteChange(now time.Time, engine string, u Usage) {
+	until := l.changing[engine]
+	if u.Busy || !l.isOrdered(now, engine) || now.Before(until) {
+		return
+	}
+	o := l.orders[engine]
+	switch {
+	case u.Stage == o.Stage || u.Stage == fleet.Plain:
+		o.done = true
+		l.orders[engine] = o
+		l.freed()
+	case now.Sub(until) > reportLag:
+		l.Kept(engine) // it has not accepted the order
+	}
 }
--- a/internal/room/ledger/balance_test.go
+++ b/internal/room/ledger/balance_test.go
@@ -250,3 +250,75 @@
 		})
 	}
 }
+
+// Guards against prompts for a decode engine that was ordered to prefill and still
+// has runs to end, which it does before it changes: it refuses them, and the budget
+// for repeats is used up.
+func TestOrderedEngineChangesLate(t *testing.T) {
+	const switchTime = 6 * time.Second
+	cases := map[string]struct {
+		// busy is how long the engine reports that it carries out the order.
+		busy time.Duration
+		// stage is what it reports from then on, silent that it reports nothing.
+		stage  fleet.Stage
+		silent bool
+		// used is from when on after the order it may get prompts at the earliest and
+		// at the latest, zero for never.
+		earliest, latest time.Duration
+	}{
+		"no runs":            {switchTime, fleet.Prefill, false, switchTime, switchTime + 2*time.Second},
+		"runs of 4 s":        {switchTime + 4*time.Second, fleet.Prefill, false, switchTime + 4*time.Second, switchTime + 7*time.Second},
+		"tells no stage":     {switchTime + time.Second, fleet.Plain, false, switchTime + time.Second, switchTime + 4*time.Second},
+		"order not accepted": {0, fleet.Decode, false, 0, 0},
+		"cannot be asked":    {0, fleet.Plain, true, switchTime, 21 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			list := []ledger.Engine{{ID: "pa", Stage: fleet.Prefill, Slots: 12, Tokens: 100_000}}
+			for _, id := range []string{"da", "db", "dc", "dd"} {
+				list = append(list, ledger.Engine{ID: id, Stage: fleet.Decode, Slots: 12, Tokens: 100_000})
+			}
+			var ordered time.Time
+			turned := ""
+			used := time.Duration(0)
+			for i := range uint64(600) {
+				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+				l.SetEngines(now, list)
+				// Two asks at a time wait for the only prefill engine.
+				for k := range uint64(2) {
+					id := 2*i + k + 1
+					for _, a := range l.Ask(now, edge1, ask(id)) {
+						if a.Verdict == ledger.Granted && turned != "" && a.Prefill == turned && used == 0 {
+							used = now.Sub(ordered)
+						}
+					}
+				}
+				report := ledger.Report{Service: "s", Start: 1, Number: i + 1, Pace: 20_000}
+				for lease := uint64(1); lease <= 30; lease++ {
+					report.Runs = append(report.Runs, ledger.Run{Lease: 1_000_000 + i + lease, Decode: "da", Prompt: 1000, Expect: 100, Made: 50, Phase: ledger.Writing})
+				}
+				l.Report(now, edge1, report)
+				if change, ok := l.Balance(now, switchTime, func(ids []string) string { return ids[0] }); ok && turned == "" {
+					turned, ordered = change.Engine, now
+				}
+				for _, id := range l.Inspect(now) {
+					if id != turned || c.silent {
+						continue
+					}
+					u := ledger.Usage{Busy: now.Sub(ordered) < c.busy, Stage: fleet.Decode}
+					if !u.Busy {
+						u.Stage = c.stage
+					}
+					l.SetUsage(now, id, u)
+				}
+			}
+			if turned == "" {
+				t.Fatal("no engine was turned")
+			}
+			if used < c.earliest || used > c.latest || (used == 0) != (c.latest == 0) {
+				t.Errorf("%s gets a prompt %s after the order, want %s to %s", turned, used, c.earliest, c.latest)
+			}
+		})
+	}
+}
--- a/internal/room/ledger/foreign.go
+++ b/internal/room/ledger/foreign.go
@@ -76,7 +76,7 @@
 		}
 		_, unknown := l.foreign[id]
 		_, asked := l.inspected[id]
-		if !asked || unknown || l.busy[id] || now.Sub(l.full[id]) < inspectAgain ||
+		if !asked || unknown || l.busy[id] || l.isOrdered(now, id) && now.After(l.changing[id]) || now.Sub(l.full[id]) < inspectAgain ||
 			e.Stage == fleet.Decode && now.Sub(l.begun) < inspectFor && now.Sub(l.inspected[id]) > inspectFor {
 			l.inspected[id] = now
 			out = append(out, id)
@@ -100,6 +100,7 @@
 			l.changing[engine] = now.Add(busyFor)
 		}
 	}
+	l.noteChange(now, engine, u)
 	l.learnStage(now, e, u.Stage)
 	if l.engines[engine].Stage != fleet.Decode {
 		delete(l.foreign, engine)
