--- a/internal/room/ledger/load_test.go
+++ b/internal/room/ledger/load_test.go
@@ -40,7 +40,7 @@
 	spread        float64
 
 	asked, granted, onTime, refused, full, preempted int
-	returns                               []time.Time
+	returns                                          []time.Time
 }
 
 const (
