--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -215,11 +215,13 @@
 	}
 	c.Received = received
 	defer func() {
-		if v := recover(); v != nil && v != http.ErrAbortHandler { //nolint:errorlint // net/http compares it, too
-			panics.Note(r.log, "request "+c.ID, v)
-		} else if v == nil {
+		v := recover()
+		if v == nil {
 			return
 		}
+		if v != http.ErrAbortHandler { //nolint:errorlint // net/http compares it, too
+			panics.Note(r.log, "request "+c.ID, v)
+		}
 		panic(http.ErrAbortHandler) // closes the connection without a complete answer
 	}()
 	o := lines.Outcome{Request: c.ID}
@@ -329,13 +331,14 @@
 	if l.Body > 0 {
 		limit = int64(l.Body)
 	}
-	body, err := r.memory.Read(http.MaxBytesReader(w, req.Body, limit), limit)
+	body, err := r.memory.Read(req.Body, limit)
 	_ = control.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
+	if err == nil {
 		return body, 0
-	case errors.As(err, &large) || errors.Is(err, memory.ErrLarge):
+	}
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	switch {
+	case errors.Is(err, memory.ErrLarge):
 		return nil, http.StatusRequestEntityTooLarge
 	case errors.Is(err, memory.ErrFull):
 		return nil, http.StatusServiceUnavailable
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -94,6 +94,7 @@
 // leaves or the deadline passes.
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *entry.Call, r *plan.Route, service string, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, call: c, route: r, service: service, deadline: deadline}
+	entry.LimitWrites(w, deadline)
 	a, v := j.run(ctx)
 	defer j.free(a)
 	out := lines.Outcome{Sends: j.sends}
@@ -106,7 +107,6 @@
 		if a.Status >= http.StatusInternalServerError {
 			out.Result, out.Reason = "failed", "server"
 		}
-		entry.LimitWrites(w, deadline)
 		deliver(w, a)
 		return out
 	}
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -15,15 +15,15 @@
 	// fill is the share of the memory that can be granted in the long run, for
 	// predictions.
 	fill = 0.95
-	// hold is the share of an engine's memory that is granted, and caution the number
-	// of standard deviations by which its outputs may then be longer than expected. A
+	// grantShare is the share of an engine's memory that is granted, and deviations the
+	// number of standard deviations by which its outputs may then be longer than expected. A
 	// fixed margin is too small where few long answers of different length share an
 	// engine, and too large elsewhere.
-	hold    = 0.99
-	caution = 1
+	grantShare = 0.99
+	deviations = 1.2
 	// firstSpread stands for the standard deviation of outputs as a share of what
 	// is expected, until runs have ended; spreadWeight is the weight of one run.
-	firstSpread  = 0.3
+	firstSpread  = 0.25
 	spreadWeight = 0.02
 	// doubt is how long a grant counts before the report of its daemon has to
 	// list it.
@@ -288,7 +288,8 @@
 	if e.Made > 0 {
 		l.ends++
 		if e.Expect > 0 {
-			off := float64(e.Made-e.Expect) / float64(e.Expect)
+			// One answer of another kind must not close all engines.
+			off := min(float64(e.Made-e.Expect)/float64(e.Expect), 1)
 			l.square += (off*off - l.square) * spreadWeight
 		}
 		l.stay += time.Duration(stayWeight * float64(now.Sub(e.granted)-l.stay))
@@ -386,8 +387,8 @@
 	return float64(used) / float64(total)
 }
 
-// spreads is the standard deviation of outputs as a share of what is expected.
-func (l *Ledger) spreads() float64 { return math.Sqrt(l.square) }
+// outputSpread is the standard deviation of outputs as a share of what is expected.
+func (l *Ledger) outputSpread() float64 { return math.Sqrt(l.square) }
 
 // Load returns the number of runs and queued asks and the share of decode memory
 // in use.
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -140,12 +140,12 @@
 		if now.Sub(l.full[id]) < fullFor {
 			continue
 		}
-		need, slots := need(l.grown(now, id), a, l.spreads())
+		need, slots := need(l.grown(now, id), a, l.outputSpread())
 		tokens, taken := l.unknown(now, id)
 		need, slots = need+tokens, slots+taken
 		// A request that is larger than the share that is granted needs an engine
 		// of its own.
-		if slots > e.Slots || a.Prompt > e.Tokens || slots > 1 && float64(need) > hold*float64(e.Tokens) {
+		if slots > e.Slots || a.Prompt > e.Tokens || slots > 1 && float64(need) > grantShare*float64(e.Tokens) {
 			continue
 		}
 		cost := max(float64(need)/float64(e.Tokens), float64(slots)/float64(e.Slots))
@@ -175,7 +175,7 @@
 func need(runs []growth, a *Ask, spread float64) (tokens, slots int) {
 	added := Run{Prompt: a.Prompt, Expect: a.Expect}
 	list := append(runs, added.growth())
-	return peak(list) + int(caution*doubtful(list, spread)), len(list)
+	return peak(list) + int(deviations*doubtful(list, spread)), len(list)
 }
 
 // reader returns the prefill engine with the fewest tokens to read before an
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -63,8 +63,8 @@
 	errPanic  = errors.New("what was read could not be applied")
 )
 
-// told is a notice and the daemon that sent it.
-type told struct {
+// heardNotice is a notice and the daemon that sent it.
+type heardNotice struct {
 	notice.Notice
 	from netip.AddrPort
 }
@@ -94,7 +94,7 @@
 	apply func(*plan.Document)
 	peers Peers
 
-	notices chan told
+	notices chan heardNotice
 	// heard is when a notice last showed that nothing was missed.
 	heard time.Time
 	// patience is how much longer than noticeLife this daemon waits for one.
@@ -132,10 +132,10 @@
 func Start(store citronrock.Store, table *fleet.Table, peers Peers, log hclog.Logger, opts ...Option) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{store: store, table: table, log: log, apply: func(*plan.Document) {},
-		peers: peers, notices: make(chan told, backlog), cancel: cancel, done: make(chan struct{})}
+		peers: peers, notices: make(chan heardNotice, backlog), cancel: cancel, done: make(chan struct{})}
 	peers.Handle(func(from netip.AddrPort, n notice.Notice) {
 		select {
-		case f.notices <- told{n, from}:
+		case f.notices <- heardNotice{n, from}:
 		default: // the next notice repeats it
 		}
 	})
@@ -263,9 +263,9 @@
 
 // hear takes the notice of another daemon. The error tells that this daemon has
 // to read the store itself.
-func (f *Follower) hear(ctx context.Context, n told) error {
+func (f *Follower) hear(ctx context.Context, n heardNotice) error {
 	if n.At <= f.revision && n.Version <= f.version() {
-		f.hears(time.Now())
+		f.markHeard(time.Now())
 		f.note(f.revision)
 		return nil
 	}
@@ -292,14 +292,14 @@
 	if err := f.reach(ctx, n); err != nil {
 		return err // the read has to begin before the configuration
 	}
-	f.hears(now)
+	f.markHeard(now)
 	f.note(max(n.At, f.revision))
 	return nil
 }
 
 // reach puts the configuration that a notice tells of in force. In a large fleet
 // the daemons that told of it give it; the store could not serve all at once.
-func (f *Follower) reach(ctx context.Context, n told) error {
+func (f *Follower) reach(ctx context.Context, n heardNotice) error {
 	if n.Version <= f.version() {
 		return nil
 	}
@@ -338,8 +338,8 @@
 	return changed
 }
 
-// hears notes that nothing was missed until now.
-func (f *Follower) hears(now time.Time) {
+// markHeard notes that nothing was missed until now.
+func (f *Follower) markHeard(now time.Time) {
 	f.heard, f.patience = now, 0
 	if n := f.peers.Others(); n > crowd {
 		f.patience = rand.N(min(time.Duration(n)*silentEach, silentLimit))
@@ -396,7 +396,7 @@
 	if !f.peers.Reader() {
 		if f.peers.Others() > crowd && now.Sub(f.heard) > noticeLife {
 			f.peers.Tell(f.changed.Notice(f.revision, f.version()))
-			f.hears(now)
+			f.markHeard(now)
 		}
 		return
 	}
--- a/internal/route/follow/load.go
+++ b/internal/route/follow/load.go
@@ -40,7 +40,7 @@
 	f.note(state.Revision)
 	f.take(now, c)
 	f.install(state.Document) // after what is newer
-	f.hears(now)
+	f.markHeard(now)
 }
 
 // readAll reads everything from the store: a stale state and what has changed
