--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -6,20 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/entry"
-	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/stream"
 	"citronrock.example/citronrock/internal/logs/lines"
@@ -325,173 +322,3 @@
 		t.Errorf("body %q, result %q, %d asks; want the whole stream without a ledger", rec.Body, o.Result, len(w.asks))
 	}
 }
-
-// paced is a body that sends a part again and again with pauses, then an end. It
-// ends with its context.
-type paced struct {
-	ctx   context.Context
-	part  string
-	pause time.Duration
-	times int
-}
-
-func (p *paced) Read(b []byte) (int, error) {
-	if p.times == 0 {
-		return 0, io.EOF
-	}
-	p.times--
-	select {
-	case <-p.ctx.Done():
-		return 0, context.Cause(p.ctx)
-	case <-time.After(p.pause):
-		return copy(b, p.part), nil
-	}
-}
-
-// body makes the engine d1 answer with another body. Other engines answer as in
-// the world.
-type body struct {
-	*world
-	of func(ctx context.Context) io.Reader
-}
-
-func (b body) Send(ctx context.Context, s fleet.Server, c *entry.Call, o entry.Options) (*entry.Reply, error) {
-	reply, err := b.world.Send(ctx, s, c, o)
-	if err == nil && s.ID == "d1" {
-		reply.Body = b.of(ctx)
-	}
-	return reply, err
-}
-
-func newBodyHandler(w *world, of func(ctx context.Context) io.Reader, opts ...stream.Option) *stream.Handler {
-	w.freed = make(chan string, 8)
-	return stream.New(table(), body{w, of}, ingress{}, w, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"), opts...)
-}
-
-// Guards against slow but sound streams that are cut, and against stalled ones
-// that send something now and then, never an event, and hold their client until
-// its deadline.
-func TestSlowAndStalled(t *testing.T) {
-	const limit = 10 * time.Minute
-	cases := map[string]struct {
-		part  string
-		pause time.Duration
-		times int
-		// moves tells that the stream goes on at another engine.
-		moves bool
-		most  time.Duration
-	}{
-		"an event each second":    {"id: 1\ndata: x\n\n", time.Second, 200, false, 201 * time.Second},
-		"a byte now and then":     {"x", 100 * time.Millisecond, 1 << 30, true, 2 * time.Second},
-		"a comment now and then":  {": ping\n\n", 500 * time.Millisecond, 1 << 30, true, 2 * time.Second},
-		"an empty line each time": {"\n", 500 * time.Millisecond, 1 << 30, true, 2 * time.Second},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := &world{runs: []run{{status: 200}, {status: 200, from: 1, to: 4}}}
-				h := newBodyHandler(w, func(ctx context.Context) io.Reader { return &paced{ctx, c.part, c.pause, c.times} })
-				begun := time.Now()
-				_, o := handle(t, h, true, limit)
-				if took := time.Since(begun); o.Result != "ok" || took > c.most {
-					t.Errorf("result %q after %s, want the whole stream within %s", o.Result, took, c.most)
-				}
-				if moved := len(w.sends) == 2; moved != c.moves {
-					t.Errorf("%d sendings, want a second one: %v", len(w.sends), c.moves)
-				}
-				synctest.Wait()
-			})
-		})
-	}
-}
-
-// Guards against a stalled stream that may not go on elsewhere and that outlives
-// its request's deadline.
-func TestStalledStreamEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := &world{runs: []run{{status: 200}}}
-		h := newBodyHandler(w, func(ctx context.Context) io.Reader { return &paced{ctx, ": ping\n\n", time.Second, 1 << 30} })
-		begun := time.Now()
-		if _, o := handle(t, h, false, 14*time.Second); o.Result == "ok" || time.Since(begun) > 15*time.Second {
-			t.Errorf("result %q after %s", o.Result, time.Since(begun))
-		}
-		synctest.Wait()
-	})
-}
-
-// Guards against events without an end, and failures without one, that take the
-// daemon's memory, and against a part of an answer that looks whole.
-func TestEndlessBytes(t *testing.T) {
-	cases := map[string]struct {
-		status int
-		part   string
-		want   int
-	}{
-		"an event without end":      {200, "data: " + strings.Repeat("x", 1000), http.StatusBadGateway},
-		"lines without end":         {200, "data: x\n", http.StatusBadGateway},
-		"a failure without end":     {500, strings.Repeat("x", 1000), http.StatusBadGateway},
-		"another success, no end":   {201, strings.Repeat("x", 1000), http.StatusBadGateway},
-		"zeros instead of a stream": {200, strings.Repeat("\x00", 1000), http.StatusBadGateway},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			b := memory.New(8 << 20)
-			w := &world{runs: []run{{status: c.status}}}
-			h := newBodyHandler(w, func(ctx context.Context) io.Reader { return &paced{ctx, c.part, 0, 1 << 30} }, stream.WithMemory(b))
-			if rec, o := handle(t, h, false, 20*time.Second); rec.Code != c.want || o.Result != "unknown" || rec.Body.Len() > 0 {
-				t.Errorf("status %d with %d bytes, result %q; want %d, unknown", rec.Code, rec.Body.Len(), o.Result, c.want)
-			}
-			if b.Left() != 8<<20 {
-				t.Errorf("%d bytes left", b.Left())
-			}
-		})
-	}
-}
-
-// Guards against a client that does not read its answer and holds an engine, and
-// its room in the ledger, for good.
-func TestClientThatNeverReads(t *testing.T) {
-	const limit = 300 * time.Millisecond
-	w := &world{runs: []run{{status: 200}}}
-	h := newBodyHandler(w, func(ctx context.Context) io.Reader {
-		return &paced{ctx, "id: 1\ndata: " + strings.Repeat("x", 3000) + "\n\n", 0, 1 << 30}
-	})
-	ended := make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer close(ended)
-		route := &plan.Route{Name: "r", Kind: plan.Stream, Target: limit, Attempts: 1}
-		ctx, cancel := context.WithTimeout(r.Context(), limit)
-		defer cancel()
-		h.Serve(ctx, w, &entry.Call{ID: "c", Received: time.Now()}, route, plan.Service{Name: "s"}, time.Now().Add(limit))
-		panic(http.ErrAbortHandler)
-	}))
-	defer s.Close()
-	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.URL, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case <-ended:
-	case <-time.After(20 * time.Second):
-		t.Error("request of a client that does not read goes on")
-	}
-}
-
-// Guards against a panic that keeps what the request held.
-func TestPanicReleases(t *testing.T) {
-	w := &world{runs: []run{{status: 200}}}
-	h := newBodyHandler(w, func(context.Context) io.Reader { panic("engine") })
-	func() {
-		defer func() { _ = recover() }()
-		handle(t, h, false, time.Second)
-	}()
-	select {
-	case <-w.freed:
-	case <-time.After(time.Second):
-		t.Error("cache is not freed")
-	}
-}
--- /dev/null
+++ b/internal/route/follow/hear.go
@@ -0,0 +1,73 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"citronrock.example/citronrock/internal/logs/panics"
+	"citronrock.example/citronrock/internal/route/notice"
+)
+
+// safely returns a panic of do as an error: what was read stays in force.
+func (f *Follower) safely(work string, do func() error) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			panics.Note(f.log, work, v)
+			err = errPanic
+		}
+	}()
+	return do()
+}
+
+// hear takes the notice of another daemon. The error tells that this daemon has
+// to read the store itself.
+func (f *Follower) hear(ctx context.Context, n heardNotice) error {
+	if n.At <= f.revision && n.Version <= f.version() {
+		f.markHeard(time.Now())
+		f.note(f.revision)
+		return nil
+	}
+	if n.Base > f.revision {
+		return errMissed
+	}
+	now := time.Now()
+	f.table.Outage(now, false)
+	var events []notice.Event
+	for _, e := range n.Events {
+		if e.Revision <= f.revision {
+			continue
+		}
+		events = append(events, e)
+		if e.Gone {
+			f.remove(now, e.ID, e.Revision, e.Lapsed)
+		} else {
+			f.put(e.Server())
+		}
+	}
+	// Notices of this daemon must have these changes, too: they tell of all
+	// changes after their base.
+	f.changed.Add(now, f.revision, events)
+	if err := f.reach(ctx, n); err != nil {
+		return err // the read has to begin before the configuration
+	}
+	f.markHeard(now)
+	f.note(max(n.At, f.revision))
+	return nil
+}
+
+// reach puts the configuration that a notice tells of in force. In a large fleet
+// the daemons that told of it give it; the store could not serve all at once.
+func (f *Follower) reach(ctx context.Context, n heardNotice) error {
+	if n.Version <= f.version() {
+		return nil
+	}
+	if f.peers.Others() <= crowd {
+		return errMissed
+	}
+	d, err := f.peers.Document(ctx, n.from, n.Version)
+	if err != nil {
+		return err
+	}
+	f.install(d)
+	return nil
+}
--- /dev/null
+++ b/internal/route/follow/large_test.go
@@ -0,0 +1,249 @@
+package follow_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/notice"
+	"citronrock.example/citronrock/internal/route/plan"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Guards against a new configuration that each daemon of a large fleet reads from
+// the store, again with each notice while the store refuses it: 6,400 of the
+// 11,600 calls of one day.
+func TestVersionComesFromPeers(t *testing.T) {
+	newer := &citronrock.State{Document: document(2), Servers: []fleet.Server{server()}, Revision: 2}
+	cases := map[string]struct {
+		others int
+		state  *citronrock.State
+		down   bool
+		// most bounds the reads of the store in three seconds.
+		most    int
+		version uint64
+	}{
+		"large fleet":                      {300, newer, false, 0, 2},
+		"large fleet, store refuses":       {300, newer, true, 0, 2},
+		"nobody gives it":                  {300, nil, false, 1, 2},
+		"nobody gives it, store refuses":   {300, nil, true, 8, 1},
+		"small fleet":                      {5, newer, false, 1, 2},
+		"nobody has a version that is new": {300, &citronrock.State{Document: document(1)}, false, 1, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{doc: document(1)}
+				s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+				p := &peers{}
+				f := follow.Start(s, fleet.New(), p, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				base := s.at
+				s.change(citronrock.Changes{Document: document(2)})
+				s.mu.Lock()
+				s.down, s.reads = c.down, 0
+				s.mu.Unlock()
+				p.others, p.state = c.others, c.state
+				for range 30 {
+					p.take(netip.AddrPort{}, notice.Notice{Base: base, At: s.at, Version: 2})
+					time.Sleep(100 * time.Millisecond)
+				}
+				synctest.Wait()
+				if v := f.Document().Version; v != c.version || s.reads > c.most {
+					t.Errorf("version %d after %d reads, want version %d after %d at most", v, s.reads, c.version, c.most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a fresh daemon that serves by a stale state: by an old version,
+// without a new server or with one that left.
+func TestStaleStateIsBroughtUpToDate(t *testing.T) {
+	gone := server()
+	gone.ID = "gone"
+	cases := map[string]struct {
+		stale     int
+		forgotten bool
+	}{
+		"nothing is missing":       {0, false},
+		"the version":              {1, false},
+		"a removal, too":           {2, false},
+		"a server, too":            {3, false},
+		"everything":               {5, false},
+		"history of it is lost":    {3, true},
+		"nothing to begin with":    {6, false},
+		"neither, and no history":  {6, true},
+		"nothing missing, no past": {0, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{doc: document(1), stale: c.stale, forgotten: c.forgotten}
+				s.change(citronrock.Changes{Document: document(1)})
+				s.change(citronrock.Changes{Servers: []fleet.Server{gone}})
+				s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+				s.change(citronrock.Changes{Removed: []citronrock.Removal{{ID: "gone"}}})
+				s.change(citronrock.Changes{Document: document(2)})
+				table := fleet.New()
+				f := follow.Start(s, table, &peers{reader: true}, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				d := f.Document()
+				if d == nil || d.Version != 2 {
+					t.Errorf("document %+v, want version 2", d)
+				}
+				if got := table.Usable(time.Now(), "s"); len(got) != 1 || got[0].ID != "a" {
+					t.Errorf("servers %+v, want the new one", got)
+				}
+			})
+		})
+	}
+}
+
+// crowd joins the followers of a fleet in memory. None of them is a reader.
+type crowd struct {
+	mu   sync.Mutex
+	all  []*member
+	told int
+}
+
+type member struct {
+	*crowd
+	take func(netip.AddrPort, notice.Notice)
+}
+
+func (m *member) Reader() bool { return false }
+
+func (m *member) Others() int { return len(m.all) - 1 }
+
+func (m *member) Handle(f func(netip.AddrPort, notice.Notice)) { m.take = f }
+
+func (m *member) Tell(n notice.Notice) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told++
+	for _, other := range m.all {
+		if other != m && other.take != nil {
+			other.take(netip.AddrPort{}, n)
+		}
+	}
+	return 0
+}
+
+func (m *member) Fetch(context.Context) (*citronrock.State, error) { return nil, notice.ErrNoPeer }
+
+func (m *member) Document(context.Context, netip.AddrPort, uint64) (*plan.Document, error) {
+	return nil, notice.ErrNoPeer
+}
+
+// refusing is a store that turns away one daemon.
+type refusing struct {
+	*store
+	from *atomic.Bool
+}
+
+func (r refusing) Watch(ctx context.Context, after uint64, wait time.Duration) (*citronrock.Changes, error) {
+	if r.from.Load() {
+		r.mu.Lock()
+		r.reads++
+		r.mu.Unlock()
+		return nil, errDown
+	}
+	return r.store.Watch(ctx, after, wait)
+}
+
+// Guards against a large fleet whose daemons all try a store that is down: 4,084
+// calls in eight seconds at 295 daemons.
+func TestOutageOfLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, span = 200, 8 * time.Second
+		s := &store{doc: document(1)}
+		s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+		c := new(crowd)
+		for range n {
+			c.all = append(c.all, &member{crowd: c})
+		}
+		for _, m := range c.all {
+			f := follow.Start(s, fleet.New(), m, hclog.NewNullLogger())
+			defer f.Close()
+		}
+		time.Sleep(8 * time.Second)
+		synctest.Wait()
+		s.mu.Lock()
+		s.reads, s.down = 0, true
+		s.mu.Unlock()
+		time.Sleep(span)
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// Two tries at first, and one in 1.5 s or more from then on.
+		if most := n * (2 + int(span/(1500*time.Millisecond))); s.reads > most {
+			t.Errorf("%d calls in %s, want %d at most", s.reads, span, most)
+		}
+	})
+}
+
+// Guards against a large fleet whose daemons all read the store when its readers
+// are turned away, 2,950 calls in eight seconds at 295 daemons, and against one
+// that hears of a removal late then.
+func TestSilentReadersAreReplaced(t *testing.T) {
+	for name, refused := range map[string]int{"store serves all": 0, "store turns away a third": 66} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n, span = 200, 12 * time.Second
+				s := &store{doc: document(1)}
+				s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+				c := new(crowd)
+				for range n {
+					c.all = append(c.all, &member{crowd: c})
+				}
+				var off atomic.Bool
+				tables := make([]*fleet.Table, n)
+				for i, m := range c.all {
+					from := citronrock.Store(s)
+					if i < refused {
+						from = refusing{s, &off}
+					}
+					tables[i] = fleet.New()
+					f := follow.Start(from, tables[i], m, hclog.NewNullLogger())
+					defer f.Close()
+				}
+				time.Sleep(8 * time.Second) // each one reads everything
+				synctest.Wait()
+				s.mu.Lock()
+				s.reads = 0
+				s.mu.Unlock()
+				off.Store(true)
+				time.Sleep(span)
+				s.change(citronrock.Changes{Removed: []citronrock.Removal{{ID: "a"}}})
+				time.Sleep(2500 * time.Millisecond)
+				synctest.Wait()
+				late := 0
+				for _, table := range tables {
+					if usable(table) != 0 {
+						late++
+					}
+				}
+				if late > 0 {
+					t.Errorf("%d daemons have not heard of a removal after 2.5 s", late)
+				}
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if most := 20 * int(span/time.Second); s.reads > most {
+					t.Errorf("%d reads of the store in %s, want %d at most", s.reads, span, most)
+				}
+			})
+		})
+	}
+}
