Let fresh daemons of a large fleet try the store as before

Cause, found by reading the diff: the longer pause of daemons that are no readers while the store is down also held for daemons that have no state yet. They waited up to 3 s after the store's return, in place of 0.6 s.

Change: the pause holds for daemons that have a state.

--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -229,7 +229,7 @@
 			fails++
 			pause = min(againFirst<<min(fails-1, 8), againLimit)
 			f.again = time.Now().Add(pause)
-			if fails >= downAfter && !f.peers.Reader() && f.peers.Others() > crowd {
+			if loaded && fails >= downAfter && !f.peers.Reader() && f.peers.Others() > crowd {
 				// The readers try on, and tell when the store is back.
 				pause = silentLimit + rand.N(silentLimit)
 			}
--- a/internal/route/follow/large_test.go
+++ b/internal/route/follow/large_test.go
@@ -247,3 +247,30 @@
 		})
 	}
 }
+
+// Guards against fresh daemons of a large fleet that stay without a configuration
+// for seconds after the store is back, since they leave the reads to readers that
+// know nothing either.
+func TestFreshDaemonsTryOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{doc: document(1), down: true}
+		s.change(citronrock.Changes{Servers: []fleet.Server{server()}})
+		var fresh []*follow.Follower
+		for range 20 {
+			f := follow.Start(s, fleet.New(), &peers{others: 300}, hclog.NewNullLogger())
+			defer f.Close()
+			fresh = append(fresh, f)
+		}
+		time.Sleep(8 * time.Second)
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for i, f := range fresh {
+			if f.Document() == nil {
+				t.Errorf("daemon %d has no configuration a second after the store's return", i)
+			}
+		}
+	})
+}
