--- a/internal/front/stream/events.go
+++ b/internal/front/stream/events.go
@@ -39,7 +39,7 @@
 }
 
 // newReader returns a reader that takes the memory of large events from a budget.
-// Close must be called.
+// close must be called.
 func newReader(in io.Reader, b *memory.Budget) *reader {
 	return &reader{in: bufio.NewReader(in), memory: b}
 }
--- a/internal/room/ledger/peak.go
+++ b/internal/room/ledger/peak.go
@@ -23,9 +23,9 @@
 	return growth{held: (r.Prompt + r.Made + block - 1) / block * block, rest: rest, expect: r.Expect}
 }
 
-// doubtful is the memory in tokens by which the need of runs may differ from what
-// is expected, when the outputs of single runs differ from theirs by spread.
-func doubtful(runs []growth, spread float64) float64 {
+// deviation is the standard deviation of the memory that runs need, in tokens,
+// where that of a single output is spread as a share of what is expected.
+func deviation(runs []growth, spread float64) float64 {
 	sum := 0.0
 	for _, r := range runs {
 		sum += float64(r.expect) * float64(r.expect)
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -175,7 +175,7 @@
 func need(runs []growth, a *Ask, spread float64) (tokens, slots int) {
 	added := Run{Prompt: a.Prompt, Expect: a.Expect}
 	list := append(runs, added.growth())
-	return peak(list) + int(deviations*doubtful(list, spread)), len(list)
+	return peak(list) + int(deviations*deviation(list, spread)), len(list)
 }
 
 // reader returns the prefill engine with the fewest tokens to read before an
