--- a/cmd/citronrock-front/main.go
+++ b/cmd/citronrock-front/main.go
@@ -92,7 +92,7 @@
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	r, err := router.Start(settings, router.Parts{
 		Store:    platform.NewStore(settings.Store, log, platform.WithCalls(func() { calls.Add(1) })),
-		Backends: platform.NewBackends(trip.New(trip.WithOpened(func() { opened.Add(1) }))),
+		Backends: platform.NewBackends(trip.New(trip.WithOpened(func() { opened.Add(1) })), log),
 		Ingress:  platform.Ingress{},
 		Log:      log,
 		Meter:    m,
--- a/edge.go
+++ b/edge.go
@@ -30,6 +30,9 @@
 	Order(ctx context.Context, s fleet.Server, o grant.Order) error
 	// Free releases a KV cache that will not be used.
 	Free(ctx context.Context, cache *entry.Cache) error
+	// Listen sets the function that takes what answers say of their servers,
+	// before the answers are passed on. It must be called before all else.
+	Listen(func(fleet.Server, fleet.Signal))
 }
 
 // Ingress translates between clients and the router.
@@ -49,13 +52,13 @@
 	Servers  []fleet.Server
 	Removed  []Removal
 	// Revision is what to ask for next.
-	Revision uint64
+	Revision fleet.Revision
 }
 
 // Removal is the removal of a backend server's entry.
 type Removal struct {
 	ID       string
-	Revision uint64
+	Revision fleet.Revision
 }
 
 // State is everything that is published.
@@ -63,7 +66,7 @@
 	// Document is nil when nothing is published yet.
 	Document *plan.Document
 	Servers  []fleet.Server
-	Revision uint64
+	Revision fleet.Revision
 }
 
 // Store reads what the platform and the operators publish.
@@ -72,6 +75,7 @@
 	// Watch brings it up to date.
 	Load(ctx context.Context, stale bool) (*State, error)
 	// Watch returns the changes after a revision. It waits up to wait for the
-	// first one. ErrHistory means that Load is needed.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	// first one. ErrHistory means that Load is needed: the changes are not known
+	// any more, or the store has come back from an older copy.
+	Watch(ctx context.Context, after fleet.Revision, wait time.Duration) (*Changes, error)
 }
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -12,6 +12,7 @@
 	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/peer/gram"
 	"citronrock.example/citronrock/internal/room/grant"
+	"citronrock.example/citronrock/internal/route/fleet"
 	"github.com/rotisserie/eris"
 )
 
@@ -25,7 +26,7 @@
 	Started  time.Time             `json:"started"`
 	Ready    bool                  `json:"ready"`
 	Version  uint64                `json:"version"`
-	Revision uint64                `json:"revision"`
+	Revision fleet.Revision        `json:"revision"`
 	Age      time.Duration         `json:"age"`
 	Open     int                   `json:"open"`
 	Peers    []Peer                `json:"peers"`
@@ -57,7 +58,7 @@
 	Domain   string         `json:"domain"`
 	Stage    string         `json:"stage"`
 	Leaving  bool           `json:"leaving"`
-	Revision uint64         `json:"revision"`
+	Revision fleet.Revision `json:"revision"`
 }
 
 // Status returns the state for operators.
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -76,6 +76,7 @@
 	table    *fleet.Table
 	prober   *probe.Prober
 	guard    *crash.Guard
+	notices  *notice.Node
 	grants   *grant.Node
 	follower *follow.Follower
 	server   *serve.Server
@@ -119,7 +120,11 @@
 	r.beats = beat.Start(r.socket, self, s.Seeds, p.Log)
 	r.table = fleet.New(
 		fleet.WithChanged(func() { r.grants.Refresh() }),
-		fleet.WithSuspect(func(s fleet.Server) { r.prober.Suspect(s) }))
+		fleet.WithSuspect(func(s fleet.Server) { r.prober.Suspect(s) }),
+		fleet.WithLeft(r.tellLeaving))
+	r.notices = notice.New(s.Peer, r.socket, r.beats)
+	r.notices.HandleLeaving(r.heardLeaving)
+	p.Backends.Listen(r.heardServer)
 	r.guard = crash.New(s.Peer, r.socket, r.beats, p.Log)
 	r.prober = probe.New(r.table, r.same, p.Log, probe.WithLost(r.guard.Lost))
 	r.grants = grant.Start(self, s.Domain, r.socket, r.beats, r.table, p.Backends, p.Log)
@@ -135,7 +140,7 @@
 		r.closePeers()
 		return nil, err
 	}
-	r.follower = follow.Start(p.Store, r.table, notice.New(s.Peer, r.socket, r.beats), p.Log, follow.WithApply(r.apply))
+	r.follower = follow.Start(p.Store, r.table, r.notices, p.Log, follow.WithApply(r.apply))
 	if err := r.listen(); err != nil {
 		r.follower.Close()
 		r.closePeers()
@@ -177,6 +182,28 @@
 	return r.listenReady()
 }
 
+// heardServer takes what an answer said of its server.
+func (r *Router) heardServer(s fleet.Server, signal fleet.Signal) {
+	if signal.Wait > 0 {
+		r.log.Info("server to be left alone", "server", s.ID, "wait", lines.Ms(signal.Wait))
+	}
+	r.table.Heard(time.Now(), s, signal)
+}
+
+// tellLeaving tells the others of a process that takes no new work.
+func (r *Router) tellLeaving(s fleet.Server) {
+	r.log.Info("server leaves by its own answer", "server", s.ID, "service", s.Service, "born", s.Born.UnixMilli())
+	r.notices.TellLeaving(s.Process())
+}
+
+// heardLeaving takes a process of which another daemon tells that it takes no new
+// work.
+func (r *Router) heardLeaving(p fleet.Process) {
+	if r.table.MarkLeaving(time.Now(), p) {
+		r.log.Info("server leaves by the word of another daemon", "server", p.ID, "born", p.Born)
+	}
+}
+
 // same tells whether a backend server is still the one of its entry.
 func (r *Router) same(ctx context.Context, s fleet.Server) (bool, error) {
 	path := ""
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
@@ -181,7 +182,7 @@
 		Slack: slack, Patience: max(slack, 0) + time.Duration(latePatience*float64(j.route.Target)),
 		Back:    time.Duration(backPatience * float64(j.route.Target)),
 		Return:  time.Duration(returnShare * float64(time.Until(j.deadline))),
-		Subject: subject(j.call), Read: j.cache != nil, Begun: j.begun, Without: j.without, Rank: j.route.Rank}
+		Subject: subject(j.call), Read: j.cache != nil, Begun: j.begun, Without: j.unusable(), Rank: j.route.Rank}
 	if limit := time.Until(j.deadline) / 2; ask.Back > limit {
 		ask.Back = limit
 	}
@@ -207,6 +208,12 @@
 	return false
 }
 
+// unusable returns the engines that must not be granted: those that failed this
+// request, and those that want no request of this daemon for a while.
+func (j *job) unusable() []string {
+	return slices.Concat(j.without, j.table.Barred(time.Now(), j.service.Name))
+}
+
 // countSend counts a sending; the first one adds to the budget for repeats.
 func (j *job) countSend() {
 	if j.sends == 0 {
@@ -221,7 +228,7 @@
 // attempt logs a sending that gave no answer.
 func (j *job) attempt(part string, s fleet.Server, begun time.Time, f *entry.Fault) {
 	j.log.Info(lines.Attempt, "request", j.call.ID, "service", j.service.Name, "part", part, "server", s.ID,
-		"entry", s.Revision, "send", j.sends, "fault", f.Fault.String(), "full", f.Full, "error", f.Error(),
+		"entry", s.Revision.String(), "send", j.sends, "fault", f.Fault.String(), "full", f.Full, "error", f.Error(),
 		"took", lines.Ms(time.Since(begun)))
 }
 
@@ -237,7 +244,7 @@
 		return j.elsewhere(ctx, j.lease.Decode, "", true)
 	}
 	s, ok := j.table.Get(time.Now(), j.lease.Prefill)
-	if !ok {
+	if !ok || j.table.IsBarred(time.Now(), s) {
 		return j.elsewhere(ctx, j.lease.Prefill, "", true)
 	}
 	cut, cancel := context.WithTimeout(ctx, prefillTimeout)
@@ -282,7 +289,7 @@
 // decode has the answer made and passes it on.
 func (j *job) decode(ctx context.Context) step {
 	s, ok := j.table.Get(time.Now(), j.lease.Decode)
-	if !ok {
+	if !ok || j.table.IsBarred(time.Now(), s) {
 		return j.elsewhere(ctx, j.lease.Decode, "", true)
 	}
 	j.countSend()
@@ -332,6 +339,12 @@
 			j.dropCache(ctx)
 		}
 		return j.elsewhere(ctx, s.ID, "", true)
+	case f.Fault == event.FaultRefused && j.cache != nil && j.table.IsBarred(time.Now(), s):
+		// The engine wants nothing for a while, so that the KV cache is not the reason.
+		if time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
+			j.dropCache(ctx)
+		}
+		return j.elsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
 	case f.Fault == event.FaultRefused && f.Full && j.cache != nil:
 		// The ledger had room, so that a lost cache is the likelier cause: the
 		// caches of some engines lapse early.
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -50,7 +50,9 @@
 	sends    []entry.Options
 	asks     []ledger.Ask
 	readers  []string
-	freed    chan string
+	// sending is called before each sending, nil for nothing.
+	sending func(to string)
+	freed   chan string
 }
 
 func (w *world) Acquire(_ context.Context, a ledger.Ask) (*grant.Lease, error) {
@@ -82,6 +84,9 @@
 
 func (w *world) Send(ctx context.Context, s fleet.Server, c *entry.Call, o entry.Options) (*entry.Reply, error) {
 	w.sends = append(w.sends, o)
+	if w.sending != nil {
+		w.sending(s.ID)
+	}
 	r := w.runs[min(len(w.sends), len(w.runs))-1]
 	if r.fault != nil {
 		return nil, r.fault
@@ -322,3 +327,43 @@
 		t.Errorf("body %q, result %q, %d asks; want the whole stream without a ledger", rec.Body, o.Result, len(w.asks))
 	}
 }
+
+// Guards against grants of engines that want no request of this daemon for a while,
+// and against a prompt that is read again since such an engine turned it away.
+func TestEngineLeftAlone(t *testing.T) {
+	full := &entry.Fault{Fault: event.FaultRefused, Full: true, Err: errors.New("503")}
+	cases := map[string]struct {
+		// before names engines left alone before the request, during the one that the
+		// first sending finds so.
+		before, during string
+		runs           []run
+		reads          []string
+		sends          int
+	}{
+		"decode engine before":  {"d1", "", []run{{status: 200, from: 1, to: 4}}, []string{"p1"}, 1},
+		"prefill engine before": {"p1", "", []run{{status: 200, from: 1, to: 4}}, []string{"p2"}, 1},
+		"decode engine refuses": {"", "d1", []run{{fault: full}, {status: 200, from: 1, to: 4}}, []string{"p1"}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := &world{runs: c.runs, freed: make(chan string, 8)}
+			servers := table()
+			alone := func(id string) {
+				if s, ok := servers.Get(time.Now(), id); ok {
+					servers.Heard(time.Now(), s, fleet.Signal{Wait: 2 * time.Second})
+				}
+			}
+			alone(c.before)
+			w.sending = func(to string) {
+				if to == c.before {
+					t.Errorf("request sent to %s", to)
+				}
+				alone(c.during)
+			}
+			rec, _ := handle(t, newHandler(servers, w), false, 2*time.Second)
+			if rec.Code != http.StatusOK || rec.Body.String() != events(4) || len(w.sends) != c.sends || !slices.Equal(w.readers, c.reads) {
+				t.Errorf("status %d after %d sendings, prompts read by %v; want %d sendings, read by %v", rec.Code, len(w.sends), w.readers, c.sends, c.reads)
+			}
+		})
+	}
+}
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -185,8 +185,9 @@
 
 func (j *job) verdict(f event.Fault, budget func() bool) retry.Verdict {
 	left := time.Until(j.deadline)
+	after := max(time.Duration(comeBack*float64(left)), j.table.Opens(time.Now(), j.service), time.Millisecond)
 	return retry.Decide(retry.State{Fault: f, Earlier: j.earlier, Idempotent: j.route.Kind == plan.Idempotent,
-		Budget: budget, Left: left, After: max(time.Duration(comeBack*float64(left)), time.Millisecond)})
+		Budget: budget, Left: left, After: after})
 }
 
 // send makes one attempt. A fault may come with an answer, when a server reports
@@ -220,7 +221,7 @@
 		if err != nil {
 			text = err.Error()
 		}
-		j.log.Info(lines.Attempt, "request", j.call.ID, "service", j.service, "server", s.ID, "entry", s.Revision,
+		j.log.Info(lines.Attempt, "request", j.call.ID, "service", j.service, "server", s.ID, "entry", s.Revision.String(),
 			"send", j.sends, "fault", fault.String(), "error", text, "took", lines.Ms(took))
 	}
 	return a, fault
--- a/internal/front/unary/unary_test.go
+++ b/internal/front/unary/unary_test.go
@@ -174,3 +174,35 @@
 	}, picks))
 	ps.TestingRun(t)
 }
+
+// Guards against requests to servers that want none for a while, which only add to
+// the refusals, and against clients that come back before any server is open.
+func TestServersLeftAlone(t *testing.T) {
+	cases := map[string]struct {
+		wait   map[string]time.Duration
+		status int
+		sends  int
+		after  time.Duration
+	}{
+		"one of two": {map[string]time.Duration{"a": time.Second}, http.StatusOK, 1, 0},
+		"both":       {map[string]time.Duration{"a": 700 * time.Millisecond, "b": time.Second}, http.StatusServiceUnavailable, 0, 600 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &servers{steps: []step{fine}}
+			table := fleet.New()
+			for _, id := range []string{"a", "b"} {
+				e := fleet.Server{ID: id, Service: "s", Beat: 1, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+				table.Put(e)
+				table.Heard(time.Now(), e, fleet.Signal{Wait: c.wait[id]})
+			}
+			h := unary.New(table, s, ingress{}, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+			route := &plan.Route{Name: "r", Kind: plan.Unrepeatable, Timeout: time.Second, Target: 100 * time.Millisecond, Attempts: 1}
+			rec := httptest.NewRecorder()
+			o := h.Serve(t.Context(), rec, &entry.Call{ID: "c", Method: http.MethodPost, Received: time.Now()}, route, "s", time.Now().Add(time.Second))
+			if rec.Code != c.status || len(s.sent) != c.sends || o.After < c.after {
+				t.Errorf("status %d after %d sendings, back in %v; want %d after %d, in %v", rec.Code, len(s.sent), o.After, c.status, c.sends, c.after)
+			}
+		})
+	}
+}
--- a/internal/peer/gram/gram.go
+++ b/internal/peer/gram/gram.go
@@ -27,10 +27,11 @@
 	Report
 	Notice
 	Strike
+	Leave
 )
 
 // Kinds are the names of all kinds.
-var Kinds = map[Kind]string{Beat: "beat", Ask: "ask", Answer: "answer", Drop: "drop", Report: "report", Notice: "notice", Strike: "strike"}
+var Kinds = map[Kind]string{Beat: "beat", Ask: "ask", Answer: "answer", Drop: "drop", Report: "report", Notice: "notice", Strike: "strike", Leave: "leave"}
 
 const (
 	// version changes with each incompatible change of a message.
--- a/internal/room/grant/balance.go
+++ b/internal/room/grant/balance.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		s, ok := n.fleet.Get(now, c.Engine)
-		if !ok {
+		if !ok || n.fleet.IsBarred(now, s) {
 			l.Kept(c.Engine)
 			continue
 		}
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -24,7 +24,7 @@
 	for service, l := range n.ledgers {
 		for _, id := range l.Inspect(now) {
 			s, ok := n.fleet.Get(now, id)
-			if !ok {
+			if !ok || n.fleet.IsBarred(now, s) {
 				continue
 			}
 			go n.usage(service, s)
--- a/internal/route/fleet/choose.go
+++ b/internal/route/fleet/choose.go
@@ -33,7 +33,7 @@
 	var best *record
 	var low time.Duration
 	for _, r := range t.servers {
-		if r.Service != service || r.Stage == Prefill || !t.usable(now, r) || slices.Contains(without, r.ID) {
+		if r.Service != service || r.Stage == Prefill || !t.usable(now, r) || t.isBarred(now, r.Process()) || slices.Contains(without, r.ID) {
 			continue
 		}
 		cost := r.cost(now, domain, least)
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -49,20 +49,12 @@
 	// never replaces one with a later start.
 	Born time.Time
 	// Revision is the version of the entry in the platform's store.
-	Revision uint64
+	Revision Revision
 	// Beat counts the entries that the server's process has written. A late entry
 	// may be written after a newer one.
 	Beat uint64
 }
 
-// key names one process of a backend server.
-type key struct {
-	id   string
-	born int64
-}
-
-func (s *Server) key() key { return key{s.ID, s.Born.UnixMilli()} }
-
 // Times of the table.
 const (
 	// returnGrace is how long a server whose entry vanished around an outage of
@@ -90,15 +82,21 @@
 type Table struct {
 	mu      sync.Mutex
 	servers map[string]*record
-	wrong   map[key]time.Time
+	wrong   map[Process]time.Time
 	// left holds the last entry of processes whose entries were removed, so that a
 	// late entry does not bring them back.
-	left map[key]uint64
+	left map[Process]uint64
+	// leaving holds the processes that take no new work by their own answers, with
+	// the time of the first such answer.
+	leaving map[Process]time.Time
+	// barred holds the processes that want no request of this daemon until a time.
+	barred map[Process]time.Time
 	// outageEnd is when the store last came back.
 	outageEnd time.Time
 	outage    bool
 	changed   func()
 	suspect   func(Server)
+	told      func(Server)
 }
 
 // Option changes a setting of a table.
@@ -114,7 +112,9 @@
 
 // New returns an empty table.
 func New(opts ...Option) *Table {
-	t := &Table{servers: map[string]*record{}, wrong: map[key]time.Time{}, left: map[key]uint64{}, changed: func() {}, suspect: func(Server) {}}
+	t := &Table{servers: map[string]*record{}, wrong: map[Process]time.Time{}, left: map[Process]uint64{},
+		leaving: map[Process]time.Time{}, barred: map[Process]time.Time{},
+		changed: func() {}, suspect: func(Server) {}, told: func(Server) {}}
 	for _, o := range opts {
 		o(t)
 	}
@@ -131,18 +131,26 @@
 	t.outage = down
 }
 
+// Restored tells the table that the store has come back from an older copy.
+// Entries that it lacks may be written again, as after an outage.
+func (t *Table) Restored(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outage, t.outageEnd = false, now
+}
+
 // Put takes a published entry. It reports whether it changed the table.
 func (t *Table) Put(s Server) bool {
 	t.mu.Lock()
 	r := t.servers[s.ID]
-	last, left := t.left[s.key()]
-	if r != nil && (s.Born.Before(r.Born) || s.Revision < r.Revision || s.key() == r.key() && s.Beat < r.Beat) ||
+	last, left := t.left[s.Process()]
+	if r != nil && (s.Born.Before(r.Born) || s.Revision.Before(r.Revision) || s.Process() == r.Process() && s.Beat < r.Beat) ||
 		left && s.Beat <= last {
 		t.mu.Unlock()
 		return false
 	}
-	delete(t.left, s.key())
-	fresh := r == nil || r.key() != s.key() || r.Addr != s.Addr
+	delete(t.left, s.Process())
+	fresh := r == nil || r.Process() != s.Process() || r.Addr != s.Addr
 	if fresh {
 		t.servers[s.ID] = &record{Server: s}
 	} else {
@@ -169,10 +177,10 @@
 // Remove takes the removal of an entry. A server whose entry lapsed around an
 // outage stays in use for a short while, since it may only have been unable to
 // renew its entry.
-func (t *Table) Remove(now time.Time, id string, revision uint64, lapsed bool) bool {
+func (t *Table) Remove(now time.Time, id string, revision Revision, lapsed bool) bool {
 	t.mu.Lock()
 	r := t.servers[id]
-	if r == nil || revision < r.Revision || !r.goneAt.IsZero() {
+	if r == nil || revision.Before(r.Revision) || !r.goneAt.IsZero() {
 		t.mu.Unlock()
 		return false
 	}
@@ -182,7 +190,7 @@
 			r.goneAt = t.outageEnd
 		}
 	} else {
-		t.left[r.key()] = r.Beat
+		t.left[r.Process()] = r.Beat
 		delete(t.servers, id)
 	}
 	t.mu.Unlock()
@@ -191,7 +199,7 @@
 }
 
 // Reset replaces all entries, after a full read of the store at a revision.
-func (t *Table) Reset(now time.Time, all []Server, revision uint64) {
+func (t *Table) Reset(now time.Time, all []Server, revision Revision) {
 	seen := make(map[string]bool, len(all))
 	for _, s := range all {
 		seen[s.ID] = true
@@ -200,7 +208,7 @@
 	t.mu.Lock()
 	var lost []string
 	for id, r := range t.servers {
-		if !seen[id] && r.Revision <= revision {
+		if !seen[id] && r.Revision.Compare(revision) <= 0 {
 			lost = append(lost, id)
 		}
 	}
@@ -213,7 +221,7 @@
 // Misdirected records that another server answered at the address of s.
 func (t *Table) Misdirected(now time.Time, s Server) {
 	t.mu.Lock()
-	t.wrong[s.key()] = now
+	t.wrong[s.Process()] = now
 	t.mu.Unlock()
 	t.changed()
 }
@@ -223,7 +231,10 @@
 	if r.Leaving || !r.goneAt.IsZero() && now.Sub(r.goneAt) > returnGrace {
 		return false
 	}
-	at, wrong := t.wrong[r.key()]
+	if _, leaving := t.leaving[r.Process()]; leaving {
+		return false
+	}
+	at, wrong := t.wrong[r.Process()]
 	return !wrong || now.Sub(at) > misdirectedFor
 }
 
--- a/internal/route/fleet/fleet_test.go
+++ b/internal/route/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 
 func server(id string, beat, revision uint64) fleet.Server {
 	return fleet.Server{ID: id, Service: "s", Domain: "a", Addr: netip.MustParseAddrPort("10.0.0.1:80"),
-		Born: time.UnixMilli(1000), Beat: beat, Revision: revision}
+		Born: time.UnixMilli(1000), Beat: beat, Revision: fleet.Revision{Number: revision}}
 }
 
 func leaving(s fleet.Server) fleet.Server {
@@ -41,12 +41,12 @@
 		}, false},
 		"late entry after removal": {func(t *fleet.Table) {
 			t.Put(server("x", 5, 2))
-			t.Remove(t0, "x", 3, false)
+			t.Remove(t0, "x", fleet.Revision{Number: 3}, false)
 			t.Put(server("x", 5, 4))
 		}, false},
 		"new entry after removal": {func(t *fleet.Table) {
 			t.Put(server("x", 5, 2))
-			t.Remove(t0, "x", 3, false)
+			t.Remove(t0, "x", fleet.Revision{Number: 3}, false)
 			t.Put(server("x", 9, 4))
 		}, true},
 		"new process under the same name": {func(t *fleet.Table) {
@@ -57,12 +57,12 @@
 			t.Put(reborn(leaving(server("x", 1, 2))))
 			t.Put(server("x", 9, 3))
 		}, false},
-		"removed":                  {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Remove(t0, "x", 2, false) }, false},
-		"removal that is outdated": {func(t *fleet.Table) { t.Put(server("x", 1, 5)); t.Remove(t0, "x", 4, false) }, true},
-		"lapsed":                   {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Remove(t0, "x", 2, true) }, true},
+		"removed":                  {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Remove(t0, "x", fleet.Revision{Number: 2}, false) }, false},
+		"removal that is outdated": {func(t *fleet.Table) { t.Put(server("x", 1, 5)); t.Remove(t0, "x", fleet.Revision{Number: 4}, false) }, true},
+		"lapsed":                   {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Remove(t0, "x", fleet.Revision{Number: 2}, true) }, true},
 		"lapsed while leaving": {func(t *fleet.Table) {
 			t.Put(leaving(server("x", 1, 1)))
-			t.Remove(t0, "x", 2, true)
+			t.Remove(t0, "x", fleet.Revision{Number: 2}, true)
 		}, false},
 		"other server at the address": {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Misdirected(t0, server("x", 1, 1)) }, false},
 		"new process after another server at the address": {func(t *fleet.Table) {
@@ -70,13 +70,13 @@
 			t.Misdirected(t0, server("x", 1, 1))
 			t.Put(reborn(server("x", 1, 2)))
 		}, true},
-		"missing in a full read":   {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Reset(t0, nil, 9) }, false},
-		"newer than the full read": {func(t *fleet.Table) { t.Put(server("x", 1, 10)); t.Reset(t0, nil, 9) }, true},
+		"missing in a full read":   {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.Reset(t0, nil, fleet.Revision{Number: 9}) }, false},
+		"newer than the full read": {func(t *fleet.Table) { t.Put(server("x", 1, 10)); t.Reset(t0, nil, fleet.Revision{Number: 9}) }, true},
 		"missing after an outage": {func(t *fleet.Table) {
 			t.Put(server("x", 1, 1))
 			t.Outage(t0, true)
 			t.Outage(t0, false)
-			t.Reset(t0, nil, 9)
+			t.Reset(t0, nil, fleet.Revision{Number: 9})
 		}, true},
 		"down, no other can be had": {func(t *fleet.Table) { t.Put(server("x", 1, 1)); t.SetDown(server("x", 1, 1), true) }, true},
 	}
@@ -96,7 +96,7 @@
 func TestLapsedServerEnds(t *testing.T) {
 	table := fleet.New()
 	table.Put(server("x", 1, 1))
-	table.Remove(t0, "x", 2, true)
+	table.Remove(t0, "x", fleet.Revision{Number: 2}, true)
 	if _, ok := table.Get(t0.Add(2*time.Second), "x"); ok {
 		t.Error("server is used two seconds after its entry lapsed")
 	}
--- a/internal/route/fleet/health.go
+++ b/internal/route/fleet/health.go
@@ -104,7 +104,7 @@
 func (t *Table) SetDown(s Server, down bool) bool {
 	t.mu.Lock()
 	r := t.servers[s.ID]
-	if r == nil || r.key() != s.key() {
+	if r == nil || r.Process() != s.Process() {
 		t.mu.Unlock()
 		return false
 	}
@@ -142,7 +142,7 @@
 	defer t.mu.Unlock()
 	var out []string
 	for id, r := range t.servers {
-		_, wrong := t.wrong[r.key()]
+		_, wrong := t.wrong[r.Process()]
 		if r.Service == service && (wrong || r.health.resting(now)) {
 			out = append(out, id)
 		}
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -59,7 +59,10 @@
 
 var (
 	errMissed = errors.New("changes before the notice were missed")
-	errPanic  = errors.New("what was read could not be applied")
+	// errEra means that the store has come back from an older copy, so that the
+	// revisions that this daemon knows say nothing any more.
+	errEra   = errors.New("store has come back in a later era")
+	errPanic = errors.New("what was read could not be applied")
 )
 
 // heardNotice is a notice and the daemon that sent it.
@@ -114,7 +117,9 @@
 	failed   atomic.Bool
 	mu       sync.Mutex
 	read     time.Time
-	revision uint64
+	revision fleet.Revision
+	// newest is the newest era of the store that this daemon has heard of.
+	newest uint64
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -172,11 +177,11 @@
 
 // Age returns the time since the state was last known to be the newest and the
 // store's revision then, zero before the first read.
-func (f *Follower) Age() (time.Duration, uint64) {
+func (f *Follower) Age() (time.Duration, fleet.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.read.IsZero() {
-		return 0, 0
+		return 0, fleet.Revision{}
 	}
 	return time.Since(f.read), f.revision
 }
@@ -191,9 +196,17 @@
 		case <-ctx.Done():
 			return
 		case n := <-f.notices:
-			if !loaded || f.safely("notice", func() error { return f.hear(ctx, n) }) == nil {
+			if !loaded {
 				continue
 			}
+			err := f.safely("notice", func() error { return f.hear(ctx, n) })
+			if err == nil {
+				continue
+			}
+			if errors.Is(err, errEra) {
+				f.log.Warn("store has come back from an older copy, reading everything", "era", n.Era, "revision", f.revision.String())
+				loaded, f.loading = false, time.Now()
+			}
 			if time.Now().Before(f.again) {
 				continue // the store refused a moment ago
 			}
@@ -221,7 +234,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, citronrock.ErrHistory):
-			f.log.Warn("history of the store lost, reading everything", "revision", f.revision)
+			f.log.Warn("history of the store lost, reading everything", "revision", f.revision.String(), "error", err.Error())
 			loaded, pause, f.loading = false, 0, time.Now()
 		case errors.Is(err, errOthersLoad):
 			pause = crowdPause
@@ -234,14 +247,14 @@
 				pause = silentLimit + rand.N(silentLimit)
 			}
 			if fails == downAfter {
-				f.log.Warn("store lost", "error", err.Error(), "revision", f.revision)
+				f.log.Warn("store lost", "error", err.Error(), "revision", f.revision.String())
 			}
 			if fails >= downAfter {
 				f.table.Outage(time.Now(), true)
 			}
 		default:
 			if fails >= downAfter {
-				f.log.Info("store regained", "fails", fails, "revision", f.revision)
+				f.log.Info("store regained", "fails", fails, "revision", f.revision.String())
 			}
 			fails, loaded = 0, true
 		}
@@ -260,15 +273,15 @@
 	changed := f.table.Put(s)
 	if changed {
 		f.log.Info("server changed", "server", s.ID, "service", s.Service, "addr", s.Addr.String(),
-			"stage", s.Stage.String(), "leaving", s.Leaving, "revision", s.Revision, "beat", s.Beat)
+			"stage", s.Stage.String(), "leaving", s.Leaving, "revision", s.Revision.String(), "beat", s.Beat)
 	}
 	return changed
 }
 
-func (f *Follower) remove(now time.Time, id string, revision uint64, lapsed bool) bool {
+func (f *Follower) remove(now time.Time, id string, revision fleet.Revision, lapsed bool) bool {
 	changed := f.table.Remove(now, id, revision, lapsed)
 	if changed {
-		f.log.Info("server removed", "server", id, "revision", revision, "lapsed", lapsed)
+		f.log.Info("server removed", "server", id, "revision", revision.String(), "lapsed", lapsed)
 	}
 	return changed
 }
@@ -314,7 +327,7 @@
 	}
 	for _, r := range c.Removed {
 		if f.remove(now, r.ID, r.Revision, lapsed) {
-			events = append(events, notice.Event{Revision: r.Revision, ID: r.ID, Gone: true, Lapsed: lapsed})
+			events = append(events, notice.Event{Revision: r.Revision.Number, ID: r.ID, Gone: true, Lapsed: lapsed})
 		}
 	}
 	before := f.version()
@@ -330,7 +343,7 @@
 func (f *Follower) tell(now time.Time) {
 	if !f.peers.Reader() {
 		if f.peers.Others() > crowd && now.Sub(f.heard) > noticeLife {
-			f.peers.Tell(f.changed.Notice(f.revision, f.version()))
+			f.peers.Tell(f.notice())
 			f.markHeard(now)
 		}
 		return
@@ -339,7 +352,7 @@
 		return
 	}
 	f.untold, f.told = false, now
-	f.next = now.Add(f.peers.Tell(f.changed.Notice(f.revision, f.version())))
+	f.next = now.Add(f.peers.Tell(f.notice()))
 }
 
 // install puts a configuration in force unless it is older than the one that
@@ -354,8 +367,14 @@
 	f.log.Info("configuration in force", "version", d.Version, "routes", len(d.Routes), "services", len(d.Services))
 }
 
-func (f *Follower) note(revision uint64) {
+// notice returns what this daemon tells the others.
+func (f *Follower) notice() notice.Notice {
+	return f.changed.Notice(f.revision, f.version())
+}
+
+func (f *Follower) note(revision fleet.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.read, f.revision = time.Now(), revision
+	f.newest = max(f.newest, revision.Era)
 }
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,21 +31,26 @@
 	loads   int
 	// forgotten makes reads of changes fail as if the history was lost.
 	forgotten bool
+	// era counts the returns from an older copy.
+	era uint64
 	// stale is the number of the newest changes that a stale state lacks.
 	stale int
 }
 
+// revision is the store's. The lock is held.
+func (s *store) revision() fleet.Revision { return fleet.Revision{Era: s.era, Number: s.at} }
+
 func (s *store) change(c citronrock.Changes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.at++
 	for i := range c.Servers {
-		c.Servers[i].Revision = s.at
+		c.Servers[i].Revision = s.revision()
 	}
 	for i := range c.Removed {
-		c.Removed[i].Revision = s.at
+		c.Removed[i].Revision = s.revision()
 	}
-	c.Revision = s.at
+	c.Revision = s.revision()
 	s.history = append(s.history, c)
 	if c.Document != nil {
 		s.doc = c.Document
@@ -82,20 +88,39 @@
 			delete(all, r.ID)
 		}
 	}
-	out := &citronrock.State{Document: doc, Revision: at}
+	out := &citronrock.State{Document: doc, Revision: fleet.Revision{Era: s.era, Number: at}}
 	for _, e := range all {
 		out.Servers = append(out.Servers, e)
 	}
 	return out, nil
 }
 
-func (s *store) changedSince(after uint64) bool {
+func (s *store) changedSince(after fleet.Revision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision() != after
+}
+
+// restore brings the store back from a copy that lacks the newest n changes.
+func (s *store) restore(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.at > after
+	s.era++
+	s.history = slices.Clone(s.history[:len(s.history)-n])
+	s.at, s.doc = uint64(len(s.history)), nil
+	for i := range s.history {
+		s.history[i].Revision.Era = s.era
+		s.history[i].Servers = slices.Clone(s.history[i].Servers)
+		for j := range s.history[i].Servers {
+			s.history[i].Servers[j].Revision.Era = s.era
+		}
+		if d := s.history[i].Document; d != nil {
+			s.doc = d
+		}
+	}
 }
 
-func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (*citronrock.Changes, error) {
+func (s *store) Watch(ctx context.Context, after fleet.Revision, wait time.Duration) (*citronrock.Changes, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && !s.changedSince(after); {
 		select {
 		case <-ctx.Done():
@@ -109,12 +134,12 @@
 	if s.down {
 		return nil, errDown
 	}
-	if s.forgotten {
+	if s.forgotten || after.Era != s.era || after.Number > s.at {
 		return nil, citronrock.ErrHistory
 	}
-	out := &citronrock.Changes{Revision: s.at}
+	out := &citronrock.Changes{Revision: s.revision()}
 	for _, c := range s.history {
-		if c.Revision > after {
+		if after.Before(c.Revision) {
 			out.Servers = append(out.Servers, c.Servers...)
 			out.Removed = append(out.Removed, c.Removed...)
 			if c.Document != nil {
@@ -243,7 +268,7 @@
 func TestFreshDaemonFetchesState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{down: true}
-		p := &peers{state: &citronrock.State{Document: document(3), Servers: []fleet.Server{server()}, Revision: 7}}
+		p := &peers{state: &citronrock.State{Document: document(3), Servers: []fleet.Server{server()}, Revision: fleet.Revision{Number: 7}}}
 		table := fleet.New()
 		f := follow.Start(s, table, p, hclog.NewNullLogger())
 		defer f.Close()
@@ -259,7 +284,7 @@
 // when they start together, and against one that serves what a stale daemon
 // knows.
 func TestCrowdLoadsFromPeers(t *testing.T) {
-	known := &citronrock.State{Document: document(3), Servers: []fleet.Server{server()}, Revision: 1}
+	known := &citronrock.State{Document: document(3), Servers: []fleet.Server{server()}, Revision: fleet.Revision{Number: 1}}
 	cases := map[string]struct {
 		others          int
 		state           *citronrock.State
--- a/internal/route/follow/hear.go
+++ b/internal/route/follow/hear.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/logs/panics"
+	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/notice"
 )
 
@@ -22,26 +23,31 @@
 // hear takes the notice of another daemon. The error tells that this daemon has
 // to read the store itself.
 func (f *Follower) hear(ctx context.Context, n heardNotice) error {
-	if n.At <= f.revision && n.Version <= f.version() {
+	switch {
+	case n.Era < f.revision.Era:
+		return nil // its sender has not read the store since it came back
+	case n.Era > f.revision.Era:
+		f.newest = max(f.newest, n.Era)
+		return errEra
+	case n.At <= f.revision.Number && n.Version <= f.version():
 		f.markHeard(time.Now())
 		f.note(f.revision)
 		return nil
-	}
-	if n.Base > f.revision {
+	case n.Base > f.revision.Number:
 		return errMissed
 	}
 	now := time.Now()
 	f.table.Outage(now, false)
 	var events []notice.Event
 	for _, e := range n.Events {
-		if e.Revision <= f.revision {
+		if e.Revision <= f.revision.Number {
 			continue
 		}
 		events = append(events, e)
 		if e.Gone {
-			f.remove(now, e.ID, e.Revision, e.Lapsed)
+			f.remove(now, e.ID, e.At(n.Era), e.Lapsed)
 		} else {
-			f.put(e.Server())
+			f.put(e.Server(n.Era))
 		}
 	}
 	// Notices of this daemon must have these changes, too: they tell of all
@@ -51,7 +57,7 @@
 		return err // the read has to begin before the configuration
 	}
 	f.markHeard(now)
-	f.note(max(n.At, f.revision))
+	f.note(fleet.Revision{Era: n.Era, Number: max(n.At, f.revision.Number)})
 	return nil
 }
 
@@ -61,8 +67,8 @@
 	if n.Version <= f.version() {
 		return nil
 	}
-	if f.peers.Others() <= crowd {
-		return errMissed
+	if f.peers.Others() <= crowd && n.At > f.revision.Number {
+		return errMissed // the store has it
 	}
 	d, err := f.peers.Document(ctx, n.from, n.Version)
 	if err != nil {
--- a/internal/route/follow/large_test.go
+++ b/internal/route/follow/large_test.go
@@ -21,7 +21,7 @@
 // the store, again with each notice while the store refuses it: 6,400 of the
 // 11,600 calls of one day.
 func TestVersionComesFromPeers(t *testing.T) {
-	newer := &citronrock.State{Document: document(2), Servers: []fleet.Server{server()}, Revision: 2}
+	newer := &citronrock.State{Document: document(2), Servers: []fleet.Server{server()}, Revision: fleet.Revision{Number: 2}}
 	cases := map[string]struct {
 		others int
 		state  *citronrock.State
@@ -153,7 +153,7 @@
 	from *atomic.Bool
 }
 
-func (r refusing) Watch(ctx context.Context, after uint64, wait time.Duration) (*citronrock.Changes, error) {
+func (r refusing) Watch(ctx context.Context, after fleet.Revision, wait time.Duration) (*citronrock.Changes, error) {
 	if r.from.Load() {
 		r.mu.Lock()
 		r.reads++
--- a/internal/route/follow/load.go
+++ b/internal/route/follow/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -16,6 +17,9 @@
 // from the store.
 func (f *Follower) loadCrowd(ctx context.Context) error {
 	state, err := f.peers.Fetch(ctx)
+	if err == nil {
+		err = f.current(state)
+	}
 	if err != nil {
 		return err
 	}
@@ -31,10 +35,24 @@
 	return nil
 }
 
+// current tells whether a state is of the newest era that this daemon has heard of.
+// One of an earlier era lacks what the store has taken since it came back.
+func (f *Follower) current(state *citronrock.State) error {
+	if state.Revision.Era < f.newest {
+		return fmt.Errorf("state of era %d is not used: %w", state.Revision.Era, errEra)
+	}
+	return nil
+}
+
 // replace takes everything, and what has changed since.
 func (f *Follower) replace(state *citronrock.State, c *citronrock.Changes) {
 	now := time.Now()
 	f.table.Outage(now, false)
+	if state.Revision.Era > f.revision.Era && !f.revision.IsZero() {
+		f.log.Warn("store has come back from an older copy", "was", f.revision.String(), "revision", state.Revision.String())
+		f.table.Restored(now)
+		f.untold = true
+	}
 	f.table.Reset(now, state.Servers, state.Revision)
 	f.changed.Reset()
 	f.note(state.Revision)
@@ -47,24 +65,30 @@
 // since, where the store still knows that.
 func (f *Follower) readAll(ctx context.Context) (*citronrock.State, *citronrock.Changes, error) {
 	state, err := f.store.Load(ctx, true)
+	if err == nil {
+		err = f.current(state)
+	}
 	if err == nil {
 		var c *citronrock.Changes
 		if c, err = f.store.Watch(ctx, state.Revision, 0); err == nil {
 			return state, c, nil
 		}
 	}
-	if !errors.Is(err, citronrock.ErrHistory) {
+	if !errors.Is(err, citronrock.ErrHistory) && !errors.Is(err, errEra) {
 		return nil, nil, err
 	}
 	if state, err = f.store.Load(ctx, false); err != nil {
 		return nil, nil, err
 	}
+	if err := f.current(state); err != nil {
+		return nil, nil, err
+	}
 	return state, &citronrock.Changes{Revision: state.Revision}, nil
 }
 
 // tellTaken logs that the state of another daemon stands for a read of the store.
 func (f *Follower) tellTaken(s *citronrock.State, err error) {
-	f.log.Warn("store not read, state taken from another daemon", "revision", s.Revision,
+	f.log.Warn("store not read, state taken from another daemon", "revision", s.Revision.String(),
 		"version", s.Document.Version, "error", err.Error())
 }
 
@@ -82,7 +106,7 @@
 	state, changes, err := f.readAll(ctx)
 	if err != nil && f.document.Load() == nil {
 		// Without a store a fresh daemon serves by what the others know.
-		if known, lack := f.peers.Fetch(ctx); lack == nil {
+		if known, lack := f.peers.Fetch(ctx); lack == nil && f.current(known) == nil {
 			f.tellTaken(known, err)
 			state, changes, err = known, &citronrock.Changes{Revision: known.Revision}, nil
 		}
--- /dev/null
+++ b/internal/route/follow/restore_test.go
@@ -0,0 +1,223 @@
+package follow_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/route/fleet"
+	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/notice"
+	"github.com/hashicorp/go-hclog"
+)
+
+func named(id string, beat uint64) fleet.Server {
+	s := server()
+	s.ID, s.Beat = id, beat
+	return s
+}
+
+// copied is a store at the time of the copy from which it comes back.
+func copied() *store {
+	s := new(store)
+	s.change(citronrock.Changes{Document: document(1)})
+	s.change(citronrock.Changes{Servers: []fleet.Server{named("old", 3), named("stays", 3)}})
+	return s
+}
+
+// lost makes the changes that the copy lacks: a server leaves, another one comes
+// and the configuration changes.
+func (s *store) lost() {
+	s.change(citronrock.Changes{Removed: []citronrock.Removal{{ID: "old"}}})
+	s.change(citronrock.Changes{Servers: []fleet.Server{named("new", 1)}})
+	s.change(citronrock.Changes{Document: document(2)})
+}
+
+func ids(t *fleet.Table) string {
+	out := ""
+	for _, s := range t.Usable(time.Now(), "s") {
+		out += s.ID + " "
+	}
+	return out
+}
+
+// Guards against a daemon that misses what changes after the store has come back
+// from an older copy, since it waits for revisions that it has seen before; that
+// brings back a server that has left, drops one that lives, or goes back to an
+// older configuration.
+func TestRestoredStore(t *testing.T) {
+	cases := map[string]struct {
+		// between are changes written before the daemon reads again.
+		between int
+		again   bool
+		want    string
+	}{
+		"revisions below the last read": {0, true, "after new stays "},
+		"revisions given out again":     {5, true, "after new stays "},
+		"server is not back":            {0, false, "after stays "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := copied()
+				table := fleet.New()
+				p := &peers{reader: true}
+				f := follow.Start(s, table, p, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(time.Second)
+				s.lost()
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if got := ids(table); got != "new stays " {
+					t.Fatalf("servers %q before the return", got)
+				}
+				s.restore(3)
+				for i := range c.between {
+					s.change(citronrock.Changes{Servers: []fleet.Server{named("stays", uint64(4+i))}})
+				}
+				s.change(citronrock.Changes{Servers: []fleet.Server{named("after", 1)}})
+				time.Sleep(600 * time.Millisecond)
+				synctest.Wait()
+				if got := ids(table); got != "after new stays " || f.Document().Version != 2 {
+					t.Errorf("servers %q and version %d after the return", got, f.Document().Version)
+				}
+				if c.again {
+					s.change(citronrock.Changes{Servers: []fleet.Server{named("new", 2)}})
+				}
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				if got := ids(table); got != c.want {
+					t.Errorf("servers %q three seconds after the return, want %q", got, c.want)
+				}
+				s.change(citronrock.Changes{Document: document(3)})
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if v := f.Document().Version; v != 3 {
+					t.Errorf("version %d in force, want 3", v)
+				}
+				if last := p.told[len(p.told)-1]; last.Era != 1 || last.Version != 3 {
+					t.Errorf("told %+v, want version 3 of era 1", last)
+				}
+			})
+		})
+	}
+}
+
+// Guards against notices that are ordered by revisions of different eras.
+func TestNoticesOfOtherEras(t *testing.T) {
+	gone := []notice.Event{{ID: "stays", Revision: 40, Gone: true}}
+	cases := map[string]struct {
+		notice notice.Notice
+		era    uint64
+		want   string
+	}{
+		"earlier era is not used": {notice.Notice{Era: 0, Base: 0, At: 40, Version: 1, Events: gone}, 1, "after old stays "},
+		"later era is read first": {notice.Notice{Era: 2, Base: 0, At: 40, Version: 1, Events: gone}, 2, "after old stays "},
+		"same era is used":        {notice.Notice{Era: 1, Base: 0, At: 40, Version: 1, Events: gone}, 1, "after old "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := copied()
+				s.restore(0)
+				s.change(citronrock.Changes{Servers: []fleet.Server{named("after", 1)}})
+				table := fleet.New()
+				p := &peers{}
+				f := follow.Start(s, table, p, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				if c.era == 2 {
+					s.restore(0)
+				}
+				reads := s.reads
+				p.take(netip.AddrPort{}, c.notice)
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				if got := ids(table); got != c.want {
+					t.Errorf("servers %q, want %q", got, c.want)
+				}
+				if _, at := f.Age(); at.Era != c.era {
+					t.Errorf("era %d, want %d", at.Era, c.era)
+				}
+				if c.era == 1 && s.reads != reads {
+					t.Errorf("%d reads of the store, want none", s.reads-reads)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a daemon that stays without a configuration that the others have
+// in force, since the store lacks it until the operator writes it again; and
+// against one that reads the store for it at each notice.
+func TestConfigurationThatTheStoreLacks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := copied()
+		s.restore(0)
+		p := &peers{state: &citronrock.State{Document: document(2), Revision: fleet.Revision{Era: 1, Number: s.at}}}
+		f := follow.Start(s, fleet.New(), p, hclog.NewNullLogger())
+		defer f.Close()
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		if v := f.Document().Version; v != 1 {
+			t.Fatalf("version %d in force, want that of the copy", v)
+		}
+		reads := s.reads
+		for range 5 {
+			p.take(netip.AddrPort{}, notice.Notice{Era: 1, Base: s.at, At: s.at, Version: 2})
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		if v := f.Document().Version; v != 2 || s.reads != reads {
+			t.Errorf("version %d after %d reads, want 2 from another daemon", v, s.reads-reads)
+		}
+	})
+}
+
+// lagging gives stale states of the time before the store came back.
+type lagging struct {
+	*store
+	before *citronrock.State
+}
+
+func (l lagging) Load(ctx context.Context, stale bool) (*citronrock.State, error) {
+	if stale {
+		return l.before, nil
+	}
+	return l.store.Load(ctx, false)
+}
+
+// Guards against a daemon that takes a state from before the store's return, of
+// the store or of another daemon, for one from after it.
+func TestStatesOfEarlierEras(t *testing.T) {
+	for name, others := range map[string]int{"small fleet": 5, "large fleet": 300} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := copied()
+				before, err := s.Load(t.Context(), false)
+				if err != nil {
+					t.Fatal(err)
+				}
+				table := fleet.New()
+				p := &peers{others: others, state: before}
+				f := follow.Start(lagging{s, before}, table, p, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(time.Second)
+				s.lost()
+				time.Sleep(2 * time.Second)
+				s.restore(3)
+				s.change(citronrock.Changes{Servers: []fleet.Server{named("after", 1)}})
+				p.take(netip.AddrPort{}, notice.Notice{Era: 1, Base: s.at, At: s.at, Version: 2})
+				time.Sleep(6 * time.Second)
+				synctest.Wait()
+				if _, at := f.Age(); at.Era != 1 || ids(table) != "after stays " {
+					t.Errorf("era %d with servers %q, want the restored store's", at.Era, ids(table))
+				}
+			})
+		})
+	}
+}
--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -59,19 +59,24 @@
 
 // Put returns the event of a changed entry.
 func Put(s fleet.Server) Event {
-	return Event{Revision: s.Revision, ID: s.ID, Service: s.Service, Addr: s.Addr, Domain: s.Domain,
+	return Event{Revision: s.Revision.Number, ID: s.ID, Service: s.Service, Addr: s.Addr, Domain: s.Domain,
 		Slots: s.Slots, Stage: s.Stage, Leaving: s.Leaving, Born: s.Born.UnixMilli(), Beat: s.Beat}
 }
 
-// Server returns the changed entry.
-func (e *Event) Server() fleet.Server {
+// At returns the revision of an event of an era of the store.
+func (e *Event) At(era uint64) fleet.Revision {
+	return fleet.Revision{Era: era, Number: e.Revision}
+}
+
+// Server returns the changed entry, which was read in an era of the store.
+func (e *Event) Server(era uint64) fleet.Server {
 	return fleet.Server{ID: e.ID, Service: e.Service, Addr: e.Addr, Domain: e.Domain, Slots: e.Slots,
-		Stage: e.Stage, Leaving: e.Leaving, Born: time.UnixMilli(e.Born), Revision: e.Revision, Beat: e.Beat}
+		Stage: e.Stage, Leaving: e.Leaving, Born: time.UnixMilli(e.Born), Revision: e.At(era), Beat: e.Beat}
 }
 
 // Notice is what a reader tells after a read.
 type Notice struct {
-	// Base and At are revisions of the store. The notice has all changes of
+	// Base and At are revisions of the store in Era. The notice has all changes of
 	// entries after Base up to At.
 	Base uint64 `cbor:"1,keyasint"`
 	At   uint64 `cbor:"2,keyasint"`
@@ -80,6 +85,8 @@
 	Events  []Event `cbor:"4,keyasint,omitempty"`
 	// Relay are the daemons that the receiver passes the notice on to.
 	Relay []netip.AddrPort `cbor:"5,keyasint,omitempty"`
+	// Era is the store's, also of the revisions of the events.
+	Era uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Log collects the changes of the last reads.
@@ -88,26 +95,26 @@
 }
 
 type read struct {
-	base   uint64
+	base   fleet.Revision
 	when   time.Time
 	events []Event
 }
 
 // Add takes the changes of one read after the revision base.
-func (l *Log) Add(now time.Time, base uint64, events []Event) {
+func (l *Log) Add(now time.Time, base fleet.Revision, events []Event) {
 	l.reads = slices.DeleteFunc(l.reads, func(r read) bool { return now.Sub(r.when) > memory })
 	l.reads = append(l.reads, read{base, now, events})
 }
 
 // Notice returns the notice of the last reads, as many as fit. at is the
 // revision of the last one.
-func (l *Log) Notice(at, version uint64) Notice {
-	n := Notice{Base: at, At: at, Version: version}
+func (l *Log) Notice(at fleet.Revision, version uint64) Notice {
+	n := Notice{Era: at.Era, Base: at.Number, At: at.Number, Version: version}
 	first, size := len(l.reads), 0
-	for first > 0 && size+len(l.reads[first-1].events) <= largest {
+	for first > 0 && size+len(l.reads[first-1].events) <= largest && l.reads[first-1].base.Era == at.Era {
 		first--
 		size += len(l.reads[first].events)
-		n.Base = l.reads[first].base
+		n.Base = l.reads[first].base.Number
 	}
 	for _, r := range l.reads[first:] {
 		n.Events = append(n.Events, r.events...)
@@ -195,18 +202,26 @@
 // Tell sends a notice to all other daemons. It returns the time until the next
 // one may be sent.
 func (n *Node) Tell(m Notice) time.Duration {
+	return costEach * time.Duration(n.spread(gram.Notice, func(relay []netip.AddrPort) any {
+		m.Relay = relay
+		return m
+	}))
+}
+
+// spread sends a message to all other daemons and returns their number. The message
+// has the daemons that its receiver passes it on to.
+func (n *Node) spread(k gram.Kind, message func(relay []netip.AddrPort) any) int {
 	to := beat.Others(n.members, n.self)
 	if len(to) <= direct {
-		n.socket.Send(gram.Notice, m, to...)
-		return costEach * time.Duration(len(to))
+		n.socket.Send(k, message(nil), to...)
+		return len(to)
 	}
 	// Neighbours in the order of addresses are mostly in one failure domain. The
-	// relay of each part changes, so that a daemon that is gone fails few notices.
+	// relay of each part changes, so that a daemon that is gone fails few messages.
 	part := int(math.Ceil(math.Sqrt(float64(len(to)))))
 	for group := range slices.Chunk(to, part) {
 		relay := rand.IntN(len(group))
-		m.Relay = slices.Delete(slices.Clone(group), relay, relay+1)
-		n.socket.Send(gram.Notice, m, group[relay])
+		n.socket.Send(k, message(slices.Delete(slices.Clone(group), relay, relay+1)), group[relay])
 	}
-	return costEach * time.Duration(len(to))
+	return len(to)
 }
--- a/internal/route/notice/notice_test.go
+++ b/internal/route/notice/notice_test.go
@@ -9,6 +9,7 @@
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/peer/beat"
 	"citronrock.example/citronrock/internal/peer/gram"
+	"citronrock.example/citronrock/internal/route/fleet"
 	"citronrock.example/citronrock/internal/route/notice"
 	"citronrock.example/citronrock/internal/route/plan"
 	"github.com/fxamacker/cbor/v2"
@@ -33,13 +34,13 @@
 		t.Run(name, func(t *testing.T) {
 			var l notice.Log
 			for i, n := range c.reads {
-				l.Add(now.Add(time.Duration(i)*time.Second), uint64(i), make([]notice.Event, n))
+				l.Add(now.Add(time.Duration(i)*time.Second), fleet.Revision{Number: uint64(i)}, make([]notice.Event, n))
 			}
 			at := uint64(len(c.reads))
 			if at == 0 {
 				at = 9
 			}
-			if n := l.Notice(at, 1); int(n.Base) != c.base || len(n.Events) != c.events || n.At != at {
+			if n := l.Notice(fleet.Revision{Number: at}, 1); int(n.Base) != c.base || len(n.Events) != c.events || n.At != at {
 				t.Errorf("base %d with %d events at %d, want base %d with %d events at %d", n.Base, len(n.Events), n.At, c.base, c.events, at)
 			}
 		})
--- a/internal/route/notice/state.go
+++ b/internal/route/notice/state.go
@@ -48,7 +48,16 @@
 	Routes   []plan.Route   `cbor:"3,keyasint"`
 	Services []plan.Service `cbor:"4,keyasint"`
 	Limits   plan.Limits    `cbor:"5,keyasint"`
-	Servers  []Event        `cbor:"6,keyasint"`
+	Servers  []entry        `cbor:"6,keyasint"`
+	// Era is the store's at the revision.
+	Era uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// entry is a backend server's entry and the era in which it was read: entries
+// that the store lacks since it came back may still be in use for a while.
+type entry struct {
+	Event
+	Era uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // ErrNoPeer means that no other daemon gave its state.
@@ -92,12 +101,12 @@
 	if s == nil || s.Document == nil {
 		return nil, eris.New("no configuration is known")
 	}
-	out := state{Revision: s.Revision, Version: s.Document.Version, Routes: s.Document.Routes, Limits: s.Document.Limits}
+	out := state{Revision: s.Revision.Number, Era: s.Revision.Era, Version: s.Document.Version, Routes: s.Document.Routes, Limits: s.Document.Limits}
 	for _, service := range s.Document.Services {
 		out.Services = append(out.Services, service)
 	}
 	for _, server := range s.Servers {
-		out.Servers = append(out.Servers, Put(server))
+		out.Servers = append(out.Servers, entry{Put(server), server.Revision.Era})
 	}
 	return cbor.Marshal(out)
 }
@@ -107,10 +116,10 @@
 	if err := cbor.Unmarshal(body, &in); err != nil {
 		return nil, eris.Wrap(err, "state of a daemon can't be decoded")
 	}
-	out := &citronrock.State{Revision: in.Revision, Document: plan.New(in.Version, in.Routes, in.Services, in.Limits)}
+	out := &citronrock.State{Revision: fleet.Revision{Era: in.Era, Number: in.Revision}, Document: plan.New(in.Version, in.Routes, in.Services, in.Limits)}
 	out.Servers = make([]fleet.Server, 0, len(in.Servers))
 	for _, e := range in.Servers {
-		out.Servers = append(out.Servers, e.Server())
+		out.Servers = append(out.Servers, e.Server(e.Era))
 	}
 	return out, nil
 }
@@ -130,7 +139,7 @@
 		}
 		asked++
 		s, err := fetch(ctx, m.Addr, 0)
-		if err == nil && (best == nil || s.Revision > best.Revision) {
+		if err == nil && (best == nil || best.Revision.Before(s.Revision)) {
 			best = s
 		}
 	}
