Probe peers in the same part of each second; name late requests of the kill test

Cause (looked for): TestDaemonKilled failed on an idle machine with 10 of 12 requests of one part on time and engines free after 5.6 s, the largest of all runs. Each daemon probed at its own part of a second, while the choice of whom to probe changes with the second, so that up to two seconds passed between two probes of a daemon by different peers. The comment on the protocol says one.

Change: all daemons probe at the beginning of a second. The load keeps a line for each late request and the test prints them.

Ruled out: late detection alone as the cause of the failed part.

--- a/internal/bench/load/tally.go
+++ b/internal/bench/load/tally.go
@@ -80,6 +80,8 @@
 	Classes map[string]*Figures `json:"classes"`
 	// Wrongs describes the first wrong and failed answers.
 	Wrongs []string `json:"wrongs,omitempty"`
+	// Late describes the first requests that were answered and missed a target.
+	Late []string `json:"late,omitempty"`
 	// Once holds the outcomes of calls that may not be repeated, by path and by
 	// the hash of path and body that stand-ins count runs by.
 	Once map[string]map[string]Outcome `json:"-"`
@@ -127,6 +129,10 @@
 	if e.outcome != Answered && len(r.Wrongs) < 20 {
 		r.Wrongs = append(r.Wrongs, fmt.Sprintf("%s at %s: %s: %s", e.class.Name, e.at.Round(time.Millisecond), e.outcome, e.why))
 	}
+	if e.outcome == Answered && !e.good() && len(r.Late) < 20 {
+		r.Late = append(r.Late, fmt.Sprintf("%s at %s: first after %s of %s, %d tokens with %s of %s between them, %d repeats", e.class.Name,
+			e.at.Round(time.Millisecond), e.first.Round(time.Millisecond), e.class.First, e.tokens, e.gap.Round(100*time.Microsecond), e.class.Gap, e.repeats))
+	}
 	if e.class.Once {
 		if r.Once[e.class.Path] == nil {
 			r.Once[e.class.Path] = map[string]Outcome{}
--- a/internal/bench/proof/death_test.go
+++ b/internal/bench/proof/death_test.go
@@ -52,5 +52,8 @@
 	}
 	r.settled()
 	_, answered := result.All(load.Answered)
-	t.Logf("seed 11: %d answered at other daemons, engines free after %s", answered, free.Round(time.Millisecond))
+	t.Logf("seed 11: killed after %s, %d answered at other daemons, engines free after %s", killed.Round(time.Millisecond), answered, free.Round(time.Millisecond))
+	for _, late := range result.Late {
+		t.Log("late:", late)
+	}
 }
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -294,8 +294,7 @@
 func (m *Machine) Tick(now time.Time, out []Output) []Output {
 	m.now = now
 	if m.nextAt.IsZero() {
-		// Daemons that start together probe at different times.
-		m.nextAt = now.Add(time.Duration(m.rng.Int64N(int64(probeEvery))))
+		m.nextAt = nextSecond(now)
 	}
 	if m.probe != nil && !now.Before(m.probe.due()) {
 		out = m.overdue(now, out)
--- a/internal/peer/member/probe.go
+++ b/internal/peer/member/probe.go
@@ -33,7 +33,7 @@
 
 // next probes the next peer.
 func (m *Machine) next(now time.Time, out []Output) []Output {
-	m.nextAt = now.Add(probeEvery)
+	m.nextAt = nextSecond(now)
 	if m.leaving {
 		return out
 	}
@@ -50,6 +50,17 @@
 	return out
 }
 
+// nextSecond returns the next time at which all daemons probe. They probe together,
+// so that the time between two probes of a daemon, by different peers, is a second
+// and not up to two.
+func nextSecond(now time.Time) time.Time {
+	wait := probeEvery - now.Sub(now.Truncate(probeEvery))
+	if wait < probeEvery/2 {
+		wait += probeEvery // a timer that fired early
+	}
+	return now.Add(wait)
+}
+
 // silentTurn is the number of seconds between pings to a listed daemon that has
 // not answered. They find daemons whose messages were all lost, for example
 // those beyond a partition that has healed.
