Learn the rate of prefill engines without the fixed part of a prefill

The rate of a prefill engine was taken from whole prefills, 38,000 tokens a second, since connections and the way of the answer counted as reading.

Change: the rate is the median of the slopes between pairs of prefills (grant.Reads). TestReadPace fails with whole prefills ("a fixed part").

--- a/internal/room/grant/balance.go
+++ b/internal/room/grant/balance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"citronrock.example/citronrock/internal/core/owner"
@@ -107,36 +106,11 @@
 	})
 }
 
-// Parameters of the rate of prefill engines. Prompts that wait for others are
-// read slower, prompts that an engine still has in its cache are read in no time.
-const (
-	paceSamples  = 16
-	paceQuantile = 0.75
-)
-
-// notePace takes the time in which a prompt was read.
-func (m *mine) notePace(tokens int, took time.Duration) {
-	if len(m.paces) == paceSamples {
-		m.paces = m.paces[1:]
-	}
-	m.paces = append(m.paces, float64(tokens)/took.Seconds())
-}
-
-// pace is the rate at which prefill engines read prompts that do not wait, in
-// tokens a second, zero when it is not known.
-func (m *mine) pace() float64 {
-	if len(m.paces) == 0 {
-		return 0
-	}
-	sorted := slices.Sorted(slices.Values(m.paces))
-	return sorted[int(paceQuantile*float64(len(sorted)-1))]
-}
-
 // Read tells how long the prefill of the prompt took.
 func (l *Lease) Read(took time.Duration) {
 	l.phase.Store(uint32(ledger.Writing))
 	if l.node == nil || took <= 0 {
 		return
 	}
-	l.node.do(func(time.Time) { l.node.mine(l.Service).notePace(l.ask.Prompt, took) })
+	l.node.do(func(time.Time) { l.node.mine(l.Service).reads.Add(l.ask.Prompt, took) })
 }
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -117,8 +117,8 @@
 	leases map[uint64]*Lease
 	ended  map[uint64]time.Time
 	full   map[string]time.Time
-	// paces are the rates of the last prefills in tokens a second.
-	paces []float64
+	// reads are the last prefills.
+	reads Reads
 	// until is when the last report is due after the last run ended.
 	until time.Time
 }
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -63,7 +63,7 @@
 		}
 		n.number++
 		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
-			Resting: resting, Pace: m.pace()}
+			Resting: resting, Pace: m.reads.Pace()}
 		for _, l := range m.leases {
 			r.Runs = append(r.Runs, l.run())
 		}
