--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -18,7 +18,7 @@
 	leastPrefill = 2
 	smallService = 4
 	// balanceRuns is the number of ended runs from which the figures hold.
-	balanceRuns = 20
+	balanceRuns = 8
 	// noDecodeFor is how long a service must have had no decode engine before a
 	// prefill engine is turned: entries come and go around crashes and outages.
 	noDecodeFor = 3 * time.Second
@@ -29,7 +29,7 @@
 	// steadyFor is how long no engine must have come, gone or failed before a
 	// prefill engine is turned to decode. While engines are replaced, some of those
 	// that are there are about to leave.
-	steadyFor = 4 * time.Second
+	steadyFor = time.Second
 	// lackFor is how long asks must have waited for prefill engines, with pauses of
 	// lackPause at most, before a decode engine is ordered to prefill.
 	lackFor   = time.Second
