Let decode engines read prompts themselves while prefill engines are full

Change: an ask that no prefill engine can begin within half a second goes to a decode engine that reads its prompt itself, one prompt at a time for each engine. Prefill engines are planned to 0.9 of their rate instead of 0.7.

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -11,8 +11,9 @@
 // Parameters of the balance between prefill and decode engines.
 const (
 	// prefillShare is the share of the prefill engines' rate that the decode
-	// engines can use up at most. The rest keeps the queue for prefill short.
-	prefillShare = 0.7
+	// engines can use up at most. Decode engines read the prompts of a rush
+	// themselves.
+	prefillShare = 0.9
 	// leastPrefill is the number of prefill engines that stay in a service of
 	// smallService engines or more, so that the loss of one does not stop it.
 	leastPrefill = 2
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -73,6 +73,9 @@
 	crossPrefill = 6000
 	// crossDecode is the same for decode engines, as a share of their memory.
 	crossDecode = 0.03
+	// decodeReads is the part of a prefill engine's rate that a decode engine adds by
+	// reading prompts itself: it reads at half the speed, between the steps of its runs.
+	decodeReads = 0.25
 	// readLimit is the time for the prompts before an ask in the queue of its
 	// prefill engine. Longer queues would hold decode memory for nothing.
 	readLimit = 500 * time.Millisecond
@@ -354,18 +357,19 @@
 // rate is the memory in tokens that can be granted in a second: what comes free
 // while all decode engines are in use, and what the prefill engines can fill.
 func (l *Ledger) rate() float64 {
-	total, readers := 0, 0
+	total, readers := 0, 0.0
 	for _, e := range l.engines {
 		switch e.Stage {
 		case fleet.Prefill:
 			readers++
 		default:
 			total += e.Tokens
+			readers += decodeReads
 		}
 	}
 	rate := fill * float64(total) / l.stay.Seconds()
 	if pace := l.readPace(); pace > 0 && readers > 0 && l.prompt > 0 {
-		rate = min(rate, float64(readers)*pace*l.need/l.prompt)
+		rate = min(rate, readers*pace*l.need/l.prompt)
 	}
 	return rate
 }
--- a/internal/room/ledger/load_test.go
+++ b/internal/room/ledger/load_test.go
@@ -280,3 +280,71 @@
 		})
 	}
 }
+
+// Pattern: prefill engines are lost, or turned, just before a rush. Guards against
+// requests that wait or are refused for prefill while decode engines have room, and
+// against decode engines that read several prompts at once, which would stall their
+// runs.
+func TestDecodeEnginesReadInARush(t *testing.T) {
+	cases := map[string]struct {
+		asks int
+		// begun is the number of prompts that decode engines have read after the first
+		// asks, when as many come again.
+		begun         int
+		granted, self int
+	}{
+		"prefill engine is enough":         {4, 0, 4, 0},
+		"prefill engine is full":           {10, 0, 10, 4},
+		"decode engines read one each":     {16, 0, 10, 4},
+		"they read more once one is read":  {16, 2, 12, 6},
+		"they read more once all are read": {16, 4, 14, 8},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(4, 64, 200_000))
+			// 50,000 tokens a second: five prompts before an ask take half a second.
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Pace: 50_000})
+			now, granted := t0, []ledger.Answer{}
+			take := func(answers []ledger.Answer) {
+				for _, a := range answers {
+					if a.Verdict == ledger.Granted {
+						granted = append(granted, a)
+					}
+				}
+			}
+			for i := range uint64(c.asks) {
+				take(l.Ask(now, edge1, ask(i+1)))
+			}
+			report := ledger.Report{Service: "s", Start: 1, Number: 2, Pace: 50_000}
+			for _, a := range granted {
+				r := ledger.Run{Lease: a.ID, Decode: a.Decode, Prefill: a.Prefill, Prompt: 5000, Expect: 4000}
+				if a.Prefill == "" {
+					r.Phase = ledger.Writing
+					if c.begun > 0 {
+						c.begun--
+						r.Made = 11
+					}
+				}
+				report.Runs = append(report.Runs, r)
+			}
+			l.Report(now, edge1, report)
+			take(l.Tick(now.Add(70 * time.Millisecond)))
+			self, reads := 0, map[string]int{}
+			for _, a := range granted {
+				if a.Prefill == "" {
+					self++
+					reads[a.Decode]++
+				}
+			}
+			if len(granted) != c.granted || self != c.self {
+				t.Errorf("%d granted, %d of them read by decode engines; want %d and %d", len(granted), self, c.granted, c.self)
+			}
+			for id, n := range reads {
+				if most := (c.self + 3) / 4; n > most {
+					t.Errorf("%s reads %d prompts, want %d at most", id, n, most)
+				}
+			}
+		})
+	}
+}
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -105,7 +105,8 @@
 }
 
 // place chooses a decode engine with room and the prefill engine with the
-// shortest queue. Prefill is empty when the ask needs none or none is there.
+// shortest queue. Prefill is empty when the ask needs none, none is there, or all
+// have long queues and the decode engine reads the prompt itself.
 func (l *Ledger) place(now time.Time, a *Ask) (decode, prefill string, v verdict) {
 	best, ok := l.roomiest(now, a, l.candidates(now, a, fleet.Decode, false))
 	if !ok && len(l.staged(fleet.Decode)) > searchAll {
@@ -127,6 +128,9 @@
 	}
 	if float64(queue) > limit {
 		l.noteBound(now)
+		if best, ok := l.roomiest(now, a, l.freeToRead(now, a)); ok {
+			return best.ID, "", placed
+		}
 		return "", "", noReader
 	}
 	return best.ID, reader, placed
@@ -196,6 +200,20 @@
 	return best, queue
 }
 
+// freeToRead returns the decode engines that may read a prompt themselves: those
+// that read no other one. Reading slows down the runs beside it.
+func (l *Ledger) freeToRead(now time.Time, a *Ask) []string {
+	ids := slices.Clone(l.candidates(now, a, fleet.Decode, false))
+	return slices.DeleteFunc(ids, func(id string) bool {
+		for _, e := range l.runs.decode[id] {
+			if e.Prefill == "" && e.Made == 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // unread is the number of tokens in the queue of a prefill engine.
 func (l *Ledger) unread(engine string) int {
 	n := 0
