Count prompts as unread only for the time that reading takes

Cause: a run counted as unread until a report of its daemon said otherwise, up to a second later in a large fleet, while reading takes a tenth of one.

Change: the ledger expects when a prompt has been read, from the queue of its engine and the rate. A report that says that it has not moves the expectation by all that is unread there.

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -76,7 +76,7 @@
 	switch {
 	case len(prefill) > want && len(rest) == 0 && now.Sub(l.steadySince) > steadyFor:
 		// An engine that has prompts to read would refuse them.
-		from = slices.DeleteFunc(slices.Clone(from), func(id string) bool { return l.unread(id) > 0 })
+		from = slices.DeleteFunc(slices.Clone(from), func(id string) bool { return l.unread(now, id) > 0 })
 	case len(prefill) < want && l.lacking(now) && len(decode) > 1:
 		from, stage = l.idlest(decode), fleet.Prefill
 	default:
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -76,6 +76,9 @@
 	// decodeReads is the part of a prefill engine's rate that a decode engine adds by
 	// reading prompts itself: it reads at half the speed, between the steps of its runs.
 	decodeReads = 0.25
+	// readSpare is the part of a prefill that does not depend on the prompt, with a
+	// margin.
+	readSpare = 50 * time.Millisecond
 	// readLimit is the time for the prompts before an ask in the queue of its
 	// prefill engine. Longer queues would hold decode memory for nothing.
 	readLimit = 500 * time.Millisecond
@@ -94,6 +97,15 @@
 	// listed is set once a report has named the run, which was at reported.
 	listed   bool
 	reported time.Time
+	// readBy is when its prefill engine has probably read the prompt, zero when the
+	// rate of the engines is not known.
+	readBy time.Time
+}
+
+// isUnread tells whether a run probably waits for its prompt to be read. Reports tell
+// it late: they come once a second in a large fleet, and a prompt takes a tenth.
+func (e *entry) isUnread(now time.Time) bool {
+	return e.Phase == Reading && (e.readBy.IsZero() || now.Before(e.readBy))
 }
 
 // at returns the run with the output that it probably has by now.
@@ -259,6 +271,9 @@
 		}
 		l.learn(now, e, run)
 		l.runs.put(k, e, run)
+		if run.Phase == Reading && !now.Before(e.readBy) {
+			e.readBy = l.readTime(now, l.reading(run.Prefill)) // it takes longer than expected
+		}
 		e.listed, e.reported = true, now
 	}
 	for _, id := range r.Ended {
--- a/internal/room/ledger/load_test.go
+++ b/internal/room/ledger/load_test.go
@@ -348,3 +348,58 @@
 		})
 	}
 }
+
+// Pattern: a large fleet, whose daemons report once a second, in a rush. Guards
+// against prompts that count as unread until the next report though an engine reads
+// one in a tenth of a second: requests were refused, or read by decode engines, while
+// prefill engines stood idle.
+func TestPromptsAreReadBetweenReports(t *testing.T) {
+	cases := map[string]struct {
+		// every is the time between asks of 5,000 tokens at an engine that reads 50,000
+		// tokens a second.
+		every time.Duration
+		// reading tells that reports say that no prompt has been read.
+		reading bool
+		// least and most bound the asks that the prefill engine gets of 20.
+		least, most int
+	}{
+		"engine keeps up":             {160 * time.Millisecond, false, 20, 20},
+		"engine is slower than asks":  {40 * time.Millisecond, false, 8, 16},
+		"engine reads slower than it": {160 * time.Millisecond, true, 5, 18},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(4, 64, 400_000))
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Pace: 50_000})
+			now, number, prefill := t0, uint64(1), 0
+			var runs []ledger.Run
+			for i := range uint64(20) {
+				for _, a := range l.Ask(now, edge1, ask(i+1)) {
+					if a.Verdict != ledger.Granted {
+						continue
+					}
+					phase := ledger.Writing
+					if a.Prefill != "" {
+						prefill++
+						phase = ledger.Reading
+					}
+					runs = append(runs, ledger.Run{Lease: a.ID, Decode: a.Decode, Prefill: a.Prefill, Prompt: 5000, Expect: 4000, Phase: phase})
+				}
+				if was := now; was.Truncate(time.Second) != now.Add(c.every).Truncate(time.Second) {
+					number++
+					if !c.reading {
+						for j := range runs {
+							runs[j].Phase, runs[j].Made = ledger.Writing, 11
+						}
+					}
+					l.Report(now, edge1, ledger.Report{Service: "s", Start: 1, Number: number, Pace: 50_000, Runs: runs})
+				}
+				now = now.Add(c.every)
+			}
+			if prefill < c.least || prefill > c.most {
+				t.Errorf("prefill engine gets %d of 20, want %d to %d", prefill, c.least, c.most)
+			}
+		})
+	}
+}
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -188,7 +188,7 @@
 func (l *Ledger) reader(now time.Time, a *Ask, decode Engine, all bool) (id string, queue int) {
 	best, low := "", 0
 	for _, id := range l.candidates(now, a, fleet.Prefill, all) {
-		e, unread := l.engines[id], l.unread(id)
+		e, unread := l.engines[id], l.unread(now, id)
 		cost := unread
 		if e.Domain != decode.Domain {
 			cost += crossPrefill
@@ -215,16 +215,38 @@
 }
 
 // unread is the number of tokens in the queue of a prefill engine.
-func (l *Ledger) unread(engine string) int {
+func (l *Ledger) unread(now time.Time, engine string) int {
 	n := 0
-	for _, r := range l.runs.prefill[engine] {
-		if r.Phase == Reading {
-			n += r.Prompt
+	for _, e := range l.runs.prefill[engine] {
+		if e.isUnread(now) {
+			n += e.Prompt
 		}
 	}
 	return n
 }
 
+// reading is the number of tokens of the prompts that a prefill engine has not read
+// by the last reports.
+func (l *Ledger) reading(engine string) int {
+	n := 0
+	for _, e := range l.runs.prefill[engine] {
+		if e.Phase == Reading {
+			n += e.Prompt
+		}
+	}
+	return n
+}
+
+// readTime is when a prefill engine that has a number of tokens to read has read
+// them, zero when its rate is not known.
+func (l *Ledger) readTime(now time.Time, tokens int) time.Time {
+	pace := l.readPace()
+	if pace <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(float64(tokens)/pace*float64(time.Second)) + readSpare)
+}
+
 // predict estimates how long an ask with a number of asks before it will wait.
 // A reason is returned when it can't be served at all.
 func (l *Ledger) predict(now time.Time, w *waiting, ahead int) (time.Duration, string) {
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -138,7 +138,11 @@
 	if prefill == "" {
 		run.Phase = Writing
 	}
-	l.runs.put(w.key(), &entry{granted: now}, run)
+	e := &entry{granted: now}
+	if prefill != "" {
+		e.readBy = l.readTime(now, l.unread(now, prefill)+w.Prompt)
+	}
+	l.runs.put(w.key(), e, run)
 	delete(l.refused, w.Subject)
 	a := Answer{To: w.edge, Service: l.service, Start: w.Start, ID: w.ID, Verdict: Granted,
 		Decode: decode, Prefill: prefill, Wait: now.Sub(w.asked), Load: float32(l.load())}
