Bound the pauses that a decode engine's own reads cause

Cause: the runs of an engine pause while it reads a prompt itself, and engines whose events have many tokens put the whole read into one pause.

Change: a decode engine reads a prompt itself only if that takes no longer than the route's longest pause between events, and once in that time. An ask tells that pause.

TestDecodeEnginesReadInARush has cases for long prompts and for a second read too soon. Its counts follow the new spacing; they are exact as before.

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -182,7 +182,7 @@
 		Slack: slack, Patience: max(slack, 0) + time.Duration(latePatience*float64(j.route.Target)),
 		Back:    time.Duration(backPatience * float64(j.route.Target)),
 		Return:  time.Duration(returnShare * float64(time.Until(j.deadline))),
-		Subject: subject(j.call), Read: j.cache != nil, Begun: j.begun, Without: j.unusable(), Rank: j.route.Rank}
+		Subject: subject(j.call), Read: j.cache != nil, Begun: j.begun, Without: j.unusable(), Rank: j.route.Rank, Gap: j.route.Gap}
 	if limit := time.Until(j.deadline) / 2; ask.Back > limit {
 		ask.Back = limit
 	}
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -76,6 +76,10 @@
 	// decodeReads is the part of a prefill engine's rate that a decode engine adds by
 	// reading prompts itself: it reads at half the speed, between the steps of its runs.
 	decodeReads = 0.25
+	// decodeSpeed is the speed of such a read as a share of a prefill engine's.
+	decodeSpeed = 0.5
+	// usualGap stands for the longest pause between events where a route names none.
+	usualGap = 300 * time.Millisecond
 	// readSpare is the part of a prefill that does not depend on the prompt, with a
 	// margin.
 	readSpare = 50 * time.Millisecond
@@ -191,6 +195,8 @@
 	square float64
 	// pace is the number of tokens that a run makes in a second.
 	pace float64
+	// ownReads are when decode engines were last told to read a prompt themselves.
+	ownReads map[string]time.Time
 	// dirty is set when a queued ask may have got room.
 	dirty  bool
 	placed time.Time
@@ -208,7 +214,7 @@
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: newRuns(),
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
 		changing: map[string]time.Time{}, ordered: map[string]time.Time{}, orders: map[string]order{}, busy: map[string]bool{},
-		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace, square: firstSpread * firstSpread}
+		ownReads: map[string]time.Time{}, answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace, square: firstSpread * firstSpread}
 }
 
 // SetEngines replaces the engines that new work may go to.
--- a/internal/room/ledger/load_test.go
+++ b/internal/room/ledger/load_test.go
@@ -287,17 +287,22 @@
 // runs.
 func TestDecodeEnginesReadInARush(t *testing.T) {
 	cases := map[string]struct {
-		asks int
+		asks, prompt int
+		// later is the time after which queued asks are looked at again.
+		later time.Duration
 		// begun is the number of prompts that decode engines have read after the first
 		// asks, when as many come again.
 		begun         int
 		granted, self int
 	}{
-		"prefill engine is enough":         {4, 0, 4, 0},
-		"prefill engine is full":           {10, 0, 10, 4},
-		"decode engines read one each":     {16, 0, 10, 4},
-		"they read more once one is read":  {16, 2, 12, 6},
-		"they read more once all are read": {16, 4, 14, 8},
+		"prefill engine is enough":     {4, 5000, 400 * time.Millisecond, 0, 4, 0},
+		"prefill engine is full":       {10, 5000, 70 * time.Millisecond, 0, 10, 4},
+		"decode engines read one each": {16, 5000, 70 * time.Millisecond, 0, 10, 4},
+		"their runs have just paused":  {16, 5000, 70 * time.Millisecond, 4, 10, 4},
+		// The prefill engine has read three prompts by then and takes as many.
+		"they read more once two are read": {16, 5000, 400 * time.Millisecond, 2, 15, 6},
+		"they read more once all are read": {16, 5000, 400 * time.Millisecond, 4, 16, 7},
+		"prompts would pause for too long": {16, 8000, 70 * time.Millisecond, 0, 4, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -314,11 +319,13 @@
 				}
 			}
 			for i := range uint64(c.asks) {
-				take(l.Ask(now, edge1, ask(i+1)))
+				a := ask(i + 1)
+				a.Prompt = c.prompt
+				take(l.Ask(now, edge1, a))
 			}
 			report := ledger.Report{Service: "s", Start: 1, Number: 2, Pace: 50_000}
 			for _, a := range granted {
-				r := ledger.Run{Lease: a.ID, Decode: a.Decode, Prefill: a.Prefill, Prompt: 5000, Expect: 4000}
+				r := ledger.Run{Lease: a.ID, Decode: a.Decode, Prefill: a.Prefill, Prompt: c.prompt, Expect: 4000}
 				if a.Prefill == "" {
 					r.Phase = ledger.Writing
 					if c.begun > 0 {
@@ -329,7 +336,7 @@
 				report.Runs = append(report.Runs, r)
 			}
 			l.Report(now, edge1, report)
-			take(l.Tick(now.Add(70 * time.Millisecond)))
+			take(l.Tick(now.Add(c.later)))
 			self, reads := 0, map[string]int{}
 			for _, a := range granted {
 				if a.Prefill == "" {
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -200,11 +201,19 @@
 	return best, queue
 }
 
-// freeToRead returns the decode engines that may read a prompt themselves: those
-// that read no other one. Reading slows down the runs beside it.
+// freeToRead returns the decode engines that may read a prompt themselves. The runs
+// beside it pause meanwhile: no longer than may be between two events, and once in
+// that time.
 func (l *Ledger) freeToRead(now time.Time, a *Ask) []string {
+	gap := cmp.Or(a.Gap, usualGap)
+	if pace := l.readPace(); pace <= 0 || float64(a.Prompt)/(decodeSpeed*pace) > gap.Seconds() {
+		return nil
+	}
 	ids := slices.Clone(l.candidates(now, a, fleet.Decode, false))
 	return slices.DeleteFunc(ids, func(id string) bool {
+		if now.Sub(l.ownReads[id]) < gap {
+			return true
+		}
 		for _, e := range l.runs.decode[id] {
 			if e.Prefill == "" && e.Made == 0 {
 				return true
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -139,8 +139,11 @@
 		run.Phase = Writing
 	}
 	e := &entry{granted: now}
-	if prefill != "" {
+	switch {
+	case prefill != "":
 		e.readBy = l.readTime(now, l.unread(now, prefill)+w.Prompt)
+	case !w.Read:
+		l.ownReads[decode] = now
 	}
 	l.runs.put(w.key(), e, run)
 	delete(l.refused, w.Subject)
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -95,6 +95,8 @@
 	Without []string `cbor:"12,keyasint,omitempty"`
 	// Rank is the importance of the route, 0 is the highest.
 	Rank int `cbor:"13,keyasint,omitempty"`
+	// Gap is the longest pause between events for which an answer is on time.
+	Gap time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // Bounds of what other daemons report: far above what engines can hold, and
@@ -112,7 +114,7 @@
 func (a Ask) Bound() Ask {
 	a.Prompt, a.Expect = bound(a.Prompt), bound(a.Expect)
 	a.Slack, a.Patience, a.Back = boundWait(a.Slack), boundWait(a.Patience), boundWait(a.Back)
-	a.Return = boundWait(a.Return)
+	a.Return, a.Gap = boundWait(a.Return), boundWait(a.Gap)
 	return a
 }
 
