Read the change as a newcomer: split long files, one name for one thing

Change: reading of prompts in its own file of the ledger; Table.Open; dropOldCache; the estimate of the rate unexported; the newest era beside what only the follower's goroutine uses; times of own reads are dropped with their engine. No check was changed, moved tests are the same.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -121,7 +121,7 @@
 	r.table = fleet.New(
 		fleet.WithChanged(func() { r.grants.Refresh() }),
 		fleet.WithSuspect(func(s fleet.Server) { r.prober.Suspect(s) }),
-		fleet.WithLeft(r.tellLeaving))
+		fleet.WithLeaving(r.tellLeaving))
 	r.notices = notice.New(s.Peer, r.socket, r.beats)
 	r.notices.HandleLeaving(r.heardLeaving)
 	p.Backends.Listen(r.heardServer)
@@ -182,28 +182,6 @@
 	return r.listenReady()
 }
 
-// heardServer takes what an answer said of its server.
-func (r *Router) heardServer(s fleet.Server, signal fleet.Signal) {
-	if signal.Wait > 0 {
-		r.log.Info("server to be left alone", "server", s.ID, "wait", lines.Ms(signal.Wait))
-	}
-	r.table.Heard(time.Now(), s, signal)
-}
-
-// tellLeaving tells the others of a process that takes no new work.
-func (r *Router) tellLeaving(s fleet.Server) {
-	r.log.Info("server leaves by its own answer", "server", s.ID, "service", s.Service, "born", s.Born.UnixMilli())
-	r.notices.TellLeaving(s.Process())
-}
-
-// heardLeaving takes a process of which another daemon tells that it takes no new
-// work.
-func (r *Router) heardLeaving(p fleet.Process) {
-	if r.table.MarkLeaving(time.Now(), p) {
-		r.log.Info("server leaves by the word of another daemon", "server", p.ID, "born", p.Born)
-	}
-}
-
 // same tells whether a backend server is still the one of its entry.
 func (r *Router) same(ctx context.Context, s fleet.Server) (bool, error) {
 	path := ""
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -138,6 +138,13 @@
 	}()
 }
 
+// dropOldCache frees a KV cache that is too old to be offered to another engine.
+func (j *job) dropOldCache(ctx context.Context) {
+	if j.cache != nil && time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
+		j.dropCache(ctx)
+	}
+}
+
 // fail ends the request without an answer. What may have run is not said to
 // have not run.
 func (j *job) fail(ctx context.Context, reason string) {
@@ -243,8 +250,8 @@
 		// The prompt would be read in vain.
 		return j.elsewhere(ctx, j.lease.Decode, "", true)
 	}
-	s, ok := j.table.Get(time.Now(), j.lease.Prefill)
-	if !ok || j.table.IsBarred(time.Now(), s) {
+	s, ok := j.table.Open(time.Now(), j.lease.Prefill)
+	if !ok {
 		return j.elsewhere(ctx, j.lease.Prefill, "", true)
 	}
 	cut, cancel := context.WithTimeout(ctx, prefillTimeout)
@@ -288,8 +295,8 @@
 
 // decode has the answer made and passes it on.
 func (j *job) decode(ctx context.Context) step {
-	s, ok := j.table.Get(time.Now(), j.lease.Decode)
-	if !ok || j.table.IsBarred(time.Now(), s) {
+	s, ok := j.table.Open(time.Now(), j.lease.Decode)
+	if !ok {
 		return j.elsewhere(ctx, j.lease.Decode, "", true)
 	}
 	j.countSend()
@@ -334,16 +341,11 @@
 	}
 	switch {
 	case f.Fault == event.FaultUnsent:
-		// The KV cache is still there for another engine, if it is young enough.
-		if j.cache != nil && time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
-			j.dropCache(ctx)
-		}
+		j.dropOldCache(ctx)
 		return j.elsewhere(ctx, s.ID, "", true)
 	case f.Fault == event.FaultRefused && j.cache != nil && j.table.IsBarred(time.Now(), s):
 		// The engine wants nothing for a while, so that the KV cache is not the reason.
-		if time.Since(j.cache.Made) > time.Duration(offerFor*float64(j.service.Engine.Handle)) {
-			j.dropCache(ctx)
-		}
+		j.dropOldCache(ctx)
 		return j.elsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
 	case f.Fault == event.FaultRefused && f.Full && j.cache != nil:
 		// The ledger had room, so that a lost cache is the likelier cause: the
--- a/internal/room/grant/balance.go
+++ b/internal/room/grant/balance.go
@@ -71,8 +71,8 @@
 		if !ok {
 			continue
 		}
-		s, ok := n.fleet.Get(now, c.Engine)
-		if !ok || n.fleet.IsBarred(now, s) {
+		s, ok := n.fleet.Open(now, c.Engine)
+		if !ok {
 			l.Kept(c.Engine)
 			continue
 		}
@@ -112,5 +112,5 @@
 	if l.node == nil || took <= 0 {
 		return
 	}
-	l.node.do(func(time.Time) { l.node.mine(l.Service).reads.Add(l.ask.Prompt, took) })
+	l.node.do(func(time.Time) { l.node.mine(l.Service).prefills.add(l.ask.Prompt, took) })
 }
--- a/internal/room/grant/node.go
+++ b/internal/room/grant/node.go
@@ -114,11 +114,10 @@
 
 // mine is what this daemon runs at the engines of one service.
 type mine struct {
-	leases map[uint64]*Lease
-	ended  map[uint64]time.Time
-	full   map[string]time.Time
-	// reads are the last prefills.
-	reads Reads
+	leases   map[uint64]*Lease
+	ended    map[uint64]time.Time
+	full     map[string]time.Time
+	prefills prefills
 	// until is when the last report is due after the last run ended.
 	until time.Time
 }
--- a/internal/room/grant/reads.go
+++ b/internal/room/grant/pace.go
@@ -18,52 +18,51 @@
 	mostGain = 2.0
 )
 
-// Reads estimates the rate at which prefill engines read prompts, from the last
-// prefills of one daemon.
-type Reads struct {
-	last []read
+// prefills estimates the rate at which prefill engines read prompts, from the last
+// ones of one daemon.
+type prefills struct {
+	last []prefill
 }
 
-// read is one prefill.
-type read struct {
+type prefill struct {
 	tokens int
 	took   time.Duration
 }
 
-// Add takes a prefill.
-func (r *Reads) Add(tokens int, took time.Duration) {
-	if len(r.last) == readSamples {
-		r.last = r.last[1:]
+// add takes a prefill.
+func (p *prefills) add(tokens int, took time.Duration) {
+	if len(p.last) == readSamples {
+		p.last = p.last[1:]
 	}
-	r.last = append(r.last, read{tokens, took})
+	p.last = append(p.last, prefill{tokens, took})
 }
 
-// Pace is the rate in tokens a second, zero when it is not known. A part of each
+// pace is the rate in tokens a second, zero when it is not known. A part of each
 // prefill does not depend on the prompt and keeps no other prompt waiting:
 // connections, the way of the answer. The median of the slopes between pairs of
 // prefills (Theil and Sen) leaves it out.
-func (r *Reads) Pace() float64 {
-	if len(r.last) == 0 {
+func (p *prefills) pace() float64 {
+	if len(p.last) == 0 {
 		return 0
 	}
 	var whole, slopes []float64
-	for i, a := range r.last {
+	for i, a := range p.last {
 		whole = append(whole, float64(a.tokens)/a.took.Seconds())
-		for _, b := range r.last[:i] {
+		for _, b := range p.last[:i] {
 			if d := a.tokens - b.tokens; d >= leastApart || d <= -leastApart {
 				slopes = append(slopes, (a.took-b.took).Seconds()/float64(d))
 			}
 		}
 	}
 	slices.Sort(whole)
-	pace := whole[int(readQuantile*float64(len(whole)-1))]
+	plain := whole[int(readQuantile*float64(len(whole)-1))]
 	if len(slopes) < leastPairs {
-		return pace
+		return plain
 	}
 	slices.Sort(slopes)
 	slope := slopes[len(slopes)/2]
-	if slope*pace*mostGain < 1 {
-		return pace * mostGain
+	if slope*plain*mostGain < 1 {
+		return plain * mostGain
 	}
-	return max(1/slope, pace)
+	return max(1/slope, plain)
 }
--- a/internal/room/grant/reads_test.go
+++ b/internal/room/grant/pace_test.go
@@ -33,29 +33,29 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			var r Reads
+			var r prefills
 			for range c.n {
 				more := c.fixed
 				if rng.Float64() < c.waits {
 					more += time.Duration(rng.Float64() * 0.15 * float64(time.Second))
 				}
-				r.Add(prefill(c.least+rng.IntN(c.most-c.least), more))
+				r.add(prefill(c.least+rng.IntN(c.most-c.least), more))
 			}
-			if got := r.Pace() / rate; got < c.bounds[0] || got > c.bounds[1] {
+			if got := r.pace() / rate; got < c.bounds[0] || got > c.bounds[1] {
 				t.Errorf("rate is %.2f of the engines', want %v", got, c.bounds)
 			}
 		})
 	}
-	var none Reads
-	if p := none.Pace(); p != 0 {
+	var none prefills
+	if p := none.pace(); p != 0 {
 		t.Errorf("rate %v without a prefill", p)
 	}
-	var same Reads
+	var same prefills
 	for range 16 {
-		same.Add(100, time.Microsecond)
-		same.Add(5000, time.Microsecond)
+		same.add(100, time.Microsecond)
+		same.add(5000, time.Microsecond)
 	}
-	if p := same.Pace(); math.IsInf(p, 0) || math.IsNaN(p) || p > mostGain*5000/1e-6 {
+	if p := same.pace(); math.IsInf(p, 0) || math.IsNaN(p) || p > mostGain*5000/1e-6 {
 		t.Errorf("rate %v of prompts that are read in no time", p)
 	}
 }
--- a/internal/room/grant/serve.go
+++ b/internal/room/grant/serve.go
@@ -23,8 +23,8 @@
 	n.inspectAt = now.Add(inspectEvery)
 	for service, l := range n.ledgers {
 		for _, id := range l.Inspect(now) {
-			s, ok := n.fleet.Get(now, id)
-			if !ok || n.fleet.IsBarred(now, s) {
+			s, ok := n.fleet.Open(now, id)
+			if !ok {
 				continue
 			}
 			go n.usage(service, s)
@@ -63,7 +63,7 @@
 		}
 		n.number++
 		r := ledger.Report{Service: service, Start: n.start, Number: n.number,
-			Resting: resting, Pace: m.reads.Pace()}
+			Resting: resting, Pace: m.prefills.pace()}
 		for _, l := range m.leases {
 			r.Runs = append(r.Runs, l.run())
 		}
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -245,22 +245,6 @@
 	return want, true
 }
 
-// readPace is the rate of one prefill engine in tokens a second, the median of
-// what daemons measure.
-func (l *Ledger) readPace() float64 {
-	var paces []float64
-	for _, s := range l.sources {
-		if s.pace > 0 {
-			paces = append(paces, s.pace)
-		}
-	}
-	if len(paces) > 0 {
-		slices.Sort(paces)
-		l.reads = paces[len(paces)/2]
-	}
-	return l.reads
-}
-
 // noteLength takes the size of an ask into the means.
 func (l *Ledger) noteLength(a *Ask) {
 	weight := promptWeight
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -73,19 +73,6 @@
 	crossPrefill = 6000
 	// crossDecode is the same for decode engines, as a share of their memory.
 	crossDecode = 0.03
-	// decodeReads is the part of a prefill engine's rate that a decode engine adds by
-	// reading prompts itself: it reads at half the speed, between the steps of its runs.
-	decodeReads = 0.25
-	// decodeSpeed is the speed of such a read as a share of a prefill engine's.
-	decodeSpeed = 0.5
-	// usualGap stands for the longest pause between events where a route names none.
-	usualGap = 300 * time.Millisecond
-	// readSpare is the part of a prefill that does not depend on the prompt, with a
-	// margin.
-	readSpare = 50 * time.Millisecond
-	// readLimit is the time for the prompts before an ask in the queue of its
-	// prefill engine. Longer queues would hold decode memory for nothing.
-	readLimit = 500 * time.Millisecond
 )
 
 type runKey struct {
@@ -94,33 +81,6 @@
 	lease uint64
 }
 
-// entry is a run with what the ledger itself knows about it.
-type entry struct {
-	Run
-	granted time.Time
-	// listed is set once a report has named the run, which was at reported.
-	listed   bool
-	reported time.Time
-	// readBy is when its prefill engine has probably read the prompt, zero when the
-	// rate of the engines is not known.
-	readBy time.Time
-}
-
-// isUnread tells whether a run probably waits for its prompt to be read. Reports tell
-// it late: they come once a second in a large fleet, and a prompt takes a tenth.
-func (e *entry) isUnread(now time.Time) bool {
-	return e.Phase == Reading && (e.readBy.IsZero() || now.Before(e.readBy))
-}
-
-// at returns the run with the output that it probably has by now.
-func (e *entry) at(now time.Time, pace float64) Run {
-	r := e.Run
-	if r.Made > 0 {
-		r.Made += int(pace * now.Sub(e.reported).Seconds())
-	}
-	return r
-}
-
 // waiting is a queued ask.
 type waiting struct {
 	Ask
@@ -211,10 +171,10 @@
 
 // New returns an empty ledger.
 func New(service string) *Ledger {
-	return &Ledger{service: service, engines: map[string]Engine{}, runs: newRuns(),
+	return &Ledger{service: service, engines: map[string]Engine{}, runs: newRuns(), ownReads: map[string]time.Time{},
 		sources: map[netip.AddrPort]*source{}, full: map[string]time.Time{}, foreign: map[string]Foreign{}, inspected: map[string]time.Time{},
 		changing: map[string]time.Time{}, ordered: map[string]time.Time{}, orders: map[string]order{}, busy: map[string]bool{},
-		ownReads: map[string]time.Time{}, answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace, square: firstSpread * firstSpread}
+		answers: map[runKey]answered{}, refused: map[uint64]time.Time{}, stay: firstStay, pace: firstPace, square: firstSpread * firstSpread}
 }
 
 // SetEngines replaces the engines that new work may go to.
@@ -230,6 +190,11 @@
 	for _, e := range engines {
 		l.engines[e.ID] = e
 	}
+	for id := range l.ownReads {
+		if _, ok := l.engines[id]; !ok {
+			delete(l.ownReads, id)
+		}
+	}
 	l.changed()
 }
 
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -201,61 +200,6 @@
 	return best, queue
 }
 
-// freeToRead returns the decode engines that may read a prompt themselves. The runs
-// beside it pause meanwhile: no longer than may be between two events, and once in
-// that time.
-func (l *Ledger) freeToRead(now time.Time, a *Ask) []string {
-	gap := cmp.Or(a.Gap, usualGap)
-	if pace := l.readPace(); pace <= 0 || float64(a.Prompt)/(decodeSpeed*pace) > gap.Seconds() {
-		return nil
-	}
-	ids := slices.Clone(l.candidates(now, a, fleet.Decode, false))
-	return slices.DeleteFunc(ids, func(id string) bool {
-		if now.Sub(l.ownReads[id]) < gap {
-			return true
-		}
-		for _, e := range l.runs.decode[id] {
-			if e.Prefill == "" && e.Made == 0 {
-				return true
-			}
-		}
-		return false
-	})
-}
-
-// unread is the number of tokens in the queue of a prefill engine.
-func (l *Ledger) unread(now time.Time, engine string) int {
-	n := 0
-	for _, e := range l.runs.prefill[engine] {
-		if e.isUnread(now) {
-			n += e.Prompt
-		}
-	}
-	return n
-}
-
-// reading is the number of tokens of the prompts that a prefill engine has not read
-// by the last reports.
-func (l *Ledger) reading(engine string) int {
-	n := 0
-	for _, e := range l.runs.prefill[engine] {
-		if e.Phase == Reading {
-			n += e.Prompt
-		}
-	}
-	return n
-}
-
-// readTime is when a prefill engine that has a number of tokens to read has read
-// them, zero when its rate is not known.
-func (l *Ledger) readTime(now time.Time, tokens int) time.Time {
-	pace := l.readPace()
-	if pace <= 0 {
-		return time.Time{}
-	}
-	return now.Add(time.Duration(float64(tokens)/pace*float64(time.Second)) + readSpare)
-}
-
 // predict estimates how long an ask with a number of asks before it will wait.
 // A reason is returned when it can't be served at all.
 func (l *Ledger) predict(now time.Time, w *waiting, ahead int) (time.Duration, string) {
--- /dev/null
+++ b/internal/room/ledger/read_test.go
@@ -0,0 +1,138 @@
+package ledger_test
+
+import (
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/room/ledger"
+)
+
+// Pattern: prefill engines are lost, or turned, just before a rush. Guards against
+// requests that wait or are refused for prefill while decode engines have room, and
+// against decode engines that read several prompts at once, which would stall their
+// runs.
+func TestDecodeEnginesReadInARush(t *testing.T) {
+	cases := map[string]struct {
+		asks, prompt int
+		// later is the time after which queued asks are looked at again.
+		later time.Duration
+		// begun is the number of prompts that decode engines have read after the first
+		// asks, when as many come again.
+		begun         int
+		granted, self int
+	}{
+		"prefill engine is enough":     {4, 5000, 400 * time.Millisecond, 0, 4, 0},
+		"prefill engine is full":       {10, 5000, 70 * time.Millisecond, 0, 10, 4},
+		"decode engines read one each": {16, 5000, 70 * time.Millisecond, 0, 10, 4},
+		"their runs have just paused":  {16, 5000, 70 * time.Millisecond, 4, 10, 4},
+		// The prefill engine has read three prompts by then and takes as many.
+		"they read more once two are read": {16, 5000, 400 * time.Millisecond, 2, 15, 6},
+		"they read more once all are read": {16, 5000, 400 * time.Millisecond, 4, 16, 7},
+		"prompts would pause for too long": {16, 8000, 70 * time.Millisecond, 0, 4, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(4, 64, 200_000))
+			// 50,000 tokens a second: five prompts before an ask take half a second.
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Pace: 50_000})
+			now, granted := t0, []ledger.Answer{}
+			take := func(answers []ledger.Answer) {
+				for _, a := range answers {
+					if a.Verdict == ledger.Granted {
+						granted = append(granted, a)
+					}
+				}
+			}
+			for i := range uint64(c.asks) {
+				a := ask(i + 1)
+				a.Prompt = c.prompt
+				take(l.Ask(now, edge1, a))
+			}
+			report := ledger.Report{Service: "s", Start: 1, Number: 2, Pace: 50_000}
+			for _, a := range granted {
+				r := ledger.Run{Lease: a.ID, Decode: a.Decode, Prefill: a.Prefill, Prompt: c.prompt, Expect: 4000}
+				if a.Prefill == "" {
+					r.Phase = ledger.Writing
+					if c.begun > 0 {
+						c.begun--
+						r.Made = 11
+					}
+				}
+				report.Runs = append(report.Runs, r)
+			}
+			l.Report(now, edge1, report)
+			take(l.Tick(now.Add(c.later)))
+			self, reads := 0, map[string]int{}
+			for _, a := range granted {
+				if a.Prefill == "" {
+					self++
+					reads[a.Decode]++
+				}
+			}
+			if len(granted) != c.granted || self != c.self {
+				t.Errorf("%d granted, %d of them read by decode engines; want %d and %d", len(granted), self, c.granted, c.self)
+			}
+			for id, n := range reads {
+				if most := (c.self + 3) / 4; n > most {
+					t.Errorf("%s reads %d prompts, want %d at most", id, n, most)
+				}
+			}
+		})
+	}
+}
+
+// Pattern: a large fleet, whose daemons report once a second, in a rush. Guards
+// against prompts that count as unread until the next report though an engine reads
+// one in a tenth of a second: requests were refused, or read by decode engines, while
+// prefill engines stood idle.
+func TestPromptsAreReadBetweenReports(t *testing.T) {
+	cases := map[string]struct {
+		// every is the time between asks of 5,000 tokens at an engine that reads 50,000
+		// tokens a second.
+		every time.Duration
+		// reading tells that reports say that no prompt has been read.
+		reading bool
+		// least and most bound the asks that the prefill engine gets of 20.
+		least, most int
+	}{
+		"engine keeps up":             {160 * time.Millisecond, false, 20, 20},
+		"engine is slower than asks":  {40 * time.Millisecond, false, 8, 16},
+		"engine reads slower than it": {160 * time.Millisecond, true, 5, 18},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(4, 64, 400_000))
+			l.Report(t0, edge1, ledger.Report{Service: "s", Start: 1, Number: 1, Pace: 50_000})
+			now, number, prefill := t0, uint64(1), 0
+			var runs []ledger.Run
+			for i := range uint64(20) {
+				for _, a := range l.Ask(now, edge1, ask(i+1)) {
+					if a.Verdict != ledger.Granted {
+						continue
+					}
+					phase := ledger.Writing
+					if a.Prefill != "" {
+						prefill++
+						phase = ledger.Reading
+					}
+					runs = append(runs, ledger.Run{Lease: a.ID, Decode: a.Decode, Prefill: a.Prefill, Prompt: 5000, Expect: 4000, Phase: phase})
+				}
+				if was := now; was.Truncate(time.Second) != now.Add(c.every).Truncate(time.Second) {
+					number++
+					if !c.reading {
+						for j := range runs {
+							runs[j].Phase, runs[j].Made = ledger.Writing, 11
+						}
+					}
+					l.Report(now, edge1, ledger.Report{Service: "s", Start: 1, Number: number, Pace: 50_000, Runs: runs})
+				}
+				now = now.Add(c.every)
+			}
+			if prefill < c.least || prefill > c.most {
+				t.Errorf("prefill engine gets %d of 20, want %d to %d", prefill, c.least, c.most)
+			}
+		})
+	}
+}
--- a/internal/room/ledger/runs.go
+++ b/internal/room/ledger/runs.go
@@ -1,6 +1,30 @@
 package ledger
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
+
+// entry is a run with what the ledger itself knows about it.
+type entry struct {
+	Run
+	granted time.Time
+	// listed is set once a report has named the run, which was at reported.
+	listed   bool
+	reported time.Time
+	// readBy is when its prefill engine has probably read the prompt, zero when the
+	// rate of the engines is not known.
+	readBy time.Time
+}
+
+// at returns the run with the output that it probably has by now.
+func (e *entry) at(now time.Time, pace float64) Run {
+	r := e.Run
+	if r.Made > 0 {
+		r.Made += int(pace * now.Sub(e.reported).Seconds())
+	}
+	return r
+}
 
 // runs are the runs of a ledger, found by their daemon and by their engines, so
 // that an ask or a report costs as much as what it concerns.
--- a/internal/route/fleet/revision.go
+++ b/internal/route/fleet/revision.go
@@ -8,8 +8,7 @@
 // Revision is a version of the platform's store. A store that comes back from an
 // older copy gives out numbers again, in an era that is higher by one.
 type Revision struct {
-	Era    uint64 `cbor:"1,keyasint,omitempty"`
-	Number uint64 `cbor:"2,keyasint,omitempty"`
+	Era, Number uint64
 }
 
 // Compare returns a number below, at or above zero if r is older than, the same
--- a/internal/route/fleet/signal.go
+++ b/internal/route/fleet/signal.go
@@ -33,9 +33,9 @@
 // Process returns the process of the entry.
 func (s *Server) Process() Process { return Process{s.ID, s.Born.UnixMilli()} }
 
-// WithLeft sets a function that is called once for each process that told this
+// WithLeaving sets a function that is called once for each process that told this
 // daemon in an answer that it leaves. It must not block.
-func WithLeft(f func(Server)) Option { return func(t *Table) { t.told = f } }
+func WithLeaving(f func(Server)) Option { return func(t *Table) { t.told = f } }
 
 // Heard takes what an answer of a server said of the server.
 func (t *Table) Heard(now time.Time, s Server, signal Signal) {
@@ -103,6 +103,12 @@
 	return out
 }
 
+// Open returns the entry of a server to which this daemon may send new work.
+func (t *Table) Open(now time.Time, id string) (Server, bool) {
+	s, ok := t.Get(now, id)
+	return s, ok && !t.IsBarred(now, s)
+}
+
 // IsBarred tells whether a server wants no request from this daemon.
 func (t *Table) IsBarred(now time.Time, s Server) bool {
 	t.mu.Lock()
--- a/internal/route/fleet/signal_test.go
+++ b/internal/route/fleet/signal_test.go
@@ -51,7 +51,7 @@
 // Guards against a message to all daemons for each answer of a leaving server.
 func TestLeavingIsToldOnce(t *testing.T) {
 	told := 0
-	table := fleet.New(fleet.WithLeft(func(fleet.Server) { told++ }))
+	table := fleet.New(fleet.WithLeaving(func(fleet.Server) { told++ }))
 	table.Put(server("x", 1, 1))
 	for range 3 {
 		table.Heard(t0, server("x", 1, 1), fleet.Signal{Leaving: true})
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -107,6 +107,8 @@
 	untold     bool
 	told, next time.Time
 
+	// newest is the newest era of the store that this daemon has heard of.
+	newest uint64
 	// again is when the store may be read again after a failure.
 	again time.Time
 	// loading is when the daemon began to need everything.
@@ -118,8 +120,6 @@
 	mu       sync.Mutex
 	read     time.Time
 	revision fleet.Revision
-	// newest is the newest era of the store that this daemon has heard of.
-	newest uint64
 
 	cancel context.CancelFunc
 	done   chan struct{}
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -101,25 +100,6 @@
 	return s.revision() != after
 }
 
-// restore brings the store back from a copy that lacks the newest n changes.
-func (s *store) restore(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.era++
-	s.history = slices.Clone(s.history[:len(s.history)-n])
-	s.at, s.doc = uint64(len(s.history)), nil
-	for i := range s.history {
-		s.history[i].Revision.Era = s.era
-		s.history[i].Servers = slices.Clone(s.history[i].Servers)
-		for j := range s.history[i].Servers {
-			s.history[i].Servers[j].Revision.Era = s.era
-		}
-		if d := s.history[i].Document; d != nil {
-			s.doc = d
-		}
-	}
-}
-
 func (s *store) Watch(ctx context.Context, after fleet.Revision, wait time.Duration) (*citronrock.Changes, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && !s.changedSince(after); {
 		select {
--- a/internal/route/follow/restore_test.go
+++ b/internal/route/follow/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,25 @@
 	s.change(citronrock.Changes{Document: document(2)})
 }
 
+// restore brings the store back from a copy that lacks the newest n changes.
+func (s *store) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.history = slices.Clone(s.history[:len(s.history)-n])
+	s.at, s.doc = uint64(len(s.history)), nil
+	for i := range s.history {
+		s.history[i].Revision.Era = s.era
+		s.history[i].Servers = slices.Clone(s.history[i].Servers)
+		for j := range s.history[i].Servers {
+			s.history[i].Servers[j].Revision.Era = s.era
+		}
+		if d := s.history[i].Document; d != nil {
+			s.doc = d
+		}
+	}
+}
+
 func ids(t *fleet.Table) string {
 	out := ""
 	for _, s := range t.Usable(time.Now(), "s") {
--- a/internal/route/notice/leave.go
+++ b/internal/route/notice/leave.go
@@ -7,8 +7,8 @@
 	"citronrock.example/citronrock/internal/route/fleet"
 )
 
-// left tells that a process of a backend server takes no new work.
-type left struct {
+// leaving tells that a process of a backend server takes no new work.
+type leaving struct {
 	fleet.Process
 	// Relay are the daemons that the receiver passes the message on to.
 	Relay []netip.AddrPort `cbor:"3,keyasint,omitempty"`
@@ -17,19 +17,19 @@
 // TellLeaving tells all other daemons that a process takes no new work. Those that
 // miss it learn it from the process's own answers.
 func (n *Node) TellLeaving(p fleet.Process) {
-	n.spread(gram.Leave, func(relay []netip.AddrPort) any { return left{p, relay} })
+	n.spread(gram.Leave, func(relay []netip.AddrPort) any { return leaving{p, relay} })
 }
 
 // HandleLeaving sets the function that takes processes of which other daemons told
 // that they take no new work. It must not block.
 func (n *Node) HandleLeaving(f func(fleet.Process)) {
 	n.socket.Handle(gram.Leave, func(_ netip.AddrPort, body []byte) {
-		var m left
+		var m leaving
 		if !n.socket.Decode(body, &m) {
 			return
 		}
 		if len(m.Relay) > 0 {
-			n.socket.Send(gram.Leave, left{Process: m.Process}, m.Relay...)
+			n.socket.Send(gram.Leave, leaving{Process: m.Process}, m.Relay...)
 		}
 		f(m.Process)
 	})
