Count the grace of missing servers from the store's return, not from a late read

A daemon of a large fleet that hears of a later era reads everything at a random time, up to five seconds later where no other daemon has it yet.

Change: the grace counts from when the daemon first heard of the era. An outage that ended later still counts from its end.

--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -131,12 +131,14 @@
 	t.outage = down
 }
 
-// Restored tells the table that the store has come back from an older copy.
-// Entries that it lacks may be written again, as after an outage.
-func (t *Table) Restored(now time.Time) {
+// Restored tells the table when the store has come back from an older copy. Entries
+// that it lacks may be written again, as after an outage.
+func (t *Table) Restored(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outage, t.outageEnd = false, now
+	if at.After(t.outageEnd) {
+		t.outageEnd = at
+	}
 }
 
 // Put takes a published entry. It reports whether it changed the table.
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -109,6 +109,9 @@
 
 	// newest is the newest era of the store that this daemon has heard of.
 	newest uint64
+	// returned is when this daemon first heard of that era, soon after the store's
+	// return.
+	returned time.Time
 	// again is when the store may be read again after a failure.
 	again time.Time
 	// loading is when the daemon began to need everything.
@@ -372,9 +375,15 @@
 	return f.changed.Notice(f.revision, f.version())
 }
 
+// hearEra notes an era of the store.
+func (f *Follower) hearEra(now time.Time, era uint64) {
+	if era > f.newest {
+		f.newest, f.returned = era, now
+	}
+}
+
 func (f *Follower) note(revision fleet.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.read, f.revision = time.Now(), revision
-	f.newest = max(f.newest, revision.Era)
 }
--- a/internal/route/follow/hear.go
+++ b/internal/route/follow/hear.go
@@ -27,7 +27,7 @@
 	case n.Era < f.revision.Era:
 		return nil // its sender has not read the store since it came back
 	case n.Era > f.revision.Era:
-		f.newest = max(f.newest, n.Era)
+		f.hearEra(time.Now(), n.Era)
 		return errEra
 	case n.At <= f.revision.Number && n.Version <= f.version():
 		f.markHeard(time.Now())
--- a/internal/route/follow/load.go
+++ b/internal/route/follow/load.go
@@ -48,9 +48,10 @@
 func (f *Follower) replace(state *citronrock.State, c *citronrock.Changes) {
 	now := time.Now()
 	f.table.Outage(now, false)
+	f.hearEra(now, state.Revision.Era)
 	if state.Revision.Era > f.revision.Era && !f.revision.IsZero() {
 		f.log.Warn("store has come back from an older copy", "was", f.revision.String(), "revision", state.Revision.String())
-		f.table.Restored(now)
+		f.table.Restored(f.returned)
 		f.untold = true
 	}
 	f.table.Reset(now, state.Servers, state.Revision)
--- a/internal/route/follow/restore_test.go
+++ b/internal/route/follow/restore_test.go
@@ -212,7 +212,9 @@
 }
 
 // Guards against a daemon that takes a state from before the store's return, of
-// the store or of another daemon, for one from after it.
+// the store or of another daemon, for one from after it; and against one that reads
+// late in a large fleet and then keeps servers which the store lacks for as long as if
+// it had just come back.
 func TestStatesOfEarlierEras(t *testing.T) {
 	for name, others := range map[string]int{"small fleet": 5, "large fleet": 300} {
 		t.Run(name, func(t *testing.T) {
@@ -222,20 +224,28 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				table := fleet.New()
-				p := &peers{others: others, state: before}
-				f := follow.Start(lagging{s, before}, table, p, hclog.NewNullLogger())
-				defer f.Close()
+				// Each daemon of a large fleet reads at a random time.
+				const daemons = 60
+				tables, all, followers := make([]*fleet.Table, daemons), make([]*peers, daemons), make([]*follow.Follower, daemons)
+				for i := range daemons {
+					tables[i], all[i] = fleet.New(), &peers{others: others, state: before}
+					followers[i] = follow.Start(lagging{s, before}, tables[i], all[i], hclog.NewNullLogger())
+					defer followers[i].Close()
+				}
 				time.Sleep(time.Second)
 				s.lost()
 				time.Sleep(2 * time.Second)
 				s.restore(3)
 				s.change(citronrock.Changes{Servers: []fleet.Server{named("after", 1)}})
-				p.take(netip.AddrPort{}, notice.Notice{Era: 1, Base: s.at, At: s.at, Version: 2})
+				for _, p := range all {
+					p.take(netip.AddrPort{}, notice.Notice{Era: 1, Base: s.at, At: s.at, Version: 2})
+				}
 				time.Sleep(6 * time.Second)
 				synctest.Wait()
-				if _, at := f.Age(); at.Era != 1 || ids(table) != "after stays " {
-					t.Errorf("era %d with servers %q, want the restored store's", at.Era, ids(table))
+				for i, f := range followers {
+					if _, at := f.Age(); at.Era != 1 || ids(tables[i]) != "after stays " {
+						t.Errorf("daemon %d: era %d with servers %q, want the restored store's", i, at.Era, ids(tables[i]))
+					}
 				}
 			})
 		})
