Log and count what is sent to servers that name a limit

Change: the adapter decodes the limit in each response, whether it names none, or one that can't be used. All requests to servers go through internal/room/gate, which logs changes of a limit, and every 4 s what this daemon sent to a limited server by path; gauges count the same. Nothing is held back or routed differently.

--- a/edge.go
+++ b/edge.go
@@ -34,6 +34,9 @@
 	// responses. It is called before a response is returned. OnSignal must be called
 	// before all other methods.
 	OnSignal(func(pool.Server, pool.Signal))
+	// OnLimit sets the function that receives what each response says about the limit
+	// of its server, under the same rules as OnSignal.
+	OnLimit(func(pool.Server, pool.Limit))
 }
 
 // Ingress decodes the requests of clients and answers them.
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/route/pool"
 )
 
 // Request is a client's request as received.
@@ -54,6 +55,8 @@
 type Cache struct {
 	Source netip.AddrPort
 	Handle string
+	// Engine is the entry of the engine at Source.
+	Engine pool.Server
 	// Tokens is the length of the prompt.
 	Tokens  int
 	Created time.Time
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -11,6 +11,7 @@
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/dgram"
 	"citronrock.example/citronrock/internal/peer/gossip"
+	"citronrock.example/citronrock/internal/room/gate"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/rotisserie/eris"
@@ -131,7 +132,13 @@
 			return int64(in + out)
 		}))
 	}
+	for path, name := range gate.PathNames {
+		failed = append(failed, r.meter.Gauge("limited_"+name, "sent on this path to servers since they named their present limit", func() int64 {
+			return r.backends.Sent(gate.Path(path))
+		}))
+	}
 	return errors.Join(append(failed,
+		r.meter.Gauge("limited", "servers that name a limit on the requests of all daemons", r.backends.Limited),
 		r.meter.Gauge("panics", "panics recovered since the start; the affected work was abandoned", panics.Count),
 		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.InFlight()) }),
 		r.meter.Gauge("peers", "live daemons, this one included", func() int64 { return int64(len(r.gossip.Alive())) }),
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -25,6 +25,7 @@
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/dgram"
 	"citronrock.example/citronrock/internal/peer/gossip"
+	"citronrock.example/citronrock/internal/room/gate"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/crash"
@@ -68,7 +69,7 @@
 type Router struct {
 	settings  *site.Settings
 	ingress   citronrock.Ingress
-	backends  citronrock.Backends
+	backends  *gate.Gate
 	log       *lines.Log
 	meter     *meter.Meter
 	startedAt time.Time
@@ -111,7 +112,7 @@
 // Start starts a router with the given settings. The error tells which address can't
 // be used. Stop stops it.
 func Start(s *site.Settings, p Deps) (*Router, error) {
-	r := &Router{settings: s, ingress: p.Ingress, backends: p.Backends, log: p.Log, meter: p.Meter, startedAt: time.Now(),
+	r := &Router{settings: s, ingress: p.Ingress, log: p.Log, meter: p.Meter, startedAt: time.Now(),
 		started: make(chan struct{})}
 	p.Log.Info("start", "domain", s.Domain, "front", s.Front.String(), "peer", s.Peer.String(),
 		"seeds", len(s.Seeds), "store", s.Store.String(), "pid", os.Getpid())
@@ -127,17 +128,18 @@
 		pool.WithDraining(r.broadcastDraining))
 	r.fanout = fanout.New(s.Peer, r.socket, r.gossip)
 	r.fanout.HandleDraining(r.onDraining)
-	p.Backends.OnSignal(r.onSignal)
+	r.backends = gate.New(p.Backends, p.Log)
+	r.backends.OnSignal(r.onSignal)
 	r.guard = crash.New(s.Peer, r.socket, r.gossip, p.Log)
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
-	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, p.Backends, p.Log)
+	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
 	budget := quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
 	r.memory = memory.New(memory.DefaultBytes)
 	if s.Memory > 0 {
 		r.memory = memory.New(int64(bodyMemoryShare * float64(s.Memory)))
 	}
-	r.unary = unary.New(r.table, p.Backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory))
-	r.stream = stream.New(r.table, p.Backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithShutdownDeadline(r.shutdownDeadline),
+	r.unary = unary.New(r.table, r.backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory))
+	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithShutdownDeadline(r.shutdownDeadline),
 		stream.WithWaste(func(service string, tokens int) { p.Meter.WastedTokens(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -392,6 +394,7 @@
 func (r *Router) closePeers() {
 	r.prober.Close()
 	r.leases.Close()
+	r.backends.Close()
 	r.gossip.Close()
 	r.socket.Close()
 }
