Keep a server's limit by permits of the daemon that owns it

What callers saw: requests to a server in need waited or failed there, although the server had said how much it takes.

The class of fault is a bound on the whole fleet that each daemon learns at another time: kept by each daemon for itself it would be exceeded by the number of daemons.

Change: each request to a limited server needs a permit. A limit and its end are broadcast, and announced again each second for daemons that start. Without a permit a request goes to another server, or is answered 503 at once with the time at which the owner expects room. Held engines are left out of leases and get no polls. A limit is raised or ended only by a response to a request that was sent after the last one that named it.

Why it works: the sum is kept in one place, so that neither the number of daemons nor the time at which one learns the limit enters the bound; a new owner starts without saved permits, and an old one grants nothing once it knows.

--- a/errors.go
+++ b/errors.go
@@ -37,7 +37,7 @@
 // Reasons of failures.
 const (
 	ReasonInvalid  Reason = "invalid"  // the request is malformed; correct it
-	ReasonLimit    Reason = "limit"    // the tenant is over its limit
+	ReasonLimit    Reason = "limit"    // the tenant, or the backend servers, are at their limit
 	ReasonOverload Reason = "overload" // load shedding: latency targets can't be met now
 	ReasonDeadline Reason = "deadline" // the deadline passed
 	ReasonDrain    Reason = "drain"    // the daemon is draining
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -79,7 +79,10 @@
 	Misdirected bool
 	// Full is set when the server had no free capacity.
 	Full bool
-	Err  error
+	// Limited is set when nothing was sent because the server's limit on the requests of
+	// all daemons left no room. Fault is event.FaultUnsent then.
+	Limited bool
+	Err     error
 }
 
 // Error returns the cause.
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -34,6 +34,8 @@
 	Peers    []Peer                `json:"peers"`
 	Servers  []Server              `json:"servers"`
 	Loads    map[string]lease.Load `json:"loads"`
+	// Limits are the limits that servers name.
+	Limits []gate.Limit `json:"limits"`
 	// Bytes counts the bytes of datagrams from and to other daemons, by kind.
 	Bytes map[string]Bytes `json:"bytes"`
 }
@@ -66,7 +68,7 @@
 // Status returns the state for operators.
 func (r *Router) Status() Status {
 	s := Status{Name: r.settings.Name, Domain: r.settings.Domain, Started: r.startedAt, Ready: r.Ready(),
-		InFlight: r.server.InFlight(), Loads: r.leases.Loads()}
+		InFlight: r.server.InFlight(), Loads: r.leases.Loads(), Limits: r.backends.Limits()}
 	s.StoreAge, s.Revision = r.follower.Age()
 	if d := r.follower.Document(); d != nil {
 		s.Version = d.Version
@@ -133,12 +135,15 @@
 		}))
 	}
 	for path, name := range gate.PathNames {
-		failed = append(failed, r.meter.Gauge("limited_"+name, "sent on this path to servers since they named their present limit", func() int64 {
+		failed = append(failed, r.meter.Gauge("limited_"+name, "sent on this path to servers that named a limit", func() int64 {
 			return r.backends.Sent(gate.Path(path))
 		}))
 	}
 	return errors.Join(append(failed,
 		r.meter.Gauge("limited", "servers that name a limit on the requests of all daemons", r.backends.Limited),
+		r.meter.Gauge("permits", "permits for requests to limited servers that this daemon got", r.backends.Granted),
+		r.meter.Gauge("permits_denied", "requests to limited servers that got no permit", r.backends.Denied),
+		r.meter.Gauge("permits_silent", "asks for permits that their owner did not answer", r.backends.Unanswered),
 		r.meter.Gauge("panics", "panics recovered since the start; the affected work was abandoned", panics.Count),
 		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.InFlight()) }),
 		r.meter.Gauge("peers", "live daemons, this one included", func() int64 { return int64(len(r.gossip.Alive())) }),
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -128,7 +128,7 @@
 		pool.WithDraining(r.broadcastDraining))
 	r.fanout = fanout.New(s.Peer, r.socket, r.gossip)
 	r.fanout.HandleDraining(r.onDraining)
-	r.backends = gate.New(p.Backends, p.Log)
+	r.backends = gate.New(s.Peer, r.socket, r.gossip, r.fanout, r.table, p.Backends, p.Log)
 	r.backends.OnSignal(r.onSignal)
 	r.guard = crash.New(s.Peer, r.socket, r.gossip, p.Log)
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
--- a/internal/front/stream/fault.go
+++ b/internal/front/stream/fault.go
@@ -18,6 +18,12 @@
 	}
 }
 
+// isLimited reports whether nothing was sent because of the limit of a server.
+func isLimited(err error) bool {
+	var sendErr *proxy.SendError
+	return errors.As(err, &sendErr) && sendErr.Limited
+}
+
 // asSendError returns the *proxy.SendError in an error. Other errors count as a
 // broken connection.
 func asSendError(err error) *proxy.SendError {
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/logs/lines"
@@ -19,6 +20,9 @@
 const (
 	// maxLeases is the number of leases that one request may use.
 	maxLeases = 4
+	// maxLimited is the number of additional leases for engines whose limits leave no
+	// room.
+	maxLimited = 8
 	// lateWaitShare is the share of the latency target for which a lease request may
 	// wait beyond the time at which the answer becomes late.
 	lateWaitShare = 0.5
@@ -74,9 +78,11 @@
 	// an engine.
 	headerSent, streaming, mayHaveRun bool
 	sends, runs                       int
-	events                            int
-	lastEventID                       string
-	excluded                          []string
+	// limited counts the leases that were not used because of limits of engines.
+	limited     int
+	events      int
+	lastEventID string
+	excluded    []string
 }
 
 // step tells whether the request is finished or another lease is needed.
@@ -88,7 +94,7 @@
 )
 
 func (j *job) run(ctx context.Context) {
-	for range maxLeases {
+	for leases := 0; leases < maxLeases+min(j.limited, maxLimited); leases++ {
 		if !j.acquire(ctx) {
 			return
 		}
@@ -162,6 +168,9 @@
 		o.Result, o.Status = "unknown", http.StatusBadGateway
 	default:
 		o.Result, o.Status = "refused", http.StatusServiceUnavailable
+		if len(j.table.Held(time.Now(), j.service.Name)) > 0 && (reason == ledger.ReasonNoEngine || j.limited > 0) {
+			o.Reason, o.RetryAfter = string(citronrock.ReasonLimit), max(o.RetryAfter, j.table.RetryAfter(time.Now(), j.service.Name))
+		}
 		if o.RetryAfter == 0 {
 			o.RetryAfter = time.Second
 		}
@@ -192,7 +201,7 @@
 		Slack: slack, MaxWait: max(slack, 0) + time.Duration(lateWaitShare*float64(j.route.Target)),
 		RetryMaxWait:  time.Duration(retryWaitShare * float64(j.route.Target)),
 		MaxRetryAfter: time.Duration(maxRetryAfterShare * float64(time.Until(j.deadline))),
-		Fingerprint:   fingerprint(j.req), Prefilled: j.cache != nil, Resumed: j.streaming, Excluded: j.excludedEngines(), Rank: j.route.Rank, Gap: j.route.Gap}
+		Fingerprint:   fingerprint(j.req), Prefilled: j.cache != nil, Resumed: j.streaming, Excluded: j.excludedEngines(), Held: j.table.Held(time.Now(), j.service.Name), Rank: j.route.Rank, Gap: j.route.Gap}
 	if limit := time.Until(j.deadline) / 2; leaseReq.RetryMaxWait > limit {
 		leaseReq.RetryMaxWait = limit
 	}
@@ -259,10 +268,14 @@
 	}
 	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
-	j.countSend()
 	start := time.Now()
 	report := j.table.Begin(s.ID)
 	cache, err := j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	if isLimited(err) {
+		report(time.Now(), pool.Unknown, 0)
+		return j.retryUnlimited(ctx, s.ID)
+	}
+	j.countSend()
 	if err == nil {
 		report(time.Now(), pool.OK, time.Since(start))
 		j.cache, j.prefiller = cache, s.ID
@@ -297,18 +310,30 @@
 	return again
 }
 
+// retryUnlimited prepares another lease without an engine whose limit leaves no room. It
+// does not count as one of the maxLeases.
+func (j *job) retryUnlimited(ctx context.Context, id string) step {
+	j.limited++
+	return j.retryElsewhere(ctx, id, "", true)
+}
+
 // decode sends the request to the decode engine and relays the response.
 func (j *job) decode(ctx context.Context) step {
 	s, ok := j.table.Available(time.Now(), j.lease.Decode)
 	if !ok {
 		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
 	}
-	j.countSend()
 	start := time.Now()
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	resp, err := j.backends.Send(runCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline), Cache: j.cache, LastEventID: j.lastEventID})
+	if isLimited(err) {
+		report(time.Now(), pool.Unknown, 0)
+		j.freeOldCache(ctx)
+		return j.retryUnlimited(ctx, s.ID)
+	}
+	j.countSend()
 	if err != nil {
 		sendErr := asSendError(err)
 		report(time.Now(), serverOutcome(ctx, sendErr), 0)
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -111,6 +111,9 @@
 		return out
 	}
 	out.Reason = string(v.Reason)
+	if v.Kind == citronrock.NotRun && len(h.table.Held(time.Now(), service)) > 0 {
+		out.Reason = string(citronrock.ReasonLimit)
+	}
 	switch {
 	case v.Kind == citronrock.NotRun:
 		out.Status, out.Result, out.RetryAfter = http.StatusServiceUnavailable, "refused", v.RetryAfter
@@ -130,7 +133,11 @@
 		if !ok {
 			return j.failure, j.decide(event.FaultRefused, nil)
 		}
-		resp, fault := j.send(ctx, server)
+		resp, fault, limited := j.send(ctx, server)
+		if limited && ctx.Err() == nil {
+			j.excluded = append(j.excluded, server.ID)
+			continue
+		}
 		if resp != nil && fault == event.FaultNone {
 			return resp, retry.Decision{}
 		}
@@ -191,8 +198,9 @@
 }
 
 // send makes one attempt. It returns a response with a fault when the server reports
-// a failure.
-func (j *job) send(ctx context.Context, s pool.Server) (*response, event.Fault) {
+// a failure. limited is set when nothing was sent because of the server's limit, which
+// does not count as an attempt.
+func (j *job) send(ctx context.Context, s pool.Server) (resp *response, fault event.Fault, limited bool) {
 	limit := j.deadline
 	if j.route.Kind == config.Idempotent && j.sends+1 < j.route.Attempts && j.failure == nil {
 		if early := time.Now().Add(time.Duration(attemptTimeoutShare * float64(j.route.Target))); early.Before(limit) {
@@ -201,14 +209,19 @@
 	}
 	attemptCtx, cancel := context.WithDeadlineCause(ctx, limit, errAttemptTimeout)
 	defer cancel()
-	if j.sends == 0 {
-		j.quota.Sent(j.service)
-	}
-	j.sends++
 	start := time.Now()
 	report := j.table.Begin(s.ID)
 	resp, fault, err := j.exchange(attemptCtx, s)
 	took := time.Since(start)
+	var sendErr *proxy.SendError
+	if errors.As(err, &sendErr) && sendErr.Limited {
+		report(time.Now(), pool.Unknown, 0)
+		return nil, event.FaultUnsent, true
+	}
+	if j.sends == 0 {
+		j.quota.Sent(j.service)
+	}
+	j.sends++
 	report(time.Now(), serverOutcome(ctx, resp, fault), took)
 	switch {
 	case resp != nil:
@@ -224,7 +237,7 @@
 		j.log.Info(lines.Attempt, "request", j.req.ID, "service", j.service, "server", s.ID, "entry", s.Revision.String(),
 			"send", j.sends, "fault", fault.String(), "error", text, "took", lines.Ms(took))
 	}
-	return resp, fault
+	return resp, fault, false
 }
 
 // errAttemptTimeout is the cause of the cancellation of an attempt in favour of
--- a/internal/front/unary/unary_test.go
+++ b/internal/front/unary/unary_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -32,6 +33,8 @@
 	status int
 	cut    bool
 	ran    bool
+	// limited is set when the server's limit leaves no room.
+	limited bool
 }
 
 var (
@@ -43,6 +46,7 @@
 	cut     = step{status: 200, cut: true, ran: true}
 	bare503 = step{status: 503, ran: true}
 	fine    = step{status: 200, ran: true}
+	limited = step{fault: event.FaultUnsent, limited: true}
 )
 
 // servers is a fake of the backend servers.
@@ -51,6 +55,8 @@
 	steps []step
 	ran   int
 	sent  []string
+	// denied is called when the limit of a server leaves no room.
+	denied func(to pool.Server)
 }
 
 func (s *servers) Send(_ context.Context, to pool.Server, _ *proxy.Request, _ proxy.Options) (*proxy.Response, error) {
@@ -59,6 +65,10 @@
 	if x.ran {
 		s.ran++
 	}
+	if x.limited {
+		s.denied(to)
+		return nil, &proxy.SendError{Fault: x.fault, Limited: true, Err: errReset}
+	}
 	if x.status == 0 {
 		return nil, &proxy.SendError{Fault: x.fault, Full: x.fault == event.FaultRefused, Err: errReset}
 	}
@@ -206,3 +216,54 @@
 		})
 	}
 }
+
+// Guards against requests that wait for a server whose limit leaves no room, or are
+// answered with a failure, while another server takes them, and against an answer that
+// says nothing of when there will be room.
+func TestLimitedServers(t *testing.T) {
+	cases := map[string]struct {
+		kind    config.Kind
+		steps   []step
+		held    []string
+		status  int
+		sends   int
+		reason  string
+		atLeast time.Duration
+	}{
+		"one denied":                   {config.NonIdempotent, []step{limited, fine}, nil, 200, 1, "", 0},
+		"four denied":                  {config.NonIdempotent, []step{limited, limited, limited, limited, fine}, nil, 200, 1, "", 0},
+		"denied, then reset":           {config.NonIdempotent, []step{limited, reset, fine}, nil, 502, 1, "backend", 0},
+		"denied, failed, denied":       {config.Idempotent, []step{limited, failed, limited, fine}, nil, 200, 2, "", 0},
+		"failed, all others denied":    {config.Idempotent, []step{failed, limited}, nil, 500, 1, "server", 0},
+		"all denied":                   {config.NonIdempotent, []step{limited}, nil, 503, 0, "limit", 700 * time.Millisecond},
+		"held without being asked for": {config.NonIdempotent, []step{fine}, []string{"a", "b", "c", "d", "e"}, 503, 0, "limit", 700 * time.Millisecond},
+		"one is not held":              {config.NonIdempotent, []step{fine}, []string{"a", "b", "c", "d"}, 200, 1, "", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &servers{steps: c.steps}
+			table := pool.New()
+			for _, id := range []string{"a", "b", "c", "d", "e"} {
+				e := pool.Server{ID: id, Service: "s", Sequence: 1, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+				table.Put(e)
+				if slices.Contains(c.held, id) {
+					table.Hold(e.Process(), time.Now().Add(400*time.Millisecond), time.Now().Add(800*time.Millisecond))
+				}
+			}
+			s.denied = func(to pool.Server) {
+				table.Hold(to.Process(), time.Now().Add(400*time.Millisecond), time.Now().Add(800*time.Millisecond))
+			}
+			h := unary.New(table, s, ingress{}, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+			route := &config.Route{Name: "r", Kind: c.kind, Timeout: time.Second, Target: 100 * time.Millisecond, Attempts: 2}
+			rec, start := httptest.NewRecorder(), time.Now()
+			o := h.Serve(t.Context(), rec, &proxy.Request{ID: "c", Method: http.MethodPost, Received: start}, route, "s", start.Add(time.Second))
+			if rec.Code != c.status || o.Attempts != c.sends || o.Reason != c.reason || o.RetryAfter < c.atLeast {
+				t.Errorf("status %d after %d attempts, reason %q, retry after %v; want %d after %d, %q, at least %v",
+					rec.Code, o.Attempts, o.Reason, o.RetryAfter, c.status, c.sends, c.reason, c.atLeast)
+			}
+			if took := time.Since(start); took > 100*time.Millisecond {
+				t.Errorf("answered after %v, want at once", took)
+			}
+		})
+	}
+}
--- a/internal/peer/dgram/dgram.go
+++ b/internal/peer/dgram/dgram.go
@@ -28,10 +28,14 @@
 	Update
 	Strike
 	Drain
+	Limit
+	PermitRequest
+	PermitReply
 )
 
 // KindNames holds the name of each kind in metrics.
-var KindNames = map[Kind]string{Gossip: "beat", LeaseRequest: "ask", LeaseReply: "answer", LeaseCancel: "drop", Report: "report", Update: "notice", Strike: "strike", Drain: "leave"}
+var KindNames = map[Kind]string{Gossip: "beat", LeaseRequest: "ask", LeaseReply: "answer", LeaseCancel: "drop", Report: "report", Update: "notice", Strike: "strike", Drain: "leave",
+	Limit: "limit", PermitRequest: "want", PermitReply: "permit"}
 
 const (
 	// version increases with each incompatible change of a message.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -381,6 +381,19 @@
 	return out
 }
 
+// Lost returns the number of daemons that were alive within the last minute, are not
+// now, and have not said that they leave. They may be alive in another part of a divided
+// fleet.
+func (t *Table) Lost(now time.Time) int {
+	lost := 0
+	for _, e := range t.entries {
+		if !t.isAlive(now, e) && !e.Leaving {
+			lost++
+		}
+	}
+	return lost
+}
+
 // Known returns the number of daemons, this one included, that were alive within
 // the last minute.
 func (t *Table) Known() int { return len(t.entries) + 1 }
--- a/internal/peer/gossip/node.go
+++ b/internal/peer/gossip/node.go
@@ -154,6 +154,14 @@
 	return n.table.Known()
 }
 
+// Lost returns the number of daemons that were alive within the last minute and are
+// not now, without those that left.
+func (n *Node) Lost() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Lost(time.Now())
+}
+
 // SetSeeds replaces the seeds after a reload of the settings.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
 	n.mu.Lock()
--- a/internal/room/gate/gate.go
+++ b/internal/room/gate/gate.go
@@ -1,205 +1,267 @@
-// Package gate stands between the router and the backend servers. It counts what this
-// daemon sends to servers that name a limit on the requests of all daemons.
+// Package gate stands between the router and the backend servers and keeps the limits
+// that servers name on the requests of all daemons together. Each request to a limited
+// server needs a permit of the daemon that owns the limit; see package permit.
 package gate
 
 import (
 	"context"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
-	"citronrock.example/citronrock/internal/room/lease"
-	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/logs/panics"
+	"citronrock.example/citronrock/internal/peer/dgram"
+	"citronrock.example/citronrock/internal/peer/gossip"
+	"citronrock.example/citronrock/internal/room/permit"
 	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 )
 
-// Path is a kind of request to a backend server.
-type Path uint8
-
-// Paths to backend servers.
 const (
-	Request Path = iota
-	Prefill
-	Report
-	Check
-	Order
-	Free
-	paths
+	// recordInterval is the time between two log lines about a limited server, the time
+	// over which servers count requests.
+	recordInterval = permit.LoadWindow
+	// announceInterval is the time between two announcements of a limit by its owner,
+	// for daemons that have started since or missed the last one.
+	announceInterval = time.Second
+	// endedNoticeTime is how long the owner announces the end of a limit.
+	endedNoticeTime = 3 * time.Second
+	// ownerTTL is how long the owner of a limit is not computed again, which takes a hash
+	// of each daemon.
+	ownerTTL = 100 * time.Millisecond
+	// forgetAfter is how long the state of a server is kept after its last use.
+	forgetAfter = time.Minute
 )
 
-// PathNames holds the name of each path in logs and metrics.
-var PathNames = [paths]string{"request", "prefill", "report", "check", "order", "free"}
+// Members is the view of the live daemons.
+type Members interface {
+	gossip.Members
+	// Lost returns the number of daemons that are no longer alive and have not left.
+	Lost() int
+}
 
-// recordInterval is the time between two log lines about a server that names a limit,
-// the time over which servers count requests.
-const recordInterval = 4 * time.Second
+// Broadcaster announces limits to all other daemons.
+type Broadcaster interface {
+	BroadcastLimits(notices []permit.Notice)
+	HandleLimits(f func([]permit.Notice))
+}
 
-// Gate sends requests to backend servers. It implements citronrock.Backends.
+// Gate sends requests to backend servers within their limits. It implements
+// citronrock.Backends.
 type Gate struct {
+	self     netip.AddrPort
+	socket   dgram.Transport
+	members  Members
+	announce Broadcaster
+	table    *pool.Table
 	backends citronrock.Backends
 	log      hclog.Logger
 
+	// limited is the number of limited servers. Requests take no lock while it is zero.
+	limited atomic.Int64
+	counts  struct{ granted, denied, unanswered atomic.Int64 }
+	sent    [paths]atomic.Int64
+
 	mu      sync.Mutex
-	limited map[pool.Process]*limited
+	servers map[pool.Process]*server
 	// invalid has the last value of each server that was not a usable limit.
 	invalid map[pool.Process]string
+	nextID  uint64
 	stop    chan struct{}
 	done    chan struct{}
 }
 
-// limited is a server process that names a limit.
-type limited struct {
-	server pool.Server
-	rate   float64
-	since  time.Time
-	// sent counts this daemon's requests since the last log line, total all since the
-	// limit was named.
-	sent, total [paths]int
+// server is the state of one server process that names a limit, or did.
+type server struct {
+	pool.Process
+	service string
+	known   permit.Known
+	// account is set while this daemon owns the limit.
+	account *permit.Account
+	// ask is in flight, and waiting are the requests that the next one covers.
+	ask     *ask
+	waiting []chan bool
+	// heldUntil is when this daemon may ask again. held counts the requests refused
+	// since the last ask.
+	heldUntil time.Time
+	held      int
+	// owner is the owner of the limit as of ownerAt.
+	owner   netip.AddrPort
+	ownerAt time.Time
+	// sent counts this daemon's requests since the last log line.
+	sent   [paths]int
+	usedAt time.Time
 }
 
-// New returns a gate to the servers of b and starts its log. Close stops it.
-func New(b citronrock.Backends, log hclog.Logger) *Gate {
-	g := &Gate{backends: b, log: log, limited: map[pool.Process]*limited{}, invalid: map[pool.Process]string{},
-		stop: make(chan struct{}), done: make(chan struct{})}
+// New returns a gate to the servers of b. Close stops it.
+func New(self netip.AddrPort, socket dgram.Transport, members Members, announce Broadcaster, table *pool.Table, b citronrock.Backends, log hclog.Logger) *Gate {
+	g := &Gate{self: self, socket: socket, members: members, announce: announce, table: table, backends: b, log: log,
+		servers: map[pool.Process]*server{}, invalid: map[pool.Process]string{}, stop: make(chan struct{}), done: make(chan struct{})}
 	b.OnLimit(g.observe)
+	announce.HandleLimits(g.onNotices)
+	socket.Handle(dgram.PermitRequest, g.onRequest)
+	socket.Handle(dgram.PermitReply, g.onReply)
 	go func() {
 		defer close(g.done)
-		tick := time.NewTicker(recordInterval)
-		defer tick.Stop()
+		announcements, records := time.NewTicker(announceInterval), time.NewTicker(recordInterval)
+		defer announcements.Stop()
+		defer records.Stop()
 		for {
 			select {
 			case <-g.stop:
 				return
-			case <-tick.C:
-				g.record()
+			case <-announcements.C:
+				g.safely(g.announceOwned)
+			case <-records.C:
+				g.safely(g.record)
 			}
 		}
 	}()
 	return g
 }
 
-// Close ends the gate's log.
+// safely runs periodic work and recovers from its panics.
+func (g *Gate) safely(f func(now time.Time)) {
+	defer panics.Recover(g.log, "limits of servers")
+	f(time.Now())
+}
+
+// Close ends the gate's periodic work.
 func (g *Gate) Close() {
 	close(g.stop)
 	<-g.done
 }
 
-// observe takes what a response says about the limit of its server.
-func (g *Gate) observe(s pool.Server, limit pool.Limit) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := s.Process()
-	l := g.limited[p]
-	switch {
-	case limit.Invalid != "" && g.invalid[p] != limit.Invalid:
-		g.invalid[p] = limit.Invalid
-		g.log.Warn("ignoring a limit of a server that is not a number of requests a second", "server", s.ID, "service", s.Service, "text", limit.Invalid)
-	case limit.State == pool.LimitNamed && (l == nil || l.rate != limit.Rate):
-		if l == nil {
-			l = &limited{server: s, since: time.Now()}
-			g.limited[p] = l
-		}
-		l.rate = limit.Rate
-		g.log.Info("server names a limit", "server", s.ID, "service", s.Service, "limit", limit.Rate)
-	case limit.State == pool.LimitNone && l != nil:
-		delete(g.limited, p)
-		g.log.Info("server names no limit any more", "server", s.ID, "service", s.Service, "limit", l.rate, "took", time.Since(l.since).Milliseconds())
+// admit returns nil if a request may be sent to a server now. Otherwise the error is a
+// *proxy.SendError with Limited set, or that of a request whose context has ended.
+func (g *Gate) admit(ctx context.Context, s pool.Server, path Path) error {
+	if g.limited.Load() == 0 {
+		return nil
+	}
+	asked := time.Now()
+	verdict := g.request(asked, s.Process())
+	if verdict == nil {
+		return nil
+	}
+	var ok bool
+	select {
+	case ok = <-verdict:
+	case <-ctx.Done():
+		return &proxy.SendError{Fault: event.FaultUnsent, Limited: true, Err: context.Cause(ctx)}
 	}
+	// A process that was paused meanwhile must not use permits that were granted long ago.
+	if !ok || time.Since(asked) > permitTTL {
+		g.counts.denied.Add(1)
+		return &proxy.SendError{Fault: event.FaultUnsent, Limited: true, Err: eris.Errorf("limit of server %s leaves no room", s.ID)}
+	}
+	g.countSent(s.Process(), path)
+	return nil
 }
 
-// record logs what this daemon has sent to servers that name a limit.
-func (g *Gate) record() {
+// countSent counts a request to a limited server.
+func (g *Gate) countSent(p pool.Process, path Path) {
+	g.sent[path].Add(1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, l := range g.limited {
-		sum := 0
-		fields := []any{"server", l.server.ID, "service", l.server.Service, "limit", l.rate}
-		for path, n := range l.sent {
-			sum += n
-			if n > 0 {
-				fields = append(fields, PathNames[path], n)
-			}
-		}
-		if l.sent = [paths]int{}; sum > 0 {
-			g.log.Info("sent to a limited server", append(fields, "sent", sum)...)
-		}
+	if sv := g.servers[p]; sv != nil {
+		sv.sent[path]++
 	}
 }
 
-// Sent returns the number of requests on a path to servers while they named a limit.
-func (g *Gate) Sent(path Path) int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	sum := 0
-	for _, l := range g.limited {
-		sum += l.total[path]
+// learn takes the limit of a server from a response or from another daemon, and reports
+// whether it is new. The caller holds mu.
+func (g *Gate) learn(p pool.Process, service string, l permit.Limit) (*server, bool) {
+	sv := g.servers[p]
+	if sv == nil {
+		if l.None {
+			return nil, false
+		}
+		sv = &server{Process: p, usedAt: l.Arrived}
+		g.servers[p] = sv
+	}
+	if service != "" {
+		sv.service = service
+	}
+	was, known := sv.known.Limited(), sv.known
+	changed := known.Learn(l)
+	if changed && sv.account != nil {
+		g.recordAccount(time.Now(), sv)
+	}
+	if sv.known = known; !changed {
+		return sv, false
+	}
+	if sv.account != nil {
+		g.setRate(time.Now(), sv)
 	}
-	return int64(sum)
+	switch now := sv.known.Limited(); {
+	case now && !was:
+		g.limited.Add(1)
+	case was && !now:
+		g.limited.Add(-1)
+	}
+	// What was held for lack of permits is tried again at the new rate.
+	sv.heldUntil = time.Time{}
+	g.table.Unhold(p)
+	return sv, true
 }
 
-// Limited returns the number of servers that name a limit.
-func (g *Gate) Limited() int64 {
+// observe takes what a response says about the limit of its server.
+func (g *Gate) observe(s pool.Server, l pool.Limit) {
+	if l.State == pool.LimitNone && g.limited.Load() == 0 {
+		return
+	}
+	now, p := time.Now(), s.Process()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return int64(len(g.limited))
+	if l.State == pool.LimitUnknown {
+		if was, ok := g.invalid[p]; !ok || was != l.Invalid {
+			g.invalid[p] = l.Invalid
+			g.log.Warn("ignoring a limit of a server that is not a number of requests a second", "server", s.ID, "service", s.Service, "text", l.Invalid)
+		}
+		g.mu.Unlock()
+		return
+	}
+	sv, fresh := g.learn(p, s.Service, permit.Limit{Rate: l.Rate, None: l.State == pool.LimitNone, Sent: l.SentAt, Arrived: now})
+	var notice permit.Notice
+	if fresh {
+		notice = sv.known.Notice(now, p.ID, p.StartedAt)
+	}
+	g.mu.Unlock()
+	if !fresh {
+		return
+	}
+	if l.State == pool.LimitNone {
+		g.log.Info("server names no limit any more", "server", s.ID, "service", s.Service)
+	} else {
+		g.log.Info("server names a limit", "server", s.ID, "service", s.Service, "limit", l.Rate)
+	}
+	g.announce.BroadcastLimits([]permit.Notice{notice})
 }
 
-// pass counts a request to a server.
-func (g *Gate) pass(s pool.Server, path Path) {
+// onNotices takes the limits that another daemon announces.
+func (g *Gate) onNotices(notices []permit.Notice) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l := g.limited[s.Process()]; l != nil {
-		l.sent[path]++
-		l.total[path]++
+	for _, n := range notices {
+		g.learnNotice(now, n)
 	}
 }
 
-// Send forwards a request.
-func (g *Gate) Send(ctx context.Context, to pool.Server, r *proxy.Request, o proxy.Options) (*proxy.Response, error) {
-	g.pass(to, Request)
-	return g.backends.Send(ctx, to, r, o)
-}
-
-// Prefill makes a prefill engine compute the KV cache of a prompt.
-func (g *Gate) Prefill(ctx context.Context, to pool.Server, r *proxy.Request, o proxy.Options) (*proxy.Cache, error) {
-	g.pass(to, Prefill)
-	cache, err := g.backends.Prefill(ctx, to, r, o)
-	if cache != nil {
-		cache.Engine = to
+// learnNotice takes a limit from another daemon. The caller holds mu.
+func (g *Gate) learnNotice(now time.Time, n permit.Notice) *server {
+	l, ok := n.Limit(now)
+	if !ok {
+		g.log.Warn("ignoring the limit of a server in a message that is not valid", "server", n.ID)
+		return nil
 	}
-	return cache, err
-}
-
-// Usage asks an engine for its resources in use.
-func (g *Gate) Usage(ctx context.Context, s pool.Server) (ledger.Usage, error) {
-	g.pass(s, Report)
-	return g.backends.Usage(ctx, s)
-}
-
-// CheckIdentity asks a server for its identity.
-func (g *Gate) CheckIdentity(ctx context.Context, s pool.Server, health string) (bool, error) {
-	g.pass(s, Check)
-	return g.backends.CheckIdentity(ctx, s, health)
-}
-
-// Order tells an engine to change its stage.
-func (g *Gate) Order(ctx context.Context, s pool.Server, o lease.Order) error {
-	g.pass(s, Order)
-	return g.backends.Order(ctx, s, o)
-}
-
-// Free releases a KV cache.
-func (g *Gate) Free(ctx context.Context, cache *proxy.Cache) error {
-	g.pass(cache.Engine, Free)
-	return g.backends.Free(ctx, cache)
+	sv, fresh := g.learn(pool.Process{ID: n.ID, StartedAt: n.StartedAt}, "", l)
+	if fresh {
+		g.log.Info("another daemon reports the limit of a server", "server", n.ID, "limit", l.Rate, "none", l.None)
+	}
+	return sv
 }
-
-// OnSignal sets the function for the signals in responses.
-func (g *Gate) OnSignal(f func(pool.Server, pool.Signal)) { g.backends.OnSignal(f) }
-
-// OnLimit panics: the gate itself takes the limits.
-func (g *Gate) OnLimit(func(pool.Server, pool.Limit)) { panic("gate: limits are taken by the gate") }
-
-var _ citronrock.Backends = (*Gate)(nil)
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -52,7 +52,7 @@
 
 func (m *misfit) record(req *Request, v placement) {
 	switch {
-	case len(req.Excluded) > 0:
+	case len(req.Excluded)+len(req.Held) > 0:
 	case v == noPrefillRoom:
 		m.noPrefill = true
 	case !m.noDecode || req.Prompt <= m.prompt && req.Expected <= m.expected:
@@ -93,7 +93,7 @@
 		}
 		id := ids[index]
 		switch {
-		case l.isSwitching(now, id) || slices.Contains(req.Excluded, id):
+		case l.isSwitching(now, id) || slices.Contains(req.Excluded, id) || slices.Contains(req.Held, id):
 		case unhealthy[id]:
 			fallback = append(fallback, id)
 		default:
@@ -106,7 +106,7 @@
 	if len(healthy) == 0 && stage == pool.Prefill && len(req.Excluded) > 0 {
 		// Using an excluded prefill engine is better than a prefill on a decode
 		// engine, which stalls the other runs there.
-		return l.candidates(now, &Request{ID: req.ID}, stage, all)
+		return l.candidates(now, &Request{ID: req.ID, Held: req.Held}, stage, all)
 	}
 	return healthy
 }
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -102,6 +102,8 @@
 	// Excluded are engines that must not be chosen, such as those that failed this
 	// request.
 	Excluded []string `cbor:"12,keyasint,omitempty"`
+	// Held are engines whose limits leave no room for requests of the edge daemon.
+	Held []string `cbor:"17,keyasint,omitempty"`
 	// Rank is the priority of the route, 0 is the highest.
 	Rank int `cbor:"13,keyasint,omitempty"`
 	// Gap is the longest pause between events with which a response still meets its
--- a/internal/route/pool/limit.go
+++ b/internal/route/pool/limit.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // LimitState tells what a response says about the limit of its server.
 type LimitState uint8
@@ -27,3 +30,49 @@
 	// then and the arrival of the response.
 	SentAt time.Time
 }
+
+// hold keeps requests from a process whose limit leaves no room.
+type hold struct {
+	until, back time.Time
+}
+
+// Hold keeps this daemon's requests from a process until a time, as its limit leaves no
+// room. back is when clients that are refused for that reason may expect room.
+func (t *Table) Hold(p Process, until, back time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holds[p] = hold{until, back}
+}
+
+// Unhold ends what Hold has set.
+func (t *Table) Unhold(p Process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.holds, p)
+}
+
+// Held returns the usable servers of a service that get no request of this daemon for
+// now because of their limits, sorted by ID.
+func (t *Table) Held(now time.Time, service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.holds) == 0 {
+		return nil
+	}
+	var out []string
+	for id, r := range t.servers {
+		if r.Service == service && t.usable(now, r) && now.Before(t.holds[r.Process()].until) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Listed reports whether a process has an entry.
+func (t *Table) Listed(p Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.servers[p.ID]
+	return r != nil && r.Process() == p
+}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -95,6 +95,8 @@
 	draining map[Process]time.Time
 	// backoff holds until when processes want no request from this daemon.
 	backoff map[Process]time.Time
+	// holds has the processes whose limits leave no room for this daemon's requests.
+	holds map[Process]hold
 	// outageEnd is when the last store outage ended.
 	outageEnd  time.Time
 	outage     bool
@@ -117,7 +119,7 @@
 // New returns an empty table.
 func New(opts ...Option) *Table {
 	t := &Table{servers: map[string]*record{}, misdirected: map[Process]time.Time{}, tombstones: map[Process]uint64{},
-		draining: map[Process]time.Time{}, backoff: map[Process]time.Time{},
+		draining: map[Process]time.Time{}, backoff: map[Process]time.Time{}, holds: map[Process]hold{},
 		onChange: func() {}, onSuspect: func(Server) {}, onDraining: func(Server) {}}
 	for _, o := range opts {
 		o(t)
--- a/internal/route/pool/signal.go
+++ b/internal/route/pool/signal.go
@@ -84,16 +84,18 @@
 	}
 }
 
-// isBackingOff reports whether this daemon must not send to a process. The caller
-// holds mu.
-func (t *Table) isBackingOff(now time.Time, p Process) bool { return now.Before(t.backoff[p]) }
+// isBackingOff reports whether this daemon must not send to a process, because the
+// process asked for that or because of its limit. The caller holds mu.
+func (t *Table) isBackingOff(now time.Time, p Process) bool {
+	return now.Before(t.backoff[p]) || now.Before(t.holds[p].until)
+}
 
 // BackingOff returns the usable servers of a service that want no request from this
 // daemon for now, sorted by ID.
 func (t *Table) BackingOff(now time.Time, service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.backoff) == 0 {
+	if len(t.backoff) == 0 && len(t.holds) == 0 {
 		return nil
 	}
 	var out []string
@@ -131,6 +133,9 @@
 			continue
 		}
 		wait := t.backoff[r.Process()].Sub(now)
+		if h := t.holds[r.Process()]; now.Before(h.until) {
+			wait = max(wait, h.back.Sub(now))
+		}
 		if wait <= 0 {
 			return 0
 		}
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/hashicorp/go-hclog"
@@ -123,6 +125,10 @@
 	p.start(s, func() {
 		if err := p.verify(s); err != nil {
 			p.log.Warn("cannot verify the identity of the server", "server", s.ID, "service", s.Service, "error", err.Error())
+			var sendErr *proxy.SendError
+			if errors.As(err, &sendErr) && sendErr.Limited {
+				return // nothing was sent, so that nothing follows about the server
+			}
 			p.table.MarkMisdirected(time.Now(), s)
 		}
 	})
--- a/internal/route/probe/probe_test.go
+++ b/internal/route/probe/probe_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/route/pool"
 	"citronrock.example/citronrock/internal/route/probe"
 	"github.com/hashicorp/go-hclog"
@@ -92,3 +94,31 @@
 		}
 	})
 }
+
+// Guards against a server that is excluded for half a minute because its limit left no
+// room for the check of its identity.
+func TestVerifyLimitedServer(t *testing.T) {
+	cases := map[string]struct {
+		err    error
+		usable bool
+	}{
+		"no room":   {&proxy.SendError{Fault: event.FaultUnsent, Limited: true, Err: errRefused}, true},
+		"no answer": {errRefused, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := pool.Server{ID: "x", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Sequence: 1}
+				table := pool.New()
+				table.Put(s)
+				p := probe.New(table, func(context.Context, pool.Server) (bool, error) { return false, c.err }, hclog.NewNullLogger())
+				defer p.Close()
+				p.VerifyIdentity(s)
+				synctest.Wait()
+				if _, usable := table.Get(time.Now(), "x"); usable != c.usable {
+					t.Errorf("usable: %v, want %v", usable, c.usable)
+				}
+			})
+		})
+	}
+}
