Log limits with an empty value, and no more than one line in 10 s

Cause: a response with an empty limit decoded to the same value as one that says nothing, so that no line was written; a server that names another unusable value in each response would have written a warning for each.

Change: invalid values are a state of their own; a server's are logged at most every 10 s.

--- a/internal/room/gate/gate.go
+++ b/internal/room/gate/gate.go
@@ -31,6 +31,9 @@
 	announceInterval = time.Second
 	// endedNoticeTime is how long the owner announces the end of a limit.
 	endedNoticeTime = 3 * time.Second
+	// invalidInterval is the time between two log lines about limits of one server that
+	// are not usable. Each response may have one.
+	invalidInterval = 10 * time.Second
 	// ownerTTL is how long the owner of a limit is not computed again, which takes a hash
 	// of each daemon.
 	ownerTTL = 100 * time.Millisecond
@@ -69,11 +72,11 @@
 
 	mu      sync.Mutex
 	servers map[pool.Process]*server
-	// invalid has the last value of each server that was not a usable limit.
-	invalid map[pool.Process]string
-	nextID  uint64
-	timers  []*time.Timer
-	closed  bool
+	// invalidAt is when a limit of each server that is not usable was last logged.
+	invalidAt map[pool.Process]time.Time
+	nextID    uint64
+	timers    []*time.Timer
+	closed    bool
 	// running counts the periodic work that has not ended.
 	running sync.WaitGroup
 }
@@ -103,7 +106,7 @@
 // New returns a gate to the servers of b. Close stops it.
 func New(self netip.AddrPort, socket dgram.Transport, members Members, announce Broadcaster, table *pool.Table, b citronrock.Backends, log hclog.Logger) *Gate {
 	g := &Gate{self: self, socket: socket, members: members, announce: announce, table: table, backends: b, log: log,
-		servers: map[pool.Process]*server{}, invalid: map[pool.Process]string{}}
+		servers: map[pool.Process]*server{}, invalidAt: map[pool.Process]time.Time{}}
 	b.OnLimit(g.observe)
 	announce.HandleLimits(g.onNotices)
 	socket.Handle(dgram.PermitRequest, g.onRequest)
@@ -225,10 +228,10 @@
 	}
 	now, p := time.Now(), s.Process()
 	g.mu.Lock()
-	if l.State == pool.LimitUnknown {
-		if was, ok := g.invalid[p]; !ok || was != l.Invalid {
-			g.invalid[p] = l.Invalid
-			g.log.Warn("ignoring a limit of a server that is not a number of requests a second", "server", s.ID, "service", s.Service, "text", l.Invalid)
+	if l.State == pool.LimitInvalid {
+		if now.Sub(g.invalidAt[p]) >= invalidInterval {
+			g.invalidAt[p] = now
+			g.log.Warn("ignoring a limit of a server that is not a number of requests a second", "server", s.ID, "service", s.Service, "text", l.Text)
 		}
 		g.mu.Unlock()
 		return
--- a/internal/room/gate/gate_test.go
+++ b/internal/room/gate/gate_test.go
@@ -238,18 +238,19 @@
 		g := newGate(b, &alone{members: []gossip.LiveMember{member(1)}}, hclog.New(&hclog.LoggerOptions{Output: &out}))
 		defer g.Close()
 		for range 50 {
-			b.onLimit(limitedServer, pool.Limit{Invalid: "lots", SentAt: time.Now()})
+			b.onLimit(limitedServer, pool.Limit{State: pool.LimitInvalid, Text: "lots", SentAt: time.Now()})
 			if _, err := g.Send(t.Context(), limitedServer, nil, proxy.Options{}); err != nil {
 				t.Fatal(err)
 			}
 		}
-		b.onLimit(limitedServer, pool.Limit{Invalid: "-1", SentAt: time.Now()})
+		time.Sleep(invalidInterval)
+		b.onLimit(limitedServer, pool.Limit{State: pool.LimitInvalid, SentAt: time.Now()})
 		if n := strings.Count(out.String(), "ignoring a limit"); n != 2 || !strings.Contains(out.String(), "lots") || b.calls != 50 {
 			t.Errorf("%d requests passed, %d lines: %s; want 50 and 2", b.calls, n, out.String())
 		}
 		// An invalid value doesn't end a limit either.
 		b.onLimit(limitedServer, named(4))
-		b.onLimit(limitedServer, pool.Limit{Invalid: "lots", SentAt: time.Now()})
+		b.onLimit(limitedServer, pool.Limit{State: pool.LimitInvalid, Text: "lots", SentAt: time.Now()})
 		if g.Limited() != 1 {
 			t.Error("the limit is lost")
 		}
--- a/internal/room/gate/serve.go
+++ b/internal/room/gate/serve.go
@@ -76,9 +76,9 @@
 			notices = append(notices, sv.known.Notice(now, p.ID, p.StartedAt))
 		}
 	}
-	for p := range g.invalid {
+	for p := range g.invalidAt {
 		if !g.table.Listed(p) {
-			delete(g.invalid, p)
+			delete(g.invalidAt, p)
 		}
 	}
 	g.mu.Unlock()
--- a/internal/route/pool/limit.go
+++ b/internal/route/pool/limit.go
@@ -10,12 +10,14 @@
 
 // States of limits.
 const (
-	// LimitUnknown responses say nothing: their value can't be used.
+	// LimitUnknown responses don't show whether there is a limit.
 	LimitUnknown LimitState = iota
 	// LimitNone responses name no limit.
 	LimitNone
 	// LimitNamed responses name one.
 	LimitNamed
+	// LimitInvalid responses have a value that is not a usable limit.
+	LimitInvalid
 )
 
 // Limit is what a response says about the rate of requests that its server takes from
@@ -24,8 +26,8 @@
 	State LimitState
 	// Rate is the limit in requests per second, for LimitNamed.
 	Rate float64
-	// Invalid is the text of a value that is not a usable limit.
-	Invalid string
+	// Text is the value, for LimitInvalid.
+	Text string
 	// SentAt is when the request was sent. The server decided on what it says between
 	// then and the arrival of the response.
 	SentAt time.Time
