Refuse with a time to come back while a healthy server is held

Cause: a server held for its limit left the choice, so that a request went to a server that was down or silent, or the client was told to come back at once because the unhealthy one was not held.

Change: while a healthy server of the service is held, unhealthy ones are not chosen, and only healthy ones count for the time to come back, if there are any.

Result: two cases of TestHeldServer, of which one failed before; go test of route/pool and front/... passes.

--- a/internal/route/pool/choose.go
+++ b/internal/route/pool/choose.go
@@ -21,7 +21,8 @@
 
 // Choose returns the server of a service with the least expected latency for a
 // request from a failure domain, leaving out those in exclude. Unhealthy servers
-// are chosen only when all others are excluded.
+// are chosen only when all others are excluded. While a healthy one is only held, none
+// is chosen instead: the client can come back when there is room.
 func (t *Table) Choose(now time.Time, service, domain string, exclude []string) (Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -33,8 +34,15 @@
 	}
 	var best *record
 	var lowest time.Duration
+	healthyHeld := false
 	for _, r := range t.servers {
-		if r.Service != service || r.Stage == Prefill || !t.usable(now, r) || t.isBackingOff(now, r.Process()) || slices.Contains(exclude, r.ID) {
+		if r.Service != service || r.Stage == Prefill || !t.usable(now, r) {
+			continue
+		}
+		if now.Before(t.holds[r.Process()].until) && !r.health.unhealthy(now) {
+			healthyHeld = true
+		}
+		if t.isBackingOff(now, r.Process()) || slices.Contains(exclude, r.ID) {
 			continue
 		}
 		cost := r.cost(now, domain, minFailureRate)
@@ -42,7 +50,7 @@
 			best, lowest = r, cost
 		}
 	}
-	if best == nil {
+	if best == nil || healthyHeld && best.health.unhealthy(now) {
 		return Server{}, false
 	}
 	return best.Server, true
--- a/internal/route/pool/limit_test.go
+++ b/internal/route/pool/limit_test.go
@@ -23,9 +23,15 @@
 		held       []string
 		retryAfter time.Duration
 	}{
-		"held":             {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second) }, 0, "y", []string{"x"}, 0},
-		"no longer held":   {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second) }, time.Second, "x", nil, 0},
-		"limit has ended":  {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second); t.Unhold(x.Process()) }, 0, "x", nil, 0},
+		"held":                {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second) }, 0, "y", []string{"x"}, 0},
+		"no longer held":      {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second) }, time.Second, "x", nil, 0},
+		"limit has ended":     {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second); t.Unhold(x.Process()) }, 0, "x", nil, 0},
+		"held, other is down": {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second); t.SetDown(y, true) }, 0, "", []string{"x"}, 2 * time.Second},
+		"both down, one held": {func(t *pool.Table) {
+			hold(t, x, time.Second, 2*time.Second)
+			t.SetDown(x, true)
+			t.SetDown(y, true)
+		}, 0, "y", []string{"x"}, 0},
 		"its next process": {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second); t.Put(restarted(server("x", 1, 2))) }, 0, "x", nil, 0},
 		"both held":        {func(t *pool.Table) { hold(t, x, time.Second, 2*time.Second); hold(t, y, time.Second, 3*time.Second) }, 0, "", []string{"x", "y"}, 2 * time.Second},
 		"held and backs off": {func(t *pool.Table) {
--- a/internal/route/pool/signal.go
+++ b/internal/route/pool/signal.go
@@ -124,24 +124,26 @@
 
 // RetryAfter returns the time until the first usable server of a service accepts
 // requests from this daemon again. It is zero when one does now or none is usable.
+// Unhealthy servers count only if there is no healthy one.
 func (t *Table) RetryAfter(now time.Time, service string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	shortest := time.Duration(0)
+	shortest := map[bool]time.Duration{}
 	for _, r := range t.servers {
 		if r.Service != service || !t.usable(now, r) {
 			continue
 		}
-		wait := t.backoff[r.Process()].Sub(now)
+		wait := max(t.backoff[r.Process()].Sub(now), 0)
 		if h := t.holds[r.Process()]; now.Before(h.until) {
 			wait = max(wait, h.back.Sub(now))
 		}
-		if wait <= 0 {
-			return 0
-		}
-		if shortest == 0 || wait < shortest {
-			shortest = wait
+		unhealthy := r.health.unhealthy(now)
+		if was, ok := shortest[unhealthy]; !ok || wait < was {
+			shortest[unhealthy] = wait
 		}
 	}
-	return shortest
+	if wait, ok := shortest[false]; ok {
+		return wait
+	}
+	return shortest[true]
 }
