Bound what peers say about limits; release locks after a panic

Cause: handlers of messages about limits held the gate's lock without a deferred release, so that a panic in one, which the socket recovers, would have blocked all later requests to limited servers; delays in replies of other daemons were not bounded.

--- a/internal/room/gate/ask.go
+++ b/internal/room/gate/ask.go
@@ -128,7 +128,7 @@
 	if sv == nil || sv.ask == nil || sv.ask.ID != r.ID {
 		return
 	}
-	g.settle(now, sv, r.Verdict)
+	g.settle(now, sv, r.Verdict.Clamp())
 }
 
 // settle ends the ask in flight with a verdict and starts the next one. The caller holds
--- a/internal/room/gate/gate.go
+++ b/internal/room/gate/gate.go
@@ -226,33 +226,46 @@
 	if l.State == pool.LimitNone && g.limited.Load() == 0 {
 		return
 	}
-	now, p := time.Now(), s.Process()
-	g.mu.Lock()
+	now := time.Now()
 	if l.State == pool.LimitInvalid {
-		if now.Sub(g.invalidAt[p]) >= invalidInterval {
-			g.invalidAt[p] = now
-			g.log.Warn("ignoring a limit of a server that is not a number of requests a second", "server", s.ID, "service", s.Service, "text", l.Text)
-		}
-		g.mu.Unlock()
+		g.logInvalid(now, s, l.Text)
 		return
 	}
-	sv, fresh := g.learn(p, s.Service, permit.Limit{Rate: l.Rate, None: l.State == pool.LimitNone, Sent: l.SentAt, Arrived: now})
-	var notice permit.Notice
-	if fresh {
-		notice = sv.known.Notice(now, p.ID, p.StartedAt)
-	}
-	g.mu.Unlock()
-	if !fresh {
+	notice, fresh := g.learnResponse(now, s, permit.Limit{Rate: l.Rate, None: l.State == pool.LimitNone, Sent: l.SentAt, Arrived: now})
+	switch {
+	case !fresh:
 		return
-	}
-	if l.State == pool.LimitNone {
+	case notice.None:
 		g.log.Info("server names no limit any more", "server", s.ID, "service", s.Service)
-	} else {
+	default:
 		g.log.Info("server names a limit", "server", s.ID, "service", s.Service, "limit", l.Rate)
 	}
 	g.announce.BroadcastLimits([]permit.Notice{notice})
 }
 
+// logInvalid logs a value that is not a usable limit.
+func (g *Gate) logInvalid(now time.Time, s pool.Server, text string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.invalidAt[s.Process()]) < invalidInterval {
+		return
+	}
+	g.invalidAt[s.Process()] = now
+	g.log.Warn("ignoring a limit of a server that is not a number of requests a second", "server", s.ID, "service", s.Service, "text", text)
+}
+
+// learnResponse takes the limit of a server from a response. It returns the notice for
+// the other daemons and whether the limit is new.
+func (g *Gate) learnResponse(now time.Time, s pool.Server, l permit.Limit) (permit.Notice, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sv, fresh := g.learn(s.Process(), s.Service, l)
+	if !fresh {
+		return permit.Notice{}, false
+	}
+	return sv.known.Notice(now, sv.ID, sv.StartedAt), true
+}
+
 // onNotices takes the limits that another daemon announces.
 func (g *Gate) onNotices(notices []permit.Notice) {
 	now := time.Now()
--- a/internal/room/gate/gate_test.go
+++ b/internal/room/gate/gate_test.go
@@ -91,8 +91,15 @@
 	return gossip.LiveMember{Member: gossip.Member{Addr: address(i), CPUShare: 40}, Mature: true}
 }
 
+// network is what a gate uses of the other daemons.
+type network interface {
+	dgram.Transport
+	Members
+	Broadcaster
+}
+
 // newGate returns the gate of the daemon at address 1.
-func newGate(b *backends, a *alone, log hclog.Logger) *Gate {
+func newGate(b *backends, a network, log hclog.Logger) *Gate {
 	table := pool.New()
 	table.Put(limitedServer)
 	return New(address(1), a, a, a, table, b, log)
--- a/internal/room/gate/serve.go
+++ b/internal/room/gate/serve.go
@@ -41,34 +41,48 @@
 	if !g.socket.Decode(body, &r) {
 		return
 	}
-	now := time.Now()
+	if answer, ok := g.answer(time.Now(), r); ok {
+		g.socket.Send(dgram.PermitReply, answer, from)
+	}
+}
+
+// answer returns the answer to an ask, false if the ask is not valid.
+func (g *Gate) answer(now time.Time, r request) (reply, bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	sv := g.learnNotice(now, r.Notice)
 	if sv == nil {
-		g.mu.Unlock()
-		return
+		return reply{}, false
 	}
 	sv.usedAt = now
-	answer := reply{ID: r.ID, Verdict: permit.Verdict{Hold: ownerlessHold, Return: ownerlessHold}}
+	out := reply{ID: r.ID, Verdict: permit.Verdict{Hold: ownerlessHold, Return: ownerlessHold}}
 	if sv.known.Limited() && g.ownerOf(now, sv) == g.self {
-		answer.Verdict = g.grant(now, sv, min(max(r.N, 0), maxBatch), min(max(r.Held, 0), maxBatch))
+		out.Verdict = g.grant(now, sv, min(max(r.N, 0), maxBatch), min(max(r.Held, 0), maxBatch))
 	}
-	answer.Notice = sv.known.Notice(now, sv.ID, sv.StartedAt)
-	g.mu.Unlock()
-	g.socket.Send(dgram.PermitReply, answer, from)
+	out.Notice = sv.known.Notice(now, sv.ID, sv.StartedAt)
+	return out, true
 }
 
-// announceOwned announces the limits that this daemon owns, and drops the accounts of
-// those that it owns no longer.
+// announceOwned announces the limits that this daemon owns.
 func (g *Gate) announceOwned(now time.Time) {
-	var notices []permit.Notice
+	if notices := g.ownedNotices(now); len(notices) > 0 {
+		g.announce.BroadcastLimits(notices)
+	}
+}
+
+// ownedNotices returns the notices of the limits that this daemon owns. It drops the
+// accounts of others, and servers that are gone.
+func (g *Gate) ownedNotices(now time.Time) []permit.Notice {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	var notices []permit.Notice
 	for p, sv := range g.servers {
+		unused := now.Sub(sv.usedAt) > forgetAfter
 		switch {
-		case now.Sub(sv.usedAt) > forgetAfter && !g.table.Listed(p), !sv.known.Limited() && now.Sub(sv.usedAt) > forgetAfter:
-			if sv.known.Limited() {
-				g.limited.Add(-1)
-			}
+		case unused && !sv.known.Limited():
+			delete(g.servers, p)
+		case unused && !g.table.Listed(p):
+			g.limited.Add(-1)
 			delete(g.servers, p)
 		case g.ownerOf(now, sv) != g.self:
 			sv.account = nil
@@ -81,10 +95,7 @@
 			delete(g.invalidAt, p)
 		}
 	}
-	g.mu.Unlock()
-	if len(notices) > 0 {
-		g.announce.BroadcastLimits(notices)
-	}
+	return notices
 }
 
 // record logs what this daemon has sent to limited servers, and the accounts of the
--- a/internal/room/permit/account.go
+++ b/internal/room/permit/account.go
@@ -87,12 +87,20 @@
 // Verdict is the answer to an ask for permits.
 type Verdict struct {
 	// Granted is the number of permits.
-	Granted int
+	Granted int `cbor:"1,keyasint,omitempty"`
 	// Hold is how long the daemon that got less than it asked for shall not ask again.
-	Hold time.Duration
+	Hold time.Duration `cbor:"2,keyasint,omitempty"`
 	// Return is the delay after which a client that was refused for lack of a permit
 	// may expect one.
-	Return time.Duration
+	Return time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// maxDelay bounds the delays in verdicts of other daemons.
+const maxDelay = time.Minute
+
+// Clamp returns the verdict with its values limited to valid ranges.
+func (v Verdict) Clamp() Verdict {
+	return Verdict{Granted: max(v.Granted, 0), Hold: min(max(v.Hold, 0), maxDelay), Return: min(max(v.Return, 0), maxDelay)}
 }
 
 // Take answers an ask for n permits. held is the number of requests that the daemon
