Grant permits at limits that are too high for an int

What callers would have seen: with a limit such as 1e21, a valid decimal number, all requests were denied: the saved permits were converted to an int and became negative. Found when reading the change again.

Change: the number of permits is bounded before the conversion, and notices of other daemons with an infinite limit are not valid.

--- a/internal/room/permit/account.go
+++ b/internal/room/permit/account.go
@@ -107,7 +107,7 @@
 // refused since its last ask.
 func (a *Account) Take(now time.Time, n, held int) Verdict {
 	a.advance(now)
-	v := Verdict{Granted: min(n, int(a.saved))}
+	v := Verdict{Granted: int(min(float64(n), a.saved))}
 	a.saved -= float64(v.Granted)
 	a.record.granted += v.Granted
 	if v.Granted > 0 {
--- a/internal/room/permit/limit.go
+++ b/internal/room/permit/limit.go
@@ -10,6 +10,7 @@
 package permit
 
 import (
+	"math"
 	"time"
 )
 
@@ -98,7 +99,7 @@
 // Limit returns the limit in a notice that was received at now, false if the notice is
 // not valid.
 func (n Notice) Limit(now time.Time) (Limit, bool) {
-	if !(n.Rate >= 0) || n.Arrived < 0 || n.Sent < n.Arrived || n.Sent > maxAge { // also true for NaN
+	if !(n.Rate >= 0) || math.IsInf(n.Rate, 0) || n.Arrived < 0 || n.Sent < n.Arrived || n.Sent > maxAge { // also true for NaN
 		return Limit{}, false
 	}
 	return Limit{Rate: n.Rate, None: n.None, Sent: now.Add(-n.Sent), Arrived: now.Add(-n.Arrived)}, true
--- a/internal/room/permit/permit_test.go
+++ b/internal/room/permit/permit_test.go
@@ -150,7 +150,7 @@
 		t.Errorf("limit %+v, %v; want %+v", l, ok, want)
 	}
 	for name, bad := range map[string]permit.Notice{
-		"not a number": {Rate: math.NaN()}, "negative": {Rate: -1}, "from the future": {Rate: 1, Sent: -5, Arrived: -10},
+		"not a number": {Rate: math.NaN()}, "infinite": {Rate: math.Inf(1)}, "negative": {Rate: -1}, "from the future": {Rate: 1, Sent: -5, Arrived: -10},
 		"arrived before it was sent": {Rate: 1, Sent: 5, Arrived: 10}, "too old": {Rate: 1, Sent: 2 * time.Hour},
 	} {
 		if _, ok := bad.Limit(t0); ok {
@@ -195,3 +195,16 @@
 		t.Errorf("owner %v, want none", o)
 	}
 }
+
+// Guards against a limit that is so high that the number of saved permits is no int: all
+// requests were denied.
+func TestHugeLimit(t *testing.T) {
+	a := permit.NewAccount(t0)
+	a.SetRate(t0, 1e21, 1)
+	if v := a.Take(at(1000), 7, 0); v != (permit.Verdict{Granted: 7}) {
+		t.Errorf("verdict %+v, want 7 permits", v)
+	}
+	if l := a.Load(at(2000)); l.Granted != 7 || l.Allowed <= 0 {
+		t.Errorf("record %+v", l)
+	}
+}
