--- /dev/null
+++ b/internal/front/stream/prefill.go
@@ -0,0 +1,76 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+// prefill has the prompt prefilled, unless it already is or the decode engine does
+// it. A prefill may be repeated, since the request does not run by it.
+func (j *job) prefill(ctx context.Context) step {
+	if j.lease.Prefill == "" || j.cache != nil {
+		j.lease.SetDecoding()
+		return finish
+	}
+	if j.table.IsUnhealthy(time.Now(), j.lease.Decode) {
+		// The result of the prefill could not be used.
+		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
+	}
+	s, ok := j.table.Available(time.Now(), j.lease.Prefill)
+	if !ok {
+		return j.retryElsewhere(ctx, j.lease.Prefill, "", true)
+	}
+	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	start := time.Now()
+	report := j.table.Begin(s.ID)
+	cache, err := j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	if isLimited(err) {
+		report(time.Now(), pool.Unknown, 0)
+		return j.retryUnlimited(ctx, s.ID)
+	}
+	j.countSend()
+	if err == nil {
+		report(time.Now(), pool.OK, time.Since(start))
+		j.cache, j.prefiller = cache, s.ID
+		j.lease.PrefillDone(time.Since(start))
+		return finish
+	}
+	sendErr := asSendError(err)
+	report(time.Now(), serverOutcome(ctx, sendErr), 0)
+	j.logAttempt("prefill", s, start, sendErr)
+	full := ""
+	if sendErr.Fault == event.FaultRefused {
+		full = s.ID // the owner polls the engine for the reason
+	}
+	if sendErr.Misdirected {
+		j.verify(s)
+	}
+	return j.retryElsewhere(ctx, s.ID, full, sendErr.Fault == event.FaultUnsent || j.quota.Take(j.service.Name))
+}
+
+// retryElsewhere releases the lease and prepares another one without the engine id.
+// full is the engine that refused the request for lack of room. allowed tells
+// whether the retry budget permits it.
+func (j *job) retryElsewhere(ctx context.Context, id, full string, allowed bool) step {
+	j.closeLease(full)
+	if !allowed {
+		j.fail(ctx, "budget")
+		return finish
+	}
+	if id != "" {
+		j.exclude(id)
+	}
+	return again
+}
+
+// retryUnlimited prepares another lease without an engine whose limit leaves no room. It
+// does not count as one of the maxLeases.
+func (j *job) retryUnlimited(ctx context.Context, id string) step {
+	j.limited++
+	return j.retryElsewhere(ctx, id, "", true)
+}
