--- a/internal/route/fanout/fanout.go
+++ b/internal/route/fanout/fanout.go
@@ -4,8 +4,10 @@
 package fanout
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -140,12 +142,25 @@
 	socket  dgram.Transport
 	members gossip.Members
 	log     hclog.Logger
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	traffic Traffic
 }
 
+// Option changes a setting of a node.
+type Option func(*Node)
+
+// WithDial replaces the function that opens connections to other daemons.
+func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(n *Node) { n.dial = f }
+}
+
 // New returns the node of the daemon at self.
-func New(self netip.AddrPort, socket dgram.Transport, members gossip.Members, log hclog.Logger) *Node {
-	return &Node{self: self, socket: socket, members: members, log: log}
+func New(self netip.AddrPort, socket dgram.Transport, members gossip.Members, log hclog.Logger, opts ...Option) *Node {
+	n := &Node{self: self, socket: socket, members: members, log: log, dial: new(net.Dialer).DialContext}
+	for _, o := range opts {
+		o(n)
+	}
+	return n
 }
 
 // HandleUpdates sets the function that receives updates, with the address of their
--- a/internal/route/fanout/state.go
+++ b/internal/route/fanout/state.go
@@ -189,7 +189,7 @@
 // version, for at most maxVersionWait. It logs how long that took.
 func (n *Node) fetch(ctx context.Context, from netip.AddrPort, version uint64) (*citronrock.Snapshot, error) {
 	start := time.Now()
-	s, received, err := fetch(ctx, from, version)
+	s, received, err := n.get(ctx, from, version)
 	n.traffic.In.Add(int64(received))
 	fields := []any{"from", from.String(), "want", version, "bytes", received, "took", lines.Ms(time.Since(start))}
 	if err != nil {
@@ -201,8 +201,8 @@
 	return s, nil
 }
 
-// fetch gets the snapshot of a daemon and returns the number of bytes received.
-func fetch(ctx context.Context, from netip.AddrPort, version uint64) (*citronrock.Snapshot, int, error) {
+// get gets the snapshot of a daemon and returns the number of bytes received.
+func (n *Node) get(ctx context.Context, from netip.AddrPort, version uint64) (*citronrock.Snapshot, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s%s?%s=%d", from, statePath, versionParam, version)
@@ -210,7 +210,7 @@
 	if err != nil {
 		return nil, 0, eris.Wrap(err, "cannot create request for the snapshot of another daemon")
 	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	client := http.Client{Transport: &http.Transport{DialContext: n.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, 0, eris.Wrap(err, "cannot fetch snapshot from another daemon")
