Get missed changes from other daemons, not from the store alone

A daemon that had missed more than updates repeat (3 s, 100 events) asked only the store, also while that refused it, and took entries that were missing there for lapsed in an outage. When the history of the store was dropped, all 72 daemons read everything from it, since the readers left that to others for seconds.

Change: a daemon with a gap fetches the entries from the daemon that announced the later state, or the newest of two others, and reads the store after a second. Readers read the store at once when the history is gone, and broadcast the difference to the state before, so that others need no full read.

--- a/internal/route/fanout/state.go
+++ b/internal/route/fanout/state.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -173,12 +174,15 @@
 // PeerCount returns the number of other live daemons.
 func (n *Node) PeerCount() int { return len(n.members.Alive()) - 1 }
 
-// FetchSnapshot returns the newest of the snapshots of up to maxHeads other daemons,
-// picked at random. have is the configuration in force, nil for none, so that it is
-// not transferred again. The error wraps ErrNoPeer.
-func (n *Node) FetchSnapshot(ctx context.Context, have *config.Document) (*citronrock.Snapshot, error) {
+// FetchSnapshot returns the newest of the snapshots of up to maxHeads other daemons: of
+// from, if that is valid, and others picked at random. have is the configuration in force,
+// nil for none, so that it is not transferred again. The error wraps ErrNoPeer.
+func (n *Node) FetchSnapshot(ctx context.Context, from netip.AddrPort, have *config.Document) (*citronrock.Snapshot, error) {
 	others := gossip.Others(n.members, n.self)
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if i := slices.Index(others, from); i > 0 {
+		others[0], others[i] = others[i], others[0]
+	}
 	others = others[:min(len(others), maxHeads)]
 	heads := make([]*citronrock.Snapshot, len(others))
 	var asked sync.WaitGroup
--- a/internal/route/follow/document.go
+++ b/internal/route/follow/document.go
@@ -62,11 +62,7 @@
 		f.markDocument(at)
 		return
 	}
-	from := u.Origin
-	if !from.IsValid() {
-		from = u.from
-	}
-	w := &announcement{version: u.Version, revision: at, from: from, since: u.at, base: u.PatchBase, patch: u.Patch}
+	w := &announcement{version: u.Version, revision: at, from: u.sender(), since: u.at, base: u.PatchBase, patch: u.Patch}
 	if old := f.wanted; old != nil {
 		w.since, w.fetching = old.since, old.fetching
 		if old.version > w.version {
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -42,6 +42,9 @@
 	storeLoaders     = 16
 	peerLoadInterval = 100 * time.Millisecond
 	peerLoadTimeout  = 5 * time.Second
+	// reloadTimeout is how long a daemon that has a state leaves reads of the store to
+	// others when changes are missing.
+	reloadTimeout = time.Second
 	// updateTTL is how long an update replaces a read of the store by a daemon
 	// that is no reader. Two lost updates in a row don't cause a read.
 	updateTTL = 1200 * time.Millisecond
@@ -80,6 +83,15 @@
 	at   time.Time
 }
 
+// sender returns the daemon that has what the update announces: a relay may not have it
+// yet.
+func (u *receivedUpdate) sender() netip.AddrPort {
+	if u.Origin.IsValid() {
+		return u.Origin
+	}
+	return u.from
+}
+
 // Peers exchanges updates and states with the other daemons.
 type Peers interface {
 	// IsReader reports whether this daemon reads the store for others.
@@ -91,9 +103,10 @@
 	HandleUpdates(func(from netip.AddrPort, u fanout.Update))
 	// PeerCount returns the number of other daemons.
 	PeerCount() int
-	// FetchSnapshot returns the snapshot of another daemon. have is the configuration
-	// in force, nil for none.
-	FetchSnapshot(ctx context.Context, have *config.Document) (*citronrock.Snapshot, error)
+	// FetchSnapshot returns the snapshot of another daemon, from the newest of several
+	// that are asked. from is one of them if it is valid. have is the configuration in
+	// force, nil for none.
+	FetchSnapshot(ctx context.Context, from netip.AddrPort, have *config.Document) (*citronrock.Snapshot, error)
 	// FetchDocument returns a configuration newer than the one in force, in a version
 	// or a later one if possible, from the daemon that announced it or another one.
 	FetchDocument(ctx context.Context, from netip.AddrPort, have *config.Document, version uint64) (*config.Document, error)
@@ -121,6 +134,10 @@
 	// failures counts those that have failed since the last success.
 	loaded, reading bool
 	failures        int
+	// missedSince is the time since which others have had changes that this daemon has
+	// missed, zero for none, and missedFrom one of these daemons.
+	missedSince time.Time
+	missedFrom  netip.AddrPort
 	// confirmedAt is when an update or read last showed that no change was
 	// missed.
 	confirmedAt time.Time
@@ -220,7 +237,7 @@
 		return nil
 	}
 	_, revision := f.Age()
-	return &citronrock.Snapshot{Document: d, Servers: f.table.All(), Revision: revision}
+	return &citronrock.Snapshot{Document: d, Servers: f.table.Entries(), Revision: revision}
 }
 
 // PatchSince returns the patch from a version to the configuration in force, nil if the
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -150,7 +150,7 @@
 }
 func (p *peers) HandleUpdates(f func(netip.AddrPort, fanout.Update)) { p.deliver = f }
 func (p *peers) PeerCount() int                                      { return p.count }
-func (p *peers) FetchSnapshot(context.Context, *config.Document) (*citronrock.Snapshot, error) {
+func (p *peers) FetchSnapshot(context.Context, netip.AddrPort, *config.Document) (*citronrock.Snapshot, error) {
 	if p.snapshot == nil {
 		return nil, fanout.ErrNoPeer
 	}
--- a/internal/route/follow/large_test.go
+++ b/internal/route/follow/large_test.go
@@ -141,7 +141,7 @@
 	return 0
 }
 
-func (m *member) FetchSnapshot(context.Context, *config.Document) (*citronrock.Snapshot, error) {
+func (m *member) FetchSnapshot(context.Context, netip.AddrPort, *config.Document) (*citronrock.Snapshot, error) {
 	return nil, fanout.ErrNoPeer
 }
 
--- a/internal/route/follow/load.go
+++ b/internal/route/follow/load.go
@@ -8,19 +8,21 @@
 	"time"
 
 	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/route/fanout"
 )
 
 // errLoadDeferred means that this daemon leaves the full read to others for now.
 var errLoadDeferred = errors.New("full read of the store deferred")
 
 // load does a full read: of the snapshot of another daemon in a large fleet, else of the
-// store.
+// store. Readers read the store at once, as others wait for what they find.
 func (f *Follower) load(ctx context.Context, r *result) {
-	if n := f.peers.PeerCount(); n > largeFleet {
+	if n := f.peers.PeerCount(); n > largeFleet && !f.peers.IsReader() {
 		if r.err = f.loadFromPeer(ctx, r); r.err == nil {
 			return
 		}
-		if time.Since(r.loading) < peerLoadTimeout && rand.IntN(n) >= storeLoaders {
+		waited := time.Since(r.loading)
+		if r.have != nil && waited < reloadTimeout || waited < peerLoadTimeout && rand.IntN(n) >= storeLoaders {
 			r.err = errLoadDeferred
 			return
 		}
@@ -28,7 +30,7 @@
 	r.snapshot, r.changes, r.err = f.loadFromStore(ctx, r.era)
 	if r.err != nil && r.have == nil {
 		// While the store is unavailable, a new daemon uses another one's snapshot.
-		if s, err := f.peers.FetchSnapshot(ctx, nil); err == nil && checkEra(s, r.era) == nil {
+		if s, err := f.peers.FetchSnapshot(ctx, r.from, nil); err == nil && checkEra(s, r.era) == nil {
 			f.logPeerSnapshot(s, r.err)
 			r.snapshot, r.changes, r.err = s, &citronrock.Changes{Revision: s.Revision}, nil
 		}
@@ -41,13 +43,22 @@
 // loadFromPeer takes the snapshot of another daemon, and the changes since then
 // from the store.
 func (f *Follower) loadFromPeer(ctx context.Context, r *result) error {
-	snapshot, err := f.peers.FetchSnapshot(ctx, r.have)
+	snapshot, err := f.peers.FetchSnapshot(ctx, r.from, r.have)
 	if err == nil {
 		err = checkEra(snapshot, r.era)
 	}
 	if err != nil {
 		return err
 	}
+	if r.have != nil {
+		// The daemon served before, so that another one's later state is enough. The
+		// readers have read the store, or will.
+		if !r.since.Before(snapshot.Revision) {
+			return errLoadDeferred
+		}
+		r.snapshot, r.changes = snapshot, &citronrock.Changes{Revision: snapshot.Revision}
+		return nil
+	}
 	c, err := f.store.Watch(ctx, snapshot.Revision, 0)
 	if errors.Is(err, citronrock.ErrCompacted) || ctx.Err() != nil {
 		return err
@@ -71,7 +82,11 @@
 
 // replaceAll replaces the whole state by a snapshot and applies the changes since
 // then.
-func (f *Follower) replaceAll(snapshot *citronrock.Snapshot, c *citronrock.Changes) {
+//
+// missed is set when another daemon's state replaces changes that this daemon has missed.
+// Entries that are missing there have not lapsed in an outage of the store, even if the
+// store refuses this daemon.
+func (f *Follower) replaceAll(snapshot *citronrock.Snapshot, c *citronrock.Changes, missed bool) {
 	now := time.Now()
 	f.table.SetOutage(now, false)
 	f.observeEra(now, snapshot.Revision.Era)
@@ -80,14 +95,32 @@
 		f.table.StoreRestored(f.newestEraAt)
 		f.unsent = true
 	}
-	f.table.Reset(now, snapshot.Servers, snapshot.Revision)
-	f.changeLog.Reset()
+	f.resetEntries(now, snapshot, !missed && f.table.DuringOutage(now))
 	f.markCurrent(snapshot.Revision)
 	f.applyChanges(now, c)
 	f.install(snapshot.Document, "snapshot", f.loadingSince) // ignored if the changes had a newer one
 	f.confirm(now)
 }
 
+// resetEntries replaces the entries by those of a snapshot. Daemons that had the same
+// entries before get the difference by updates, so that they need no full read.
+func (f *Follower) resetEntries(now time.Time, snapshot *citronrock.Snapshot, duringOutage bool) {
+	changed, removed := f.table.Reset(now, snapshot.Servers, snapshot.Revision, duringOutage)
+	if f.revision.IsZero() || f.revision.Era != snapshot.Revision.Era {
+		f.changeLog.Reset()
+		return
+	}
+	var events []fanout.Event
+	for _, s := range changed {
+		events = append(events, fanout.PutEvent(s))
+	}
+	for _, id := range removed {
+		events = append(events, fanout.Event{Revision: snapshot.Revision.Number, ID: id, Deleted: true, DuringOutage: duringOutage})
+	}
+	f.changeLog.Add(now, f.revision, events)
+	f.unsent = true
+}
+
 // loadFromStore reads everything from the store: a stale snapshot and the changes
 // since then, or a current snapshot if the store no longer has these changes. era is the
 // newest known one.
--- a/internal/route/follow/read.go
+++ b/internal/route/follow/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"citronrock.example/citronrock"
@@ -16,8 +17,14 @@
 // read is a read of the store, or of another daemon's state.
 type read struct {
 	// full is set for the whole state, else the changes since a revision are read.
-	full  bool
-	since pool.Revision
+	full bool
+	// missed is the time since which others have had changes that this daemon has
+	// missed, zero for none. from is one of them.
+	missed time.Time
+	from   netip.AddrPort
+	// backoff is set while the store must not be asked after a failed read.
+	backoff bool
+	since   pool.Revision
 	// wait is how long the store may wait for a change.
 	wait time.Duration
 	// have is the configuration in force, nil for none, era the newest known era of
@@ -42,7 +49,7 @@
 		return
 	}
 	f.reading = true
-	r := read{full: !f.loaded, since: f.revision, have: f.document.Load(), era: f.newestEra, loading: f.loadingSince, begun: time.Now()}
+	r := read{full: !f.loaded, missed: f.missedSince, from: f.missedFrom, backoff: f.loaded && time.Now().Before(f.retryAt), since: f.revision, have: f.document.Load(), era: f.newestEra, loading: f.loadingSince, begun: time.Now()}
 	if f.documentRevision.Before(r.since) {
 		r.since = f.documentRevision
 	}
@@ -79,7 +86,34 @@
 		f.load(ctx, r)
 		return
 	}
+	if r.missed.IsZero() {
+		r.changes, r.err = f.store.Watch(ctx, r.since, r.wait)
+		return
+	}
+	// In a large fleet the store could not serve all that have missed changes.
+	large := f.peers.PeerCount() > largeFleet
+	if (large || r.backoff) && f.catchUp(ctx, r) {
+		return
+	}
+	if r.backoff || large && !f.peers.IsReader() && time.Since(r.missed) < reloadTimeout {
+		r.err = errLoadDeferred
+		return
+	}
 	r.changes, r.err = f.store.Watch(ctx, r.since, r.wait)
+	if !large && r.err != nil && f.catchUp(ctx, r) {
+		r.err = nil
+	}
+}
+
+// catchUp takes the changes that were missed from the state of another daemon: the store
+// may refuse this one. It returns false if no other daemon has them.
+func (f *Follower) catchUp(ctx context.Context, r *result) bool {
+	s, err := f.peers.FetchSnapshot(ctx, r.from, r.have)
+	if err != nil || checkEra(s, r.era) != nil || !r.since.Before(s.Revision) {
+		return false
+	}
+	r.snapshot, r.changes = s, &citronrock.Changes{Revision: s.Revision}
+	return true
 }
 
 // applyResult applies what a read has got and sets the time of the next one.
@@ -95,11 +129,12 @@
 
 func (f *Follower) apply(r result) {
 	now := time.Now()
+	f.missedSince = time.Time{}
 	if r.snapshot != nil {
 		if r.snapshot.Revision.Before(f.revision) && f.loaded {
 			return // updates have brought later changes meanwhile
 		}
-		f.replaceAll(r.snapshot, r.changes)
+		f.replaceAll(r.snapshot, r.changes, !r.full)
 		return
 	}
 	f.unsent = f.applyChanges(now, r.changes) || f.unsent
@@ -162,7 +197,7 @@
 	if err != nil {
 		text = err.Error()
 	}
-	f.log.Info("read of the store", "full", r.full, "reader", f.peers.IsReader(), "took", lines.Ms(took),
+	f.log.Info("read of the store", "full", r.full, "reader", f.peers.IsReader(), "peer", r.snapshot != nil && !r.full, "took", lines.Ms(took),
 		"revision", f.revision.String(), "version", f.version(), "error", text)
 }
 
--- a/internal/route/follow/update.go
+++ b/internal/route/follow/update.go
@@ -35,7 +35,15 @@
 		f.log.Warn("store restored from an older copy; reading it in full", "era", u.Era, "revision", f.revision.String())
 		f.loaded, f.loadingSince = false, time.Now()
 	}
-	if time.Now().After(f.retryAt) { // else in backoff after a failed read
+	missed := errors.Is(err, errGap)
+	if missed {
+		f.missedFrom = u.sender()
+		if f.missedSince.IsZero() {
+			f.missedSince = u.at
+		}
+	}
+	// Other daemons are asked also during the backoff after a failed read of the store.
+	if missed || time.Now().After(f.retryAt) {
 		f.startRead()
 	}
 }
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -209,12 +209,15 @@
 }
 
 // Reset replaces all entries with those of a full read of the store at a revision.
-// Entries newer than that stay.
-func (t *Table) Reset(now time.Time, all []Server, revision Revision) {
+// Entries newer than that stay. duringOutage has the meaning of Remove for those that
+// are missing. It returns the entries that changed and the IDs of those that were removed.
+func (t *Table) Reset(now time.Time, all []Server, revision Revision, duringOutage bool) (changed []Server, removed []string) {
 	seen := make(map[string]bool, len(all))
 	for _, s := range all {
 		seen[s.ID] = true
-		t.Put(s)
+		if t.Put(s) {
+			changed = append(changed, s)
+		}
 	}
 	t.mu.Lock()
 	var missing []string
@@ -225,8 +228,11 @@
 	}
 	t.mu.Unlock()
 	for _, id := range missing {
-		t.Remove(now, id, revision, t.DuringOutage(now))
+		if t.Remove(now, id, revision, duringOutage) {
+			removed = append(removed, id)
+		}
 	}
+	return changed, removed
 }
 
 // MarkMisdirected records that another server responded at the address of s.
@@ -289,3 +295,18 @@
 	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// Entries returns the servers whose entries are in the store as far as this daemon knows:
+// All without those that stay in use for renewalGrace only.
+func (t *Table) Entries() []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Server, 0, len(t.servers))
+	for _, r := range t.servers {
+		if r.removedAt.IsZero() {
+			out = append(out, r.Server)
+		}
+	}
+	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -70,13 +70,19 @@
 			t.MarkMisdirected(t0, server("x", 1, 1))
 			t.Put(restarted(server("x", 1, 2)))
 		}, true},
-		"missing in a full read":   {func(t *pool.Table) { t.Put(server("x", 1, 1)); t.Reset(t0, nil, pool.Revision{Number: 9}) }, false},
-		"newer than the full read": {func(t *pool.Table) { t.Put(server("x", 1, 10)); t.Reset(t0, nil, pool.Revision{Number: 9}) }, true},
+		"missing in a full read": {func(t *pool.Table) {
+			t.Put(server("x", 1, 1))
+			t.Reset(t0, nil, pool.Revision{Number: 9}, t.DuringOutage(t0))
+		}, false},
+		"newer than the full read": {func(t *pool.Table) {
+			t.Put(server("x", 1, 10))
+			t.Reset(t0, nil, pool.Revision{Number: 9}, t.DuringOutage(t0))
+		}, true},
 		"missing after an outage": {func(t *pool.Table) {
 			t.Put(server("x", 1, 1))
 			t.SetOutage(t0, true)
 			t.SetOutage(t0, false)
-			t.Reset(t0, nil, pool.Revision{Number: 9})
+			t.Reset(t0, nil, pool.Revision{Number: 9}, t.DuringOutage(t0))
 		}, true},
 		"down, no other can be had": {func(t *pool.Table) { t.Put(server("x", 1, 1)); t.SetDown(server("x", 1, 1), true) }, true},
 	}
--- a/internal/route/pool/signal_test.go
+++ b/internal/route/pool/signal_test.go
@@ -148,12 +148,12 @@
 		"missing in the copy": {func(t *pool.Table) {
 			t.Put(server("x", 5, 90))
 			t.StoreRestored(t0)
-			t.Reset(t0, nil, pool.Revision{Era: 1, Number: 60})
+			t.Reset(t0, nil, pool.Revision{Era: 1, Number: 60}, t.DuringOutage(t0))
 		}, true},
 		"leaving and missing in the copy": {func(t *pool.Table) {
 			t.Put(drain(server("x", 5, 90)))
 			t.StoreRestored(t0)
-			t.Reset(t0, nil, pool.Revision{Era: 1, Number: 60})
+			t.Reset(t0, nil, pool.Revision{Era: 1, Number: 60}, t.DuringOutage(t0))
 		}, false},
 	}
 	for name, c := range cases {
