Replace readers that the store refuses

While the store refused the readers, nobody learned of a version before updates had been missing for 1.2 s and more, again for each version; in a fleet of seven, refused daemons never did, as those that read the store did not broadcast.

Change: a reader whose call fails says so in an update, and the next daemon in order becomes a reader, up to nine in a row: if all of these fail, the store is down and more calls are of no use. The order is the same at all daemons, strong ones first. A replaced reader goes on trying and takes its place again with its first successful read.

TestReadersAreReplaced guards the succession and its bound.

--- a/internal/route/fanout/fanout.go
+++ b/internal/route/fanout/fanout.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"citronrock.example/citronrock/internal/core/owner"
 	"citronrock.example/citronrock/internal/peer/dgram"
 	"citronrock.example/citronrock/internal/peer/gossip"
 	"citronrock.example/citronrock/internal/route/pool"
@@ -21,14 +20,6 @@
 )
 
 const (
-	// readerKey is the key by which readers are selected from the live daemons.
-	readerKey = "store"
-	// A fleet of up to smallFleetSize daemons has smallFleetReaders readers, a
-	// larger one has largeFleetReaders, as several may be cut off from the
-	// store at once.
-	smallFleetReaders = 2
-	largeFleetReaders = 3
-	smallFleetSize    = 8
 	// changeRetention is how long a change is repeated in updates. A daemon
 	// that misses all of them reads the store itself.
 	changeRetention = 3 * time.Second
@@ -103,6 +94,9 @@
 	Patch     []byte `cbor:"8,keyasint,omitempty"`
 	// Origin is the daemon that broadcast the update, which has Version.
 	Origin netip.AddrPort `cbor:"9,keyasint,omitzero"`
+	// Failing means that Origin is a reader that can't read the store, so that the update
+	// doesn't show that its content is the newest.
+	Failing bool `cbor:"10,keyasint,omitempty"`
 }
 
 // ChangeLog keeps the changes of recent reads, to be repeated in updates.
@@ -158,6 +152,8 @@
 	// sending is the number of documents that are being sent.
 	sending int
 	encoded encodedVersion
+	// failing has the readers that could not read the store, and when they said so.
+	failing map[netip.AddrPort]time.Time
 }
 
 // Option changes a setting of a node.
@@ -171,7 +167,7 @@
 // New returns the node of the daemon at self.
 func New(self netip.AddrPort, socket dgram.Transport, members gossip.Members, log hclog.Logger, opts ...Option) *Node {
 	n := &Node{self: self, socket: socket, members: members, log: log,
-		dial: (&net.Dialer{Timeout: answerTimeout}).DialContext, unresponsive: map[netip.AddrPort]time.Time{}}
+		dial: (&net.Dialer{Timeout: answerTimeout}).DialContext, unresponsive: map[netip.AddrPort]time.Time{}, failing: map[netip.AddrPort]time.Time{}}
 	for _, o := range opts {
 		o(n)
 	}
@@ -191,55 +187,13 @@
 			forwarded.Relay = nil
 			n.socket.Send(dgram.Update, forwarded, m.Relay...)
 		}
+		if m.Origin.IsValid() {
+			n.setFailing(m.Origin, m.Failing)
+		}
 		f(from, m)
 	})
 }
 
-// IsReader reports whether this daemon is a reader. Daemons with less than half the
-// CPU of the strongest are excluded, as their links are slow, too. Mature daemons
-// are preferred; while there are none, as when all start together, readers are
-// selected from all.
-func (n *Node) IsReader() bool {
-	alive := n.members.Alive()
-	readers := smallFleetReaders
-	if len(alive) > smallFleetSize {
-		readers = largeFleetReaders
-	}
-	minShare := minReaderShare(alive, readers)
-	mature, all := make([]string, 0, len(alive)), make([]string, 0, len(alive))
-	for _, m := range alive {
-		if m.CPUShare < minShare {
-			continue
-		}
-		all = append(all, m.Addr.String())
-		if m.Mature {
-			mature = append(mature, m.Addr.String())
-		}
-	}
-	if len(mature) == 0 {
-		mature = all
-	}
-	return len(alive) <= readers || slices.Contains(owner.Top(readerKey, mature, readers), n.self.String())
-}
-
-// minReaderShare returns the least CPUShare of a reader: half of the largest, or 0 if
-// too few daemons have that.
-func minReaderShare(alive []gossip.LiveMember, readers int) uint32 {
-	strongest, strong := uint32(0), 0
-	for _, m := range alive {
-		strongest = max(strongest, m.CPUShare)
-	}
-	for _, m := range alive {
-		if 2*m.CPUShare >= strongest {
-			strong++
-		}
-	}
-	if strong < readers {
-		return 0
-	}
-	return (strongest + 1) / 2
-}
-
 // Broadcast sends an update to all other daemons. It returns how long to wait
 // before the next one.
 func (n *Node) Broadcast(m Update) time.Duration {
--- a/internal/route/fanout/fanout_test.go
+++ b/internal/route/fanout/fanout_test.go
@@ -132,6 +132,72 @@
 	}
 }
 
+// Guards against a fleet without a reader while the store refuses the ones that were
+// selected, and against one whose daemons all call a store that refuses everybody.
+func TestReadersAreReplaced(t *testing.T) {
+	cases := map[string]struct {
+		strong, weak int
+		// failing readers say so one after the other.
+		failing int
+		want    int
+	}{
+		"none fails":            {6, 66, 0, 3},
+		"one fails":             {6, 66, 1, 3},
+		"all readers fail":      {6, 66, 3, 3},
+		"all strong ones fail":  {6, 66, 6, 3},
+		"the store is down":     {6, 66, 12, 0},
+		"small fleet":           {7, 0, 2, 2},
+		"all but one":           {7, 0, 6, 1},
+		"all of a small one":    {7, 0, 7, 0},
+		"large fleet, a third":  {15, 280, 4, 3},
+		"large fleet, all fail": {15, 280, 12, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := &network{ports: map[netip.AddrPort]*port{}, down: map[netip.AddrPort]bool{}, sent: map[netip.AddrPort]int{}, received: map[netip.AddrPort]int{}}
+			var nodes []*fanout.Node
+			for i := range c.strong + c.weak {
+				share := uint32(80)
+				if i >= c.strong {
+					share = 19
+				}
+				w.members = append(w.members, gossip.LiveMember{Member: gossip.Member{Addr: daemon(i), CPUShare: share}, Mature: true})
+				w.ports[daemon(i)] = &port{network: w, self: daemon(i)}
+			}
+			for i := range w.members {
+				node := fanout.New(daemon(i), w.ports[daemon(i)], w, hclog.NewNullLogger())
+				node.HandleUpdates(func(netip.AddrPort, fanout.Update) {})
+				nodes = append(nodes, node)
+			}
+			readers := func() (out []*fanout.Node) {
+				for _, node := range nodes {
+					if node.IsReader() {
+						out = append(out, node)
+					}
+				}
+				return out
+			}
+			var failed []*fanout.Node
+			for range c.failing {
+				node := readers()[0]
+				node.SetFailing(true)
+				node.Broadcast(fanout.Update{Failing: true})
+				failed = append(failed, node)
+			}
+			if n := len(readers()); n != c.want {
+				t.Errorf("%d readers, want %d", n, c.want)
+			}
+			for _, node := range failed {
+				node.SetFailing(false)
+				node.Broadcast(fanout.Update{})
+			}
+			if n, want := len(readers()), min(3, 2+c.weak); n != want {
+				t.Errorf("%d readers after the store's return, want %d", n, want)
+			}
+		})
+	}
+}
+
 func daemon(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
 }
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -96,6 +96,9 @@
 type Peers interface {
 	// IsReader reports whether this daemon reads the store for others.
 	IsReader() bool
+	// SetFailing records whether this daemon can't read the store, so that another one
+	// replaces it as a reader.
+	SetFailing(bool)
 	// Broadcast sends an update to all other daemons. It returns how long to
 	// wait before the next one.
 	Broadcast(fanout.Update) time.Duration
@@ -134,6 +137,9 @@
 	// failures counts those that have failed since the last success.
 	loaded, reading bool
 	failures        int
+	// wasReader is whether this daemon was a reader when it last looked, failing whether
+	// it can't read the store and has said so.
+	wasReader, failing bool
 	// missedSince is the time since which others have had changes that this daemon has
 	// missed, zero for none, and missedFrom one of these daemons.
 	missedSince time.Time
--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -144,6 +144,8 @@
 }
 
 func (p *peers) IsReader() bool { return p.reader }
+
+func (p *peers) SetFailing(bool) {}
 func (p *peers) Broadcast(u fanout.Update) time.Duration {
 	p.sent = append(p.sent, u)
 	return p.gap
--- a/internal/route/follow/large_test.go
+++ b/internal/route/follow/large_test.go
@@ -125,6 +125,8 @@
 
 func (m *member) IsReader() bool { return false }
 
+func (m *member) SetFailing(bool) {}
+
 func (m *member) PeerCount() int { return len(m.all) - 1 }
 
 func (m *member) HandleUpdates(f func(netip.AddrPort, fanout.Update)) { m.deliver = f }
--- a/internal/route/follow/load.go
+++ b/internal/route/follow/load.go
@@ -28,6 +28,7 @@
 		}
 	}
 	r.snapshot, r.changes, r.err = f.loadFromStore(ctx, r.era)
+	r.answered = r.err == nil
 	if r.err != nil && r.have == nil {
 		// While the store is unavailable, a new daemon uses another one's snapshot.
 		if s, err := f.peers.FetchSnapshot(ctx, r.from, nil); err == nil && checkEra(s, r.era) == nil {
--- a/internal/route/follow/read.go
+++ b/internal/route/follow/read.go
@@ -40,6 +40,8 @@
 	read
 	snapshot *citronrock.Snapshot
 	changes  *citronrock.Changes
+	// answered is set when the store has answered.
+	answered bool
 	err      error
 }
 
@@ -88,6 +90,7 @@
 	}
 	if r.missed.IsZero() {
 		r.changes, r.err = f.store.Watch(ctx, r.since, r.wait)
+		r.answered = r.err == nil
 		return
 	}
 	// In a large fleet the store could not serve all that have missed changes.
@@ -100,6 +103,7 @@
 		return
 	}
 	r.changes, r.err = f.store.Watch(ctx, r.since, r.wait)
+	r.answered = r.err == nil
 	if !large && r.err != nil && f.catchUp(ctx, r) {
 		r.err = nil
 	}
@@ -130,6 +134,11 @@
 func (f *Follower) apply(r result) {
 	now := time.Now()
 	f.missedSince = time.Time{}
+	if f.failing && r.answered {
+		f.log.Info("store answers this daemon again", "revision", f.revision.String())
+		f.failing, f.unsent = false, true
+		f.peers.SetFailing(false)
+	}
 	if r.snapshot != nil {
 		if r.snapshot.Revision.Before(f.revision) && f.loaded {
 			return // updates have brought later changes meanwhile
@@ -171,6 +180,13 @@
 // readFailed returns the time until the next read after one has failed.
 func (f *Follower) readFailed(err error) time.Duration {
 	f.failures++
+	if f.failing || f.loaded && f.peers.IsReader() {
+		f.failing, f.wasReader = true, false
+		f.peers.SetFailing(true)
+		u := f.update()
+		u.Failing = true
+		f.peers.Broadcast(u)
+	}
 	pause := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
 	f.retryAt = time.Now().Add(pause)
 	if f.loaded && f.failures >= outageThreshold && !f.peers.IsReader() && f.peers.PeerCount() > largeFleet {
--- a/internal/route/follow/update.go
+++ b/internal/route/follow/update.go
@@ -27,6 +27,14 @@
 	if !f.loaded {
 		return
 	}
+	if reader := f.peers.IsReader(); reader != f.wasReader {
+		if f.wasReader = reader; reader {
+			f.startRead() // in place of a reader that can't
+		}
+	}
+	if u.Failing {
+		return
+	}
 	err := f.catchPanic("notice", func() error { return f.handleUpdate(u) })
 	if err == nil {
 		return
--- a/internal/route/follow/version_test.go
+++ b/internal/route/follow/version_test.go
@@ -137,7 +137,7 @@
 					f := newFleet(c.n, c.strong, 1_000_000, s)
 					defer f.close()
 					time.Sleep(9 * time.Second)
-					before := f.sent()
+					before, calls := f.sent(), f.calls()
 					skip := map[int]bool{}
 					fault(f, skip)
 					var acked []versionAt
@@ -150,8 +150,9 @@
 					synctest.Wait()
 					lags, wentBack := f.lags(acked, skip, time.Now())
 					last := lags[len(lags)-1]
-					t.Logf("median %v, 99 in 100 %v, most %v; %d kB sent a daemon, %d at most", lags[len(lags)/2].took.Round(time.Millisecond),
-						lags[len(lags)*99/100].took.Round(time.Millisecond), last.took.Round(time.Millisecond), (f.sent()-before)/int64(c.n)/1000, f.mostSent()/1000)
+					t.Logf("median %v, 99 in 100 %v, most %v; %d kB sent a daemon, %d at most; %d calls of the store in %v", lags[len(lags)/2].took.Round(time.Millisecond),
+						lags[len(lags)*99/100].took.Round(time.Millisecond), last.took.Round(time.Millisecond), (f.sent()-before)/int64(c.n)/1000, f.mostSent()/1000,
+						f.calls()-calls, time.Duration(c.versions)*gap+2*c.bound)
 					if wentBack || last.took > c.bound {
 						t.Errorf("version %d in force at daemon %d after %v, bound %v; went back: %v", last.version, last.daemon, last.took, c.bound, wentBack)
 					}
@@ -217,6 +218,13 @@
 	return total
 }
 
+func (f *fleet) calls() (total int64) {
+	for _, h := range f.hosts {
+		total += h.reads.Load()
+	}
+	return total
+}
+
 func (f *fleet) mostSent() (most int64) {
 	for _, h := range f.hosts {
 		most = max(most, h.up.bytes)
