--- a/errors.go
+++ b/errors.go
@@ -64,5 +64,5 @@
 }
 
 // ErrCompacted is returned by Store.Watch when the store no longer keeps the
-// changes after a revision.
+// changes after a revision, or has more of them than a response may have.
 var ErrCompacted = errors.New("the store no longer has these changes; read everything again")
