Log which parts of prompts were in runs that a crash broke off

The line on a crash said how many runs broke off, not which, nor what they had in common or how far their answers had got. Now each such run has a line with the request, the parts of its prompt, the events and the time of its answer, and the strikes that its content has; the gauge broken_runs counts them. Requests hold the parts of their prompt. No decision changes.

--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -34,6 +34,9 @@
 	// Prompt and MaxOutput count tokens: of the prompt and of the longest output. They
 	// are zero when the client does not state them.
 	Prompt, MaxOutput int
+	// Parts identify the parts of the prompt in order, without the last one. Other
+	// requests may share them.
+	Parts []string
 	// LastPart identifies the last part of the prompt, which is specific to this
 	// request. Empty when the client does not state it.
 	LastPart string
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -145,6 +145,7 @@
 		r.meter.Gauge("permits_denied", "requests to limited servers that got no permit", r.backends.Denied),
 		r.meter.Gauge("permits_silent", "asks for permits that their owner did not answer", r.backends.Unanswered),
 		r.meter.Gauge("panics", "panics recovered since the start; the affected work was abandoned", panics.Count),
+		r.meter.Gauge("broken_runs", "runs that crashes of their servers have broken off", r.guard.Broken),
 		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.InFlight()) }),
 		r.meter.Gauge("peers", "live daemons, this one included", func() int64 { return int64(len(r.gossip.Alive())) }),
 		r.meter.Gauge("state_in", "bytes of snapshots received from other daemons", r.fanout.Traffic().In.Load),
--- a/internal/front/stream/fault.go
+++ b/internal/front/stream/fault.go
@@ -7,6 +7,7 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
@@ -14,10 +15,19 @@
 // crash servers.
 func (j *job) noteCrash(ctx context.Context, s pool.Server, start time.Time, sendErr *proxy.SendError) {
 	if sendErr.Fault == event.FaultBroken && ctx.Err() == nil {
-		j.guard.RecordBroken(j.req, s, start)
+		j.guard.RecordBroken(j.req, s, start, j.progress())
 	}
 }
 
+// progress returns how far the current run has got.
+func (j *job) progress() crash.Progress {
+	p := crash.Progress{Events: j.runEvents}
+	if j.runEvents > 0 {
+		p.Writing = time.Since(j.firstEventAt)
+	}
+	return p
+}
+
 // isLimited reports whether nothing was sent because of the limit of a server.
 func isLimited(err error) bool {
 	var sendErr *proxy.SendError
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -79,10 +79,14 @@
 	headerSent, streaming, mayHaveRun bool
 	sends, runs                       int
 	// limited counts the leases that were not used because of limits of engines.
-	limited     int
-	events      int
-	lastEventID string
-	excluded    []string
+	limited int
+	events  int
+	// runEvents counts the events of the current run, firstEventAt is when it sent the
+	// first one.
+	runEvents    int
+	firstEventAt time.Time
+	lastEventID  string
+	excluded     []string
 }
 
 // step tells whether the request is finished or another lease is needed.
@@ -258,6 +262,7 @@
 		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
 	}
 	start := time.Now()
+	j.runEvents = 0
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -57,6 +57,9 @@
 			j.lastEventID = e.id
 		}
 		j.events++
+		if j.runEvents++; j.runEvents == 1 {
+			j.firstEventAt = time.Now()
+		}
 		j.lease.SetGenerated(j.generated())
 	}
 }
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -227,7 +227,7 @@
 	case resp != nil:
 		j.guard.RecordSuccess(j.req)
 	case fault == event.FaultBroken:
-		j.guard.RecordBroken(j.req, s, start)
+		j.guard.RecordBroken(j.req, s, start, crash.Progress{})
 	}
 	if err != nil || fault != event.FaultNone {
 		text := "server responded with a failure"
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -9,12 +9,14 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"citronrock.example/citronrock/internal/core/strike"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/peer/dgram"
 	"citronrock.example/citronrock/internal/peer/gossip"
 	"citronrock.example/citronrock/internal/route/pool"
@@ -53,12 +55,25 @@
 	// recordCount is the size of strikes. Requests are not hashed while it is
 	// zero.
 	recordCount atomic.Int64
+	// broken counts the runs that crashes of their servers have broken off.
+	broken atomic.Int64
+}
+
+// Progress is how far a run had got.
+type Progress struct {
+	// Events counts the events of its answer.
+	Events int
+	// Writing is the time since the first event.
+	Writing time.Duration
 }
 
 // run is a run of a request whose connection broke.
 type run struct {
 	fingerprint         uint64
 	startedAt, brokenAt time.Time
+	request             string
+	parts               []string
+	progress            Progress
 }
 
 // record is a strike, or with Clear the removal of all strikes of a fingerprint
@@ -90,6 +105,9 @@
 	return g
 }
 
+// Broken returns the number of runs that crashes of their servers have broken off.
+func (g *Guard) Broken() int64 { return g.broken.Load() }
+
 // Fingerprint returns a hash that is the same for requests with the same content.
 func Fingerprint(c *proxy.Request) uint64 {
 	d := xxhash.New()
@@ -113,14 +131,14 @@
 
 // RecordBroken records that the connection to a server broke during a run that
 // started at startedAt. It counts a strike if the server was found down before.
-func (g *Guard) RecordBroken(c *proxy.Request, s pool.Server, startedAt time.Time) {
+func (g *Guard) RecordBroken(c *proxy.Request, s pool.Server, startedAt time.Time, progress Progress) {
 	if g == nil {
 		return
 	}
 	now := time.Now()
 	g.mu.Lock()
 	g.expire(now)
-	g.brokenRuns[processKey(s)] = append(g.brokenRuns[processKey(s)], run{Fingerprint(c), startedAt, now})
+	g.brokenRuns[processKey(s)] = append(g.brokenRuns[processKey(s)], run{Fingerprint(c), startedAt, now, c.ID, c.Parts, progress})
 	var out []record
 	if at, ok := g.downAt[processKey(s)]; ok && now.Sub(at) < correlationWindow {
 		out = g.addStrikes(now, s)
@@ -167,6 +185,9 @@
 func (g *Guard) addStrikes(now time.Time, s pool.Server) []record {
 	var out []record
 	for _, r := range g.brokenRuns[processKey(s)] {
+		g.broken.Add(1)
+		g.log.Info("run broken off by the crash of its server", "request", r.request, "server", s.ID, "service", s.Service, "parts", strings.Join(r.parts, ","),
+			"events", r.progress.Events, "writing", lines.Ms(r.progress.Writing), "ran", lines.Ms(r.brokenAt.Sub(r.startedAt)), "strikes", g.strikes.Count(now, r.fingerprint))
 		// Concurrent runs of the same request may have broken for one cause that is
 		// not the request, so that they count as one.
 		if now.Sub(r.brokenAt) > correlationWindow || r.startedAt.Before(g.lastStrike[r.fingerprint]) {
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -70,7 +70,7 @@
 func crashServer(g *crash.Guard, c *proxy.Request, id string) {
 	began := time.Now()
 	time.Sleep(10 * time.Millisecond)
-	g.RecordBroken(c, server(id), began)
+	g.RecordBroken(c, server(id), began, crash.Progress{})
 	time.Sleep(time.Millisecond)
 	g.RecordServerDown(server(id))
 }
@@ -91,7 +91,7 @@
 			later.StartedAt = time.UnixMilli(9)
 			began := time.Now()
 			time.Sleep(time.Millisecond)
-			g[0].RecordBroken(bad, later, began)
+			g[0].RecordBroken(bad, later, began, crash.Progress{})
 			g[0].RecordServerDown(later)
 		}, true},
 		"connection broke after the death was found": {func(g []*crash.Guard) {
@@ -100,19 +100,19 @@
 			time.Sleep(time.Millisecond)
 			g[0].RecordServerDown(server("b"))
 			time.Sleep(time.Millisecond)
-			g[0].RecordBroken(bad, server("b"), began)
+			g[0].RecordBroken(bad, server("b"), began, crash.Progress{})
 		}, true},
 		"deaths of another request": {func(g []*crash.Guard) { crashServer(g[0], call("x"), "a"); crashServer(g[0], call("x"), "b") }, false},
 		"broken connections of live servers": {func(g []*crash.Guard) {
-			g[0].RecordBroken(bad, server("a"), time.Now())
+			g[0].RecordBroken(bad, server("a"), time.Now(), crash.Progress{})
 			time.Sleep(time.Second)
-			g[0].RecordBroken(bad, server("b"), time.Now())
+			g[0].RecordBroken(bad, server("b"), time.Now(), crash.Progress{})
 		}, false},
 		"servers that die side by side": {func(g []*crash.Guard) {
 			began := time.Now()
 			time.Sleep(time.Millisecond)
 			for _, id := range []string{"a", "b", "c"} {
-				g[0].RecordBroken(bad, server(id), began)
+				g[0].RecordBroken(bad, server(id), began, crash.Progress{})
 				g[0].RecordServerDown(server(id))
 			}
 		}, false},
