--- /dev/null
+++ b/internal/route/crash/fleet_test.go
@@ -0,0 +1,374 @@
+package crash_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/peer/dgram"
+	"citronrock.example/citronrock/internal/peer/gossip"
+	"citronrock.example/citronrock/internal/route/crash"
+	"citronrock.example/citronrock/internal/route/pool"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Times of the simulated engines and fleet.
+const (
+	tickTime      = 10 * time.Millisecond
+	prefillTime   = 80 * time.Millisecond
+	crashAfter    = 100 * time.Millisecond // from the start of decoding
+	firstEvent    = 20 * time.Millisecond
+	eventGap      = 40 * time.Millisecond
+	restartTime   = 4 * time.Second
+	contactWindow = 3 * time.Second
+	engineService = "llm"
+)
+
+// Bounds of the contract: requests with a part that has crashed toleratedCrashes engines
+// and that reach engines later than the contact window.
+const (
+	toleratedCrashes = 5
+	toleratedLater   = 3
+)
+
+// chain draws the parts of a prompt.
+type chain func(random *rand.Rand, n int) []string
+
+// load is a part of the requests, a share of a second each.
+type load struct {
+	rate  float64
+	parts chain
+	// body is the content, one of its own for each request if it is empty.
+	body string
+}
+
+// fleet is a set of daemons with guards, engines, and clients.
+type fleet struct {
+	random  *rand.Rand
+	loss    float64
+	daemons []*daemon
+	engines []*engine
+	flights []*flight
+	bad     map[string]bool
+	badBody string
+	names   int
+
+	// crashes has the times at which engines crashed under a part, reached when
+	// requests with it reached engines, sent when they were sent.
+	crashes      map[string][]time.Time
+	later        map[string]int
+	sound        map[string]*tally
+	engineDeaths int
+}
+
+// tally counts the sound requests with a first part.
+type tally struct{ sent, refused int }
+
+// daemon is one daemon of a fleet.
+type daemon struct {
+	*fleet
+	addr     netip.AddrPort
+	guard    *crash.Guard
+	handlers [256]dgram.Handler
+	// offUntil is when the daemon is back after a freeze, startedAt when it was started
+	// or thawed.
+	offUntil, startedAt time.Time
+}
+
+type engine struct {
+	pool.Server
+	downUntil time.Time
+}
+
+// flight is a request at an engine.
+type flight struct {
+	req              *proxy.Request
+	at               *daemon
+	sent, decodeAt   time.Time
+	decoding         bool
+	on               *engine
+	server           pool.Server
+	began, ends      time.Time
+	crashing, proved bool
+}
+
+func newFleet(daemons, engines int, loss float64, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), loss: loss, bad: map[string]bool{}, crashes: map[string][]time.Time{},
+		later: map[string]int{}, sound: map[string]*tally{}}
+	for i := range daemons {
+		d := &daemon{fleet: f, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i%200 + 1)}), 7000)}
+		f.daemons = append(f.daemons, d)
+	}
+	for _, d := range f.daemons {
+		d.start()
+	}
+	for i := range engines {
+		f.engines = append(f.engines, &engine{Server: pool.Server{ID: fmt.Sprint("e", i), Service: engineService, StartedAt: time.Now()}})
+	}
+	return f
+}
+
+// start starts the daemon's process.
+func (d *daemon) start() {
+	d.startedAt = time.Now()
+	d.guard = crash.New(d.addr, d, d, hclog.NewNullLogger())
+}
+
+func (d *daemon) Handle(k dgram.Kind, h dgram.Handler) { d.handlers[k] = h }
+
+func (d *daemon) Decode(body []byte, m any) bool { return cbor.Unmarshal(body, m) == nil }
+
+func (d *daemon) Send(k dgram.Kind, m any, to ...netip.AddrPort) {
+	body, err := cbor.Marshal(m)
+	if err != nil || len(body) > 16<<10 {
+		panic(fmt.Sprintf("datagram of %d bytes, error %v", len(body), err))
+	}
+	for _, other := range d.daemons {
+		for _, addr := range to {
+			if other.addr == addr && other != d && rand.Float64() >= d.loss {
+				time.AfterFunc(time.Millisecond, func() {
+					if h := other.handlers[k]; h != nil && time.Now().After(other.offUntil) {
+						h(d.addr, body)
+					}
+				})
+			}
+		}
+	}
+}
+
+func (d *daemon) Alive() []gossip.LiveMember {
+	var out []gossip.LiveMember
+	for _, other := range d.daemons {
+		out = append(out, gossip.LiveMember{Member: gossip.Member{Addr: other.addr}, Mature: true})
+	}
+	return out
+}
+
+// send lets a client send a request.
+func (f *fleet) send(l load) {
+	f.names++
+	d := f.daemons[f.random.IntN(len(f.daemons))]
+	if time.Now().Before(d.offUntil) {
+		return
+	}
+	req := &proxy.Request{ID: fmt.Sprint("q", f.names), Method: "POST", Host: "h", Target: "/x", Parts: l.parts(f.random, f.names), Body: []byte(l.body)}
+	if l.body == "" {
+		req.Body = []byte(req.ID)
+	}
+	crashing := f.isBad(req)
+	var t *tally
+	if !crashing && len(req.Parts) > 0 {
+		if t = f.sound[req.Parts[0]]; t == nil {
+			t = &tally{}
+			f.sound[req.Parts[0]] = t
+		}
+		t.sent++
+	}
+	if d.guard.IsBlocked(req) {
+		if t != nil {
+			t.refused++
+		}
+		return
+	}
+	for _, part := range req.Parts {
+		// Daemons that have just started or thawed are not in touch.
+		if list := f.crashes[part]; len(list) >= toleratedCrashes && time.Since(list[toleratedCrashes-1]) > contactWindow && time.Since(d.startedAt) > contactWindow {
+			f.later[part]++
+		}
+	}
+	f.flights = append(f.flights, &flight{req: req, at: d, sent: time.Now(), decodeAt: time.Now().Add(prefillTime), crashing: crashing})
+}
+
+func (f *fleet) isBad(req *proxy.Request) bool {
+	if f.badBody != "" && string(req.Body) == f.badBody {
+		return true
+	}
+	for _, part := range req.Parts {
+		if f.bad[part] {
+			return true
+		}
+	}
+	return false
+}
+
+// decode starts a request at a live engine, the least loaded of two.
+func (f *fleet) decode(x *flight) {
+	var up []*engine
+	for _, e := range f.engines {
+		if time.Now().After(e.downUntil) {
+			up = append(up, e)
+		}
+	}
+	if len(up) == 0 {
+		x.decodeAt = time.Now().Add(time.Second)
+		return
+	}
+	x.on = up[f.random.IntN(len(up))]
+	x.server, x.decoding, x.began = x.on.Server, true, time.Now()
+	x.ends = time.Now().Add(time.Duration(500+f.random.IntN(3000)) * time.Millisecond)
+}
+
+// crash ends an engine and all runs on it.
+func (f *fleet) crash(e *engine) {
+	f.engineDeaths++
+	old := e.Server
+	e.downUntil = time.Now().Add(restartTime)
+	e.StartedAt = e.downUntil
+	saw := map[*daemon]bool{}
+	var left []*flight
+	for _, x := range f.flights {
+		if !x.decoding || x.on != e || x.server != old {
+			left = append(left, x)
+			continue
+		}
+		for _, part := range x.req.Parts {
+			if f.bad[part] {
+				f.crashes[part] = append(f.crashes[part], time.Now())
+			}
+		}
+		if time.Now().Before(x.at.offUntil) {
+			continue
+		}
+		saw[x.at] = true
+		p := crash.Progress{}
+		if since := time.Since(x.began) - firstEvent; since > 0 && !x.crashing {
+			p = crash.Progress{Events: 1 + int(since/eventGap), Writing: since}
+		}
+		x.at.guard.RecordBroken(x.req, old, x.began, p)
+	}
+	f.flights = left
+	for d := range saw {
+		time.AfterFunc(time.Duration(f.random.IntN(200))*time.Millisecond, func() { d.guard.RecordServerDown(old) })
+	}
+}
+
+// run lets clients send for a time.
+func (f *fleet) run(span time.Duration, loads ...load) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(tickTime) {
+		for _, l := range loads {
+			if f.random.Float64() < l.rate*tickTime.Seconds() {
+				f.send(l)
+			}
+		}
+		var dead []*engine
+		var left []*flight
+		for _, x := range f.flights {
+			now := time.Now()
+			switch {
+			case !x.decoding && now.After(x.decodeAt):
+				f.decode(x)
+			case x.decoding && x.crashing && now.Sub(x.began) >= crashAfter:
+				dead = append(dead, x.on)
+			case x.decoding && now.After(x.ends):
+				x.at.guard.RecordSuccess(x.req)
+				continue
+			}
+			left = append(left, x)
+		}
+		f.flights = left
+		for _, e := range dead {
+			if time.Now().After(e.downUntil) {
+				f.crash(e)
+			}
+		}
+	}
+}
+
+// some draws one of n parts.
+func some(random *rand.Rand, prefix string, n int) string {
+	return fmt.Sprint(prefix, random.IntN(n))
+}
+
+// Guards against engines that crash one after the other under requests which share a part
+// of their prompts and are otherwise different, and against refusing sound requests that
+// share the other parts: crashes were counted by the whole content of a request only.
+func TestPartsThatCrashEngines(t *testing.T) {
+	soundChain := func(random *rand.Rand, n int) []string {
+		return []string{some(random, "first", 3), some(random, "middle", 40)}
+	}
+	cases := map[string]struct {
+		bad   []string
+		body  string
+		loads []load
+	}{
+		"middle part": {bad: []string{"bad"}, loads: []load{
+			{3, func(random *rand.Rand, n int) []string { return []string{some(random, "first", 3), "bad"} }, ""}}},
+		"middle part before others": {bad: []string{"bad"}, loads: []load{
+			{3, func(random *rand.Rand, n int) []string {
+				return []string{some(random, "first", 3), "bad", some(random, "middle", 40)}
+			}, ""}}},
+		"first part": {bad: []string{"bad"}, loads: []load{
+			{3, func(random *rand.Rand, n int) []string { return []string{"bad", some(random, "middle", 40)} }, ""}}},
+		"shared by two chains": {bad: []string{"bad"}, loads: []load{
+			{2, func(random *rand.Rand, n int) []string { return []string{"first0", "bad", fmt.Sprint("own", n)} }, ""},
+			{2, func(random *rand.Rand, n int) []string { return []string{"first1", "a", "b", "bad"} }, ""}}},
+		"two parts at once": {bad: []string{"bad", "worse"}, loads: []load{
+			{2, func(random *rand.Rand, n int) []string { return []string{"first0", "bad"} }, ""},
+			{2, func(random *rand.Rand, n int) []string {
+				return []string{"first0", "worse", some(random, "middle", 40)}
+			}, ""}}},
+		"beside a request that crashes by its content": {bad: []string{"bad"}, body: "content", loads: []load{
+			{2, func(random *rand.Rand, n int) []string { return []string{"first0", "bad"} }, ""},
+			{1, func(random *rand.Rand, n int) []string { return []string{"first0", "middle1"} }, "content"}}},
+	}
+	sizes := map[string]struct {
+		daemons, engines int
+		loss             float64
+	}{
+		"7 daemons":                       {7, 9, 0},
+		"7 daemons, lost datagrams":       {7, 9, 0.1},
+		"72 daemons, lost datagrams":      {72, 60, 0.1},
+		"295 daemons, a third is lost":    {295, 60, 0.33},
+		"295 daemons, few runs at engine": {295, 200, 0},
+	}
+	for name, c := range cases {
+		for size, s := range sizes {
+			t.Run(size+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(3) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newFleet(s.daemons, s.engines, s.loss, seed)
+						defer f.close()
+						sound := load{rate: 15, parts: soundChain}
+						f.run(5*time.Second, sound)
+						for _, part := range c.bad {
+							f.bad[part] = true
+						}
+						f.badBody = c.body
+						f.run(8*time.Second, append(c.loads, sound)...)
+						clear(f.sound)
+						// A daemon is started again, and one thaws that had missed everything.
+						f.daemons[1].start()
+						f.daemons[2].offUntil, f.daemons[2].startedAt = time.Now().Add(3*time.Second), time.Now().Add(3*time.Second)
+						f.run(20*time.Second, append(c.loads, sound)...)
+						f.check(t, c.bad)
+					})
+				}
+			})
+		}
+	}
+}
+
+// check compares what reached engines, and which sound requests were refused, with the
+// contract.
+func (f *fleet) check(t *testing.T, bad []string) {
+	t.Helper()
+	for _, part := range bad {
+		if f.later[part] > toleratedLater {
+			t.Errorf("%d requests with part %s reached engines after %d crashes and %v, allowed %d; %d engines crashed", f.later[part], part,
+				toleratedCrashes, contactWindow, toleratedLater, f.engineDeaths)
+		}
+	}
+	for first, n := range f.sound {
+		if n.sent >= 20 && n.refused*20 > n.sent {
+			t.Errorf("%d of %d sound requests with first part %s were refused", n.refused, n.sent, first)
+		}
+	}
+}
+
+func (f *fleet) close() { time.Sleep(time.Second) }
