Refuse requests with a part of prompts that crashes engines

What callers saw: their generations broke off, as engines ended one after the other. Class: evidence kept under a key that an attacker, or chance, makes new each time; and a bound on the fleet that each daemon learns by one datagram.

Change: the runs that a crash broke off before they had gone on (two events and 250 ms) are broadcast with the parts of their prompts, and so are parts of which a run went on since. A part is blocked from three crashes that nothing blocked explains, five where sound requests are known to share it; crashes within 150 ms count as one. Of parts that explain the same crashes the one comes first that no sound request shares, then the last in the prompts. All daemons judge the same evidence, and pass it on twice a second to two others while there are suspects, so that a lost datagram, a start or a freeze doesn't matter. Blocked requests get 503 at once, also between the lease, the prefill and the decode. One daemon lets one request through after 30 s, 90 s and 270 s more; a run that goes on, or a minute without requests, releases the part, and then one crash blocks it again. Everything that clients choose is bounded.

--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -37,6 +37,9 @@
 	// Parts identify the parts of the prompt in order, without the last one. Other
 	// requests may share them.
 	Parts []string
+	// Probe is set if the request is let through although a part of its prompt crashed
+	// servers.
+	Probe bool
 	// LastPart identifies the last part of the prompt, which is specific to this
 	// request. Empty when the client does not state it.
 	LastPart string
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -36,10 +36,28 @@
 	Loads    map[string]lease.Load `json:"loads"`
 	// Limits are the limits that servers name.
 	Limits []gate.Limit `json:"limits"`
+	// Parts are the verdicts on parts of prompts that crashed servers, ended ones too.
+	Parts []Part `json:"parts"`
 	// Bytes counts the bytes of datagrams from and to other daemons, by kind.
 	Bytes map[string]Bytes `json:"bytes"`
 }
 
+// Part is a verdict on a part of prompts.
+type Part struct {
+	ID      string `json:"part"`
+	Service string `json:"service"`
+	// Since is when requests with it were first refused, Ended when they were served
+	// again, zero while they are refused. Seen is when the last one came.
+	Since time.Time `json:"since"`
+	Seen  time.Time `json:"seen"`
+	Ended time.Time `json:"ended,omitzero"`
+	// Crashes identify the processes of servers that had crashed under it.
+	Crashes []string `json:"crashes"`
+	Probes  int      `json:"probes"`
+	// Sound is set if a run with it went on.
+	Sound bool `json:"sound"`
+}
+
 // Bytes counts received and sent bytes.
 type Bytes struct {
 	In  uint64 `json:"in"`
@@ -73,6 +91,10 @@
 	if d := r.follower.Document(); d != nil {
 		s.Version = d.Version
 	}
+	for _, v := range r.guard.Parts() {
+		s.Parts = append(s.Parts, Part{ID: v.Part.ID, Service: v.Part.Service, Since: v.Since, Seen: v.SeenAt, Ended: v.Ended,
+			Crashes: v.Crashes, Probes: v.Probes, Sound: v.Sound})
+	}
 	s.Bytes = map[string]Bytes{}
 	for k, name := range dgram.KindNames {
 		in, out := r.socket.Bytes(k)
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -301,6 +301,11 @@
 		r.refuse(w, req, &o, "earlier runs of this request crashed servers")
 		return o
 	}
+	if o.Part = r.guard.BlockedPart(req, o.Service); o.Part != "" {
+		o.Status, o.Result, o.Reason, o.RetryAfter = http.StatusServiceUnavailable, "refused", string(citronrock.ReasonSuspect), crash.StrikeTTL
+		r.refuse(w, req, &o, "a part of this prompt crashed servers")
+		return o
+	}
 	return r.dispatch(w, httpReq, req, route, service, o)
 }
 
@@ -393,6 +398,7 @@
 
 func (r *Router) closePeers() {
 	r.prober.Close()
+	r.guard.Close()
 	r.leases.Close()
 	r.backends.Close()
 	r.gossip.Close()
--- a/internal/front/stream/fault.go
+++ b/internal/front/stream/fault.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/route/crash"
@@ -28,6 +29,19 @@
 	return p
 }
 
+// refusePart refuses the request if a part of its prompt crashed servers since it was
+// admitted.
+func (j *job) refusePart(ctx context.Context) bool {
+	part := j.guard.BlockedPart(j.req, j.service.Name)
+	if part == "" {
+		return false
+	}
+	j.closeLease("")
+	j.outcome.Part, j.outcome.RetryAfter = part, crash.StrikeTTL
+	j.fail(ctx, string(citronrock.ReasonSuspect))
+	return true
+}
+
 // isLimited reports whether nothing was sent because of the limit of a server.
 func isLimited(err error) bool {
 	var sendErr *proxy.SendError
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -85,8 +85,10 @@
 	// first one.
 	runEvents    int
 	firstEventAt time.Time
-	lastEventID  string
-	excluded     []string
+	// goneOn is set once the run has got beyond the point at which engines crash.
+	goneOn      bool
+	lastEventID string
+	excluded    []string
 }
 
 // step tells whether the request is finished or another lease is needed.
@@ -261,8 +263,11 @@
 	if !ok {
 		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
 	}
+	if j.refusePart(ctx) {
+		return finish
+	}
 	start := time.Now()
-	j.runEvents = 0
+	j.runEvents, j.goneOn = 0, false
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -292,7 +297,7 @@
 	sendErr := j.relay(ctx, cancel, resp)
 	if sendErr == nil {
 		report(time.Now(), pool.OK, 0)
-		j.guard.RecordSuccess(j.req)
+		j.guard.RecordSuccess(j.req, j.service.Name)
 		j.outcome.Result, j.outcome.Status = "ok", http.StatusOK
 		return finish
 	}
--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -24,6 +24,9 @@
 	if !ok {
 		return j.retryElsewhere(ctx, j.lease.Prefill, "", true)
 	}
+	if j.refusePart(ctx) {
+		return finish
+	}
 	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
 	start := time.Now()
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -60,6 +60,7 @@
 		if j.runEvents++; j.runEvents == 1 {
 			j.firstEventAt = time.Now()
 		}
+		j.goneOn = j.goneOn || j.guard.RecordProgress(j.req, j.service.Name, j.progress())
 		j.lease.SetGenerated(j.generated())
 	}
 }
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -133,6 +133,11 @@
 		if !ok {
 			return j.failure, j.decide(event.FaultRefused, nil)
 		}
+		if j.guard.BlockedPart(j.req, j.service) != "" {
+			v := j.decide(event.FaultRefused, nil)
+			v.Reason = citronrock.ReasonSuspect
+			return j.failure, v
+		}
 		resp, fault, limited := j.send(ctx, server)
 		if limited && ctx.Err() == nil {
 			j.excluded = append(j.excluded, server.ID)
@@ -225,7 +230,7 @@
 	report(time.Now(), serverOutcome(ctx, resp, fault), took)
 	switch {
 	case resp != nil:
-		j.guard.RecordSuccess(j.req)
+		j.guard.RecordSuccess(j.req, j.service)
 	case fault == event.FaultBroken:
 		j.guard.RecordBroken(j.req, s, start, crash.Progress{})
 	}
--- a/internal/logs/lines/lines.go
+++ b/internal/logs/lines/lines.go
@@ -83,6 +83,9 @@
 	// Result is "ok", "failed", "refused", "unknown", "gone" or "broken".
 	Result string
 	Reason string
+	// Part is the part of the prompt that crashed servers, for which the request was
+	// refused.
+	Part string
 	// Server is the backend server whose response was relayed.
 	Server string
 	// Attempts counts the times that the request was sent to a backend server.
@@ -111,6 +114,9 @@
 	if o.Reason != "" {
 		fields = append(fields, "reason", o.Reason)
 	}
+	if o.Part != "" {
+		fields = append(fields, "part", o.Part)
+	}
 	if o.PromptTokens > 0 {
 		fields = append(fields, "first", Ms(o.TimeToFirst), "events", o.Events, "prompt", o.PromptTokens)
 	}
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -1,7 +1,7 @@
 // Package crash blocks requests that crash the backend servers that run them. A
 // daemon that sees a connection break during a run and finds the server down counts
 // a strike against the content of the request and broadcasts it to all other
-// daemons.
+// daemons, and the parts of its prompt with it.
 package crash
 
 import (
@@ -19,6 +19,7 @@
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/peer/dgram"
 	"citronrock.example/citronrock/internal/peer/gossip"
+	"citronrock.example/citronrock/internal/route/parts"
 	"citronrock.example/citronrock/internal/route/pool"
 	"citronrock.example/citronrock/internal/wire/peer"
 	"github.com/cespare/xxhash/v2"
@@ -57,6 +58,17 @@
 	recordCount atomic.Int64
 	// broken counts the runs that crashes of their servers have broken off.
 	broken atomic.Int64
+
+	// parts finds the parts of prompts that crash servers; mu guards it. blocking is set
+	// while it blocks one.
+	parts    *parts.Table
+	blocking atomic.Bool
+	// pending has the sound parts to be announced and when, heard those that were
+	// announced lately, ownCrashes the crashes that broke off runs of this daemon.
+	pending, heard map[parts.Part]time.Time
+	ownCrashes     map[string]time.Time
+	wake, done     chan struct{}
+	stopped        sync.WaitGroup
 }
 
 // Progress is how far a run had got.
@@ -89,22 +101,36 @@
 // message is the datagram that daemons exchange.
 type message struct {
 	Records []record `cbor:"1,keyasint"`
+	// Runs, Sound and Verdicts are about parts of prompts.
+	Runs     []brokenRun `cbor:"2,keyasint,omitempty"`
+	Sound    []soundPart `cbor:"3,keyasint,omitempty"`
+	Verdicts []verdict   `cbor:"4,keyasint,omitempty"`
 }
 
 // New returns the guard of the daemon at self and subscribes it to the records of
 // others.
 func New(self netip.AddrPort, socket dgram.Transport, members gossip.Members, log hclog.Logger) *Guard {
 	g := &Guard{self: self, socket: socket, members: members, log: log, strikes: strike.New(strike.WithTTL(StrikeTTL)),
-		brokenRuns: map[string][]run{}, downAt: map[string]time.Time{}, lastStrike: map[uint64]time.Time{}}
+		brokenRuns: map[string][]run{}, downAt: map[string]time.Time{}, lastStrike: map[uint64]time.Time{},
+		pending: map[parts.Part]time.Time{}, heard: map[parts.Part]time.Time{}, ownCrashes: map[string]time.Time{},
+		wake: make(chan struct{}, 1), done: make(chan struct{})}
+	g.parts = parts.New(g.isProbeOwner)
 	socket.Handle(dgram.Strike, func(_ netip.AddrPort, body []byte) {
 		var m message
 		if socket.Decode(body, &m) {
 			g.merge(m)
 		}
 	})
+	g.stopped.Go(g.run)
 	return g
 }
 
+// Close stops the guard's goroutine and waits for it.
+func (g *Guard) Close() {
+	close(g.done)
+	g.stopped.Wait()
+}
+
 // Broken returns the number of runs that crashes of their servers have broken off.
 func (g *Guard) Broken() int64 { return g.broken.Load() }
 
@@ -140,11 +166,13 @@
 	g.expire(now)
 	g.brokenRuns[processKey(s)] = append(g.brokenRuns[processKey(s)], run{Fingerprint(c), startedAt, now, c.ID, c.Parts, progress})
 	var out []record
+	var told []brokenRun
 	if at, ok := g.downAt[processKey(s)]; ok && now.Sub(at) < correlationWindow {
-		out = g.addStrikes(now, s)
+		out, told = g.addStrikes(now, s)
 	}
 	g.mu.Unlock()
 	g.broadcast(out)
+	g.broadcastParts(message{Runs: told})
 }
 
 // processKey identifies one process of a server.
@@ -154,8 +182,12 @@
 
 // RecordSuccess records that a run of a request succeeded, which clears its
 // strikes.
-func (g *Guard) RecordSuccess(c *proxy.Request) {
-	if g == nil || g.recordCount.Load() == 0 {
+func (g *Guard) RecordSuccess(c *proxy.Request, service string) {
+	if g == nil {
+		return
+	}
+	g.recordSound(c, service)
+	if g.recordCount.Load() == 0 {
 		return
 	}
 	g.mu.Lock()
@@ -172,18 +204,20 @@
 	now := time.Now()
 	g.mu.Lock()
 	g.downAt[processKey(s)] = now
-	out := g.addStrikes(now, s)
+	out, told := g.addStrikes(now, s)
 	g.mu.Unlock()
+	g.broadcastParts(message{Runs: told})
 	if len(out) > 0 {
 		g.log.Warn("requests broken off as their server crashed", "server", s.ID, "service", s.Service, "requests", len(out))
 	}
 	g.broadcast(out)
 }
 
-// addStrikes counts strikes against the runs that broke at a server that is down.
-// The caller holds mu.
-func (g *Guard) addStrikes(now time.Time, s pool.Server) []record {
+// addStrikes counts strikes against the runs that broke at a server that is down, and
+// returns what the others have to be told. The caller holds mu.
+func (g *Guard) addStrikes(now time.Time, s pool.Server) ([]record, []brokenRun) {
 	var out []record
+	told := g.addPartRuns(now, g.brokenRuns[processKey(s)], s.Service, processKey(s))
 	for _, r := range g.brokenRuns[processKey(s)] {
 		g.broken.Add(1)
 		g.log.Info("run broken off by the crash of its server", "request", r.request, "server", s.ID, "service", s.Service, "parts", strings.Join(r.parts, ","),
@@ -200,7 +234,7 @@
 	}
 	delete(g.brokenRuns, processKey(s))
 	g.expire(now)
-	return out
+	return out, told
 }
 
 // expire drops runs, crashes and strike times that no longer matter. The caller
@@ -229,6 +263,7 @@
 		}
 	}
 	g.expire(now)
+	g.mergeParts(now, m)
 }
 
 // broadcast sends records to all other daemons. If a datagram is lost, the request
@@ -239,6 +274,6 @@
 	}
 	to := gossip.Others(g.members, g.self)
 	for part := range slices.Chunk(records, maxRecords) {
-		g.socket.Send(dgram.Strike, message{part}, to...)
+		g.socket.Send(dgram.Strike, message{Records: part}, to...)
 	}
 }
