Break off a stream into which an engine writes another response

A stream without length or chunks ended with the head and the text of an error, as a faulty engine wrote them on its connection: the client got both in the middle of its stream, at times followed by a normal end.

Change: a line of a stream that begins a response (HTTP/1.) breaks it off before the event that it is in; the run is resumed or the client's connection is closed.

--- a/internal/front/stream/events.go
+++ b/internal/front/stream/events.go
@@ -16,7 +16,14 @@
 // budget.
 const smallEvent = 64 << 10
 
-var errTruncated = errors.New("stream ended within an event")
+var (
+	errTruncated = errors.New("stream ended within an event")
+	errForeign   = errors.New("another response follows within the stream")
+)
+
+// responseStart begins the head of a response. A faulty server may write one on the
+// connection of a stream that has neither a length nor chunks.
+var responseStart = []byte("HTTP/1.")
 
 // sseEvent is one complete server-sent event.
 type sseEvent struct {
@@ -75,6 +82,9 @@
 		if start && (bytes.HasPrefix(line, []byte("id:")) || bytes.HasPrefix(line, []byte("data"))) {
 			e.empty = false
 		}
+		if start && bytes.HasPrefix(line, responseStart) {
+			return sseEvent{}, errForeign
+		}
 		whole := start
 		start = !errors.Is(err, bufio.ErrBufferFull)
 		switch {
