Pass on strikes of contents to daemons that missed them

Now strikes are pushed to two daemons twice a second while there are any, as the evidence on parts is. A strike that is known already no longer renews the time from which runs count, which would have kept new ones from counting.

TestStrikesReachDaemonsThatMissedThem failed before ('not blocked 3 s after the daemon is reached again') and passes now.

--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -171,8 +171,7 @@
 		out, told = g.addStrikes(now, s)
 	}
 	g.mu.Unlock()
-	g.broadcast(out)
-	g.broadcastParts(message{Runs: told})
+	g.broadcast(message{Records: out, Runs: told})
 }
 
 // processKey identifies one process of a server.
@@ -194,7 +193,7 @@
 	cleared := g.strikes.Clear(time.Now(), Fingerprint(c))
 	g.mu.Unlock()
 	if cleared != nil {
-		g.broadcast([]record{{Fingerprint: cleared.Print, TTL: cleared.Left, Clear: true}})
+		g.broadcast(message{Records: []record{{Fingerprint: cleared.Print, TTL: cleared.Left, Clear: true}}})
 	}
 }
 
@@ -206,11 +205,10 @@
 	g.downAt[processKey(s)] = now
 	out, told := g.addStrikes(now, s)
 	g.mu.Unlock()
-	g.broadcastParts(message{Runs: told})
 	if len(out) > 0 {
 		g.log.Warn("requests broken off as their server crashed", "server", s.ID, "service", s.Service, "requests", len(out))
 	}
-	g.broadcast(out)
+	g.broadcast(message{Records: out, Runs: told})
 }
 
 // addStrikes counts strikes against the runs that broke at a server that is down, and
@@ -246,6 +244,9 @@
 			delete(g.brokenRuns, name)
 		}
 	}
+	if g.strikes.Len() > 0 {
+		g.wakeUp()
+	}
 	maps.DeleteFunc(g.downAt, func(_ string, at time.Time) bool { return now.Sub(at) > correlationWindow })
 	maps.DeleteFunc(g.lastStrike, func(_ uint64, at time.Time) bool { return now.Sub(at) > StrikeTTL })
 	g.recordCount.Store(int64(g.strikes.Len()))
@@ -257,23 +258,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range m.Records {
-		g.strikes.Merge(now, &peer.Strike{Print: r.Fingerprint, Count: r.Count, Left: r.TTL, Engine: r.Server, Clear: r.Clear})
-		if !r.Clear {
+		news := g.strikes.Merge(now, &peer.Strike{Print: r.Fingerprint, Count: r.Count, Left: r.TTL, Engine: r.Server, Clear: r.Clear})
+		if news && !r.Clear {
 			g.lastStrike[r.Fingerprint] = now
 		}
 	}
 	g.expire(now)
 	g.mergeParts(now, m)
 }
-
-// broadcast sends records to all other daemons. If a datagram is lost, the request
-// may crash one more server.
-func (g *Guard) broadcast(records []record) {
-	if len(records) == 0 {
-		return
-	}
-	to := gossip.Others(g.members, g.self)
-	for part := range slices.Chunk(records, maxRecords) {
-		g.socket.Send(dgram.Strike, message{Records: part}, to...)
-	}
-}
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,9 @@
 // network delivers messages between guards without delay.
 type network struct {
 	handlers map[netip.AddrPort]dgram.Handler
-	sent     int
+	// mu guards deaf, a daemon that gets no messages, if it is set.
+	mu   sync.Mutex
+	deaf netip.AddrPort
 }
 
 // port is the socket of one daemon.
@@ -36,9 +39,13 @@
 	if err != nil {
 		panic(err)
 	}
+	p.net.mu.Lock()
+	deaf := p.net.deaf
+	p.net.mu.Unlock()
 	for _, addr := range to {
-		p.net.sent++
-		p.net.handlers[addr](p.addr, body)
+		if addr != deaf {
+			p.net.handlers[addr](p.addr, body)
+		}
 	}
 }
 
@@ -50,14 +57,23 @@
 	return out
 }
 
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+}
+
 func guards(n int) []*crash.Guard {
+	out, _ := guardsOn(n)
+	return out
+}
+
+func guardsOn(n int) ([]*crash.Guard, *network) {
 	net := &network{handlers: map[netip.AddrPort]dgram.Handler{}}
 	var out []*crash.Guard
 	for i := range n {
-		p := port{net, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)}
+		p := port{net, addrOf(i)}
 		out = append(out, crash.New(p.addr, p, p, hclog.NewNullLogger()))
 	}
-	return out
+	return out, net
 }
 
 func call(body string) *proxy.Request {
@@ -151,3 +167,45 @@
 		})
 	}
 }
+
+// Guards against a daemon that lets a request through which has crashed two servers, as it
+// missed the one datagram about each crash, was started later or was paused meanwhile.
+func TestStrikesReachDaemonsThatMissedThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bad := call("bad")
+		all, net := guardsOn(5)
+		defer func() {
+			for _, g := range all {
+				g.Close()
+			}
+		}()
+		net.mu.Lock()
+		net.deaf = addrOf(4)
+		net.mu.Unlock()
+		crashServer(all[0], bad, "a")
+		crashServer(all[1], bad, "b")
+		if all[4].IsBlocked(bad) {
+			t.Fatal("the daemon has not missed the crashes")
+		}
+		net.mu.Lock()
+		net.deaf = netip.AddrPort{}
+		net.mu.Unlock()
+		time.Sleep(3 * time.Second) // the contact window
+		synctest.Wait()
+		if !all[4].IsBlocked(bad) {
+			t.Error("not blocked 3 s after the daemon is reached again")
+		}
+		// What is pushed again and again must not count as new crashes, nor keep later ones
+		// from counting.
+		crashServer(all[2], call("other"), "c")
+		time.Sleep(5 * time.Second)
+		if all[4].IsBlocked(call("other")) {
+			t.Error("one crash is counted twice")
+		}
+		crashServer(all[3], call("other"), "d")
+		synctest.Wait()
+		if !all[3].IsBlocked(call("other")) {
+			t.Error("the second crash is not counted")
+		}
+	})
+}
--- a/internal/route/crash/fleet_test.go
+++ b/internal/route/crash/fleet_test.go
@@ -328,7 +328,7 @@
 // of their prompts and are otherwise different, and against refusing sound requests that
 // share the other parts: crashes were counted by the whole content of a request only.
 func TestPartsThatCrashEngines(t *testing.T) {
-	soundChain := func(random *rand.Rand, n int) []string {
+	soundChain := func(random *rand.Rand, _ int) []string {
 		return []string{some(random, "first", 3), some(random, "middle", 40)}
 	}
 	cases := map[string]struct {
@@ -337,7 +337,7 @@
 		loads []load
 	}{
 		"middle part": {bad: []string{"bad"}, loads: []load{
-			{3, func(random *rand.Rand, n int) []string { return []string{some(random, "first", 3), "bad"} }, ""}}},
+			{3, func(random *rand.Rand, _ int) []string { return []string{some(random, "first", 3), "bad"} }, ""}}},
 		"middle part before others": {bad: []string{"bad"}, loads: []load{
 			{3, func(random *rand.Rand, n int) []string {
 				return []string{some(random, "first", 3), "bad", some(random, "middle", 40)}
--- a/internal/route/crash/parts.go
+++ b/internal/route/crash/parts.go
@@ -104,7 +104,7 @@
 	g.mu.Unlock()
 	if probe {
 		g.log.Info("request with a blocked part let through, to find out whether it still crashes servers", "request", c.ID, "service", service)
-		g.broadcastParts(message{Verdicts: told})
+		g.broadcast(message{Verdicts: told})
 	}
 	if refused == nil {
 		return ""
@@ -270,6 +270,10 @@
 			}
 		}
 		pushed.Verdicts = g.encodeVerdicts(now, func(*parts.Verdict) bool { return true })
+		for _, s := range g.strikes.Records(now) {
+			pushed.Records = append(pushed.Records, record{Fingerprint: s.Print, Count: s.Count, TTL: s.Left, Server: s.Engine})
+		}
+		g.expire(now)
 		for _, r := range g.parts.RecentRuns(maxRunsSent) {
 			pushed.Runs = append(pushed.Runs, brokenRun{Service: r.Service, Parts: r.Parts, Crash: r.Crash, Age: age(now, r.At)})
 		}
@@ -279,10 +283,10 @@
 		g.wakeUp()
 	}
 	g.mu.Unlock()
-	g.broadcastParts(told)
-	if others := gossip.Others(g.members, g.self); len(others) > 0 && len(pushed.Runs)+len(pushed.Verdicts) > 0 {
+	g.broadcast(told)
+	if others := gossip.Others(g.members, g.self); len(others) > 0 && pushed.size() > 0 {
 		for range pushPeers {
-			g.sendParts(pushed, others[rand.IntN(len(others))])
+			g.send(pushed, others[rand.IntN(len(others))])
 		}
 	}
 }
@@ -326,14 +330,24 @@
 	return g.parts.Verdicts()
 }
 
-func (g *Guard) broadcastParts(m message) {
-	if len(m.Runs)+len(m.Sound)+len(m.Verdicts) > 0 {
-		g.sendParts(m, gossip.Others(g.members, g.self)...)
+// broadcast sends a message to all other daemons. Those that miss it get its content from
+// what is pushed later.
+func (g *Guard) broadcast(m message) {
+	if m.size() > 0 {
+		g.send(m, gossip.Others(g.members, g.self)...)
 	}
 }
 
-// sendParts sends a message about parts in datagrams of bounded size.
-func (g *Guard) sendParts(m message, to ...netip.AddrPort) {
+// size returns the number of entries of a message.
+func (m *message) size() int {
+	return len(m.Records) + len(m.Runs) + len(m.Sound) + len(m.Verdicts)
+}
+
+// send sends a message in datagrams of bounded size.
+func (g *Guard) send(m message, to ...netip.AddrPort) {
+	for part := range slices.Chunk(m.Records, maxRecords) {
+		g.socket.Send(dgram.Strike, message{Records: part}, to...)
+	}
 	for part := range slices.Chunk(m.Runs, maxRunsSent) {
 		g.socket.Send(dgram.Strike, message{Runs: part}, to...)
 	}
