--- a/internal/route/follow/document.go
+++ b/internal/route/follow/document.go
@@ -168,9 +168,11 @@
 // markDocument records that no configuration up to a revision is newer than the one in
 // force.
 func (f *Follower) markDocument(at pool.Revision) {
+	f.mu.Lock()
 	if f.documentRevision.Before(at) {
 		f.documentRevision = at
 	}
+	f.mu.Unlock()
 	if f.wanted != nil && f.wanted.version <= f.version() && !f.wanted.fetching {
 		f.wanted = nil
 	}
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -169,9 +169,6 @@
 	// wanted is the newest configuration that others announced and that is not in
 	// force here, nil for none.
 	wanted *announcement
-	// documentRevision is the revision up to which the configuration in force is known
-	// to be the newest. It is behind the revision while one is wanted.
-	documentRevision pool.Revision
 	// encodedPatch is the patch in this daemon's updates, to the version patchVersion.
 	encodedPatch            []byte
 	patchBase, patchVersion uint64
@@ -183,6 +180,9 @@
 	// currentAt is when the state was last known to be the newest.
 	currentAt time.Time
 	revision  pool.Revision
+	// documentRevision is the revision up to which the configuration in force is known
+	// to be the newest. It is behind the revision while one is wanted.
+	documentRevision pool.Revision
 	// versions has the steps between the newest configurations.
 	versions delta.Log
 	// dropped counts the updates that found the queue full.
@@ -242,7 +242,14 @@
 	if d == nil {
 		return nil
 	}
-	_, revision := f.Age()
+	f.mu.Lock()
+	revision := f.revision
+	if f.documentRevision.Before(revision) {
+		// A later configuration is being fetched: whoever goes on from this snapshot has to
+		// get it, too.
+		revision = f.documentRevision
+	}
+	f.mu.Unlock()
 	return &citronrock.Snapshot{Document: d, Servers: f.table.Entries(), Revision: revision}
 }
 
@@ -278,6 +285,9 @@
 		case u := <-f.updates:
 			f.applyUpdate(u)
 		case r := <-f.results:
+			if ctx.Err() != nil {
+				return // the read was cancelled
+			}
 			f.applyResult(r)
 		case d := <-f.fetched:
 			f.applyFetched(d)
--- a/internal/route/follow/read.go
+++ b/internal/route/follow/read.go
@@ -153,8 +153,6 @@
 // pause returns the time until the next read.
 func (f *Follower) pause(r result, err error) time.Duration {
 	switch {
-	case errors.Is(err, context.Canceled):
-		return idleDelay // the follower is being closed
 	case errors.Is(err, citronrock.ErrCompacted):
 		f.log.Warn("store no longer has the changes; reading it in full", "revision", f.revision.String(), "error", err.Error())
 		f.loaded, f.loadingSince = false, time.Now()
