Look for new readers four times a second, without sorting the fleet

Each update of a reader ranked all daemons, hashed and sorted, to see whether this daemon has become a reader. Now that is looked at when a reader fails, and else at most every 250 ms, and only the twelve that can be readers are kept in order.

--- a/internal/route/fanout/reader.go
+++ b/internal/route/fanout/reader.go
@@ -84,8 +84,8 @@
 	return false
 }
 
-// rankReaders returns the daemons in the order in which they become readers, and the
-// number of those at its start that are preferred.
+// rankReaders returns the first daemons in the order in which they become readers, and the
+// number of all that are preferred.
 func rankReaders(alive []gossip.LiveMember, readers int) (order []netip.AddrPort, first int) {
 	minShare := minReaderShare(alive, readers)
 	isStrong := func(m gossip.LiveMember) bool { return m.CPUShare >= minShare }
@@ -95,19 +95,22 @@
 		group int
 		score uint64
 	}
-	ranks := make([]rank, 0, len(alive))
+	compare := func(a, b rank) int {
+		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(b.score, a.score), a.addr.Compare(b.addr))
+	}
+	var best []rank
 	for _, m := range alive {
 		r := rank{addr: m.Addr, group: 1, score: owner.Score(readerKey, m.Addr.String())}
 		if isStrong(m) && (m.Mature || !anyMature) {
 			r.group = 0
 			first++
 		}
-		ranks = append(ranks, r)
+		if place, _ := slices.BinarySearchFunc(best, r, compare); place < readers+maxDeputies {
+			best = slices.Insert(best, place, r)
+			best = best[:min(len(best), readers+maxDeputies)]
+		}
 	}
-	slices.SortFunc(ranks, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(b.score, a.score), a.addr.Compare(b.addr))
-	})
-	for _, r := range ranks {
+	for _, r := range best {
 		order = append(order, r.addr)
 	}
 	return order, first
--- a/internal/route/follow/fleet_test.go
+++ b/internal/route/follow/fleet_test.go
@@ -68,10 +68,12 @@
 	// loss is the share of datagrams that are lost, in hundredths.
 	loss atomic.Int64
 
-	mu     sync.Mutex
-	random *rand.Rand
-	hosts  []*host
-	byAddr map[string]*host
+	mu      sync.Mutex
+	random  *rand.Rand
+	hosts   []*host
+	byAddr  map[string]*host
+	alive   []gossip.LiveMember
+	aliveAt time.Time
 }
 
 // host is one daemon of a fleet.
@@ -152,15 +154,20 @@
 	time.Sleep(10 * time.Second) // connections end by their time limits
 }
 
-// Alive returns the daemons that have not been silent for suspectTime.
+// Alive returns the daemons that have not been silent for suspectTime, at most 20 ms old.
 func (f *fleet) Alive() []gossip.LiveMember {
-	var out []gossip.LiveMember
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.aliveAt) < 20*time.Millisecond {
+		return f.alive
+	}
+	f.alive, f.aliveAt = nil, time.Now()
 	for _, h := range f.hosts {
 		if !h.cut.Load() || time.Since(*h.cutAt.Load()) < suspectTime {
-			out = append(out, gossip.LiveMember{Member: gossip.Member{Addr: h.addr, CPUShare: h.share}, Mature: true})
+			f.alive = append(f.alive, gossip.LiveMember{Member: gossip.Member{Addr: h.addr, CPUShare: h.share}, Mature: true})
 		}
 	}
-	return out
+	return f.alive
 }
 
 // Handle, Decode and Send are the datagrams of the daemon.
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -63,6 +63,9 @@
 	// slowRead is how much longer than its watch timeout a reader's call may take
 	// without a log line.
 	slowRead = 100 * time.Millisecond
+	// readerInterval is the time between checks whether this daemon is a reader, besides
+	// those when a reader says that it can't read the store.
+	readerInterval = 250 * time.Millisecond
 	// queueSize is the number of received updates that wait to be applied.
 	queueSize = 64
 )
@@ -137,9 +140,10 @@
 	// failures counts those that have failed since the last success.
 	loaded, reading bool
 	failures        int
-	// wasReader is whether this daemon was a reader when it last looked, failing whether
-	// it can't read the store and has said so.
+	// wasReader is whether this daemon was a reader when it last looked, at readerAt,
+	// failing whether it can't read the store and has said so.
 	wasReader, failing bool
+	readerAt           time.Time
 	// missedSince is the time since which others have had changes that this daemon has
 	// missed, zero for none, and missedFrom one of these daemons.
 	missedSince time.Time
--- a/internal/route/follow/update.go
+++ b/internal/route/follow/update.go
@@ -27,10 +27,8 @@
 	if !f.loaded {
 		return
 	}
-	if reader := f.peers.IsReader(); reader != f.wasReader {
-		if f.wasReader = reader; reader {
-			f.startRead() // in place of a reader that can't
-		}
+	if u.Failing || u.at.Sub(f.readerAt) >= readerInterval {
+		f.checkReader(u.at)
 	}
 	if u.Failing {
 		return
@@ -56,6 +54,17 @@
 	}
 }
 
+// checkReader starts a read if this daemon has become a reader, in place of one that
+// can't read the store.
+func (f *Follower) checkReader(now time.Time) {
+	f.readerAt = now
+	if reader := f.peers.IsReader(); reader != f.wasReader {
+		if f.wasReader = reader; reader {
+			f.startRead()
+		}
+	}
+}
+
 // handleUpdate applies an update of another daemon. On an error this daemon has to
 // read what it has missed.
 func (f *Follower) handleUpdate(u receivedUpdate) error {
