--- a/internal/route/follow/follow_test.go
+++ b/internal/route/follow/follow_test.go
@@ -143,12 +143,12 @@
 	// fetched counts the configurations fetched from other daemons.
 	fetched int
 	// failing is whether the daemon has said that it can't read the store.
-	failing bool
+	failing atomic.Bool
 }
 
 func (p *peers) IsReader() bool { return p.reader }
 
-func (p *peers) SetFailing(failing bool) { p.failing = failing }
+func (p *peers) SetFailing(failing bool) { p.failing.Store(failing) }
 func (p *peers) Broadcast(u fanout.Update) time.Duration {
 	p.sent = append(p.sent, u)
 	return p.gap
@@ -414,13 +414,13 @@
 		stalled.stalls.Store(true)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		if !p.failing {
+		if !p.failing.Load() {
 			t.Error("the reader has not said that it can't read the store")
 		}
 		stalled.stalls.Store(false)
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
-		if p.failing {
+		if p.failing.Load() {
 			t.Error("the reader has not said that it can read the store again")
 		}
 	})
