--- a/internal/route/crash/parts.go
+++ b/internal/route/crash/parts.go
@@ -204,7 +204,7 @@
 // afterParts brings what is derived from the parts up to date. The caller holds mu.
 func (g *Guard) afterParts() {
 	g.blocking.Store(g.parts.Blocking())
-	if g.parts.Active() {
+	if g.parts.Active() || g.strikes.Len() > 0 {
 		g.wakeUp()
 	}
 }
