Log why a broken stream did not go on, and the grace period left

An end line with the result broken named the fault only, so that a sound engine that was silent while the retry budget was empty looked like one that died, and a request that was cut by a stop like any other. No decision is changed. go test ./internal/front/... ./internal/logs/... passes.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -244,6 +244,9 @@
 		o.Result, o.Reason = "broken", "stop"
 	}
 	o.Took = time.Since(received)
+	if end := r.shutdownDeadline(); !end.IsZero() {
+		o.Stopping, o.GraceLeft = true, time.Until(end)
+	}
 	o.Age, _ = r.follower.Age()
 	r.log.End(o)
 	r.meter.Answer(o.Service, o.Route, o.Result, o.Reason, o.Took)
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -339,8 +339,16 @@
 // runFailed handles a run that broke off: it is resumed at another engine where that
 // is allowed.
 func (j *job) runFailed(ctx context.Context, s pool.Server, sendErr *proxy.SendError) step {
-	mayResume := j.route.Resume && j.runs < j.route.Attempts && ctx.Err() == nil
-	if mayResume && j.quota.Take(j.service.Name) {
+	switch {
+	case !j.route.Resume:
+		j.outcome.NotMoved = "route"
+	case j.runs >= j.route.Attempts:
+		j.outcome.NotMoved = "attempts"
+	case ctx.Err() != nil:
+		j.outcome.NotMoved = "deadline"
+	case !j.quota.Take(j.service.Name):
+		j.outcome.NotMoved = "budget"
+	default:
 		j.closeLease("")
 		j.exclude(s.ID)
 		return again
--- a/internal/logs/lines/lines.go
+++ b/internal/logs/lines/lines.go
@@ -100,6 +100,13 @@
 	RetryAfter time.Duration
 	// TimeLeft is the time until the client's deadline, when routing ended.
 	TimeLeft time.Duration
+	// NotMoved tells why a run that broke off did not go on at another engine: "route",
+	// "attempts", "deadline" or "budget".
+	NotMoved string
+	// Stopping is set if the daemon was stopping when the request ended. GraceLeft is the
+	// time until it exits.
+	Stopping  bool
+	GraceLeft time.Duration
 }
 
 // End logs the outcome of a request. Lines of successful requests are rate limited.
@@ -123,6 +130,12 @@
 	if o.RetryAfter > 0 {
 		fields = append(fields, "after", Ms(o.RetryAfter))
 	}
+	if o.NotMoved != "" {
+		fields = append(fields, "unmoved", o.NotMoved)
+	}
+	if o.Stopping {
+		fields = append(fields, "grace", Ms(o.GraceLeft))
+	}
 	l.Info(End, fields...)
 }
 
