--- a/internal/front/stream/slow_test.go
+++ b/internal/front/stream/slow_test.go
@@ -188,3 +188,31 @@
 		t.Error("KV cache is not freed")
 	}
 }
+
+// silentBody sends events, is silent, and goes on with the rest.
+func silentBody(ctx context.Context, first, last int, silence time.Duration) io.Reader {
+	return io.MultiReader(strings.NewReader(events(first)),
+		&pacedBody{ctx, strings.TrimPrefix(events(last), events(first)), silence, 1})
+}
+
+// Guards against a stream that is broken off because its engine is silent for a while,
+// when the retry budget doesn't allow another run: the engine would have gone on.
+func TestSilentEngineWithoutRetryBudget(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"a second and a half": 1500 * time.Millisecond, "nearly to the deadline": 9 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &fakeBackends{runs: []run{{status: 200}}, freed: make(chan string, 8)}
+				budget := quota.New(0, 1, func() int { return 1 })
+				for budget.Take("s") {
+				}
+				h := stream.New(table(), body{w, func(ctx context.Context) io.Reader { return silentBody(ctx, 2, 4, silence) }},
+					ingress{}, w, budget, lines.New(io.Discard, "test"))
+				rec, o := handle(t, h, true, 14*time.Second)
+				if rec.Body.String() != events(4) || o.Result != "ok" {
+					t.Errorf("body %q, result %q, reason %q, unmoved %q; want the whole stream", rec.Body, o.Result, o.Reason, o.NotMoved)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
