Read and log the software version of servers and the attempt that clients take up

Whether streams go on at the version that began them could not be seen: the entries' version and the header Resumes were not decoded. Nothing decides by them yet.

--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -45,6 +45,9 @@
 	LastPart string
 	// LastEventID is the ID of the last event that the client has, empty for none.
 	LastEventID string
+	// Resumes is the ID of the client's attempt that brought the first event of the
+	// stream which the client takes up, empty if it does not say.
+	Resumes string
 }
 
 // Options are what the router adds to a request when it is sent.
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -253,7 +253,7 @@
 // logAttempt logs a failed attempt.
 func (j *job) logAttempt(part string, s pool.Server, start time.Time, sendErr *proxy.SendError) {
 	j.log.Info(lines.Attempt, "request", j.req.ID, "service", j.service.Name, "part", part, "server", s.ID,
-		"entry", s.Revision.String(), "send", j.sends, "fault", sendErr.Fault.String(), "full", sendErr.Full, "error", sendErr.Error(),
+		"software", s.Version, "entry", s.Revision.String(), "send", j.sends, "fault", sendErr.Fault.String(), "full", sendErr.Full, "error", sendErr.Error(),
 		"took", lines.Ms(time.Since(start)))
 }
 
@@ -289,7 +289,7 @@
 	j.cache = nil // the engine has taken it over
 	j.runs++
 	j.mayHaveRun = true
-	j.outcome.Server = s.ID
+	j.outcome.Server, j.outcome.Software = s.ID, s.Version
 	if resp.Status != http.StatusOK {
 		report(time.Now(), pool.Failed, 0)
 		return j.passResponse(ctx, s, resp)
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -220,7 +220,7 @@
 		j.run(ctx)
 	}()
 	o := &j.outcome
-	o.Attempts, o.Events, o.PromptTokens = j.sends, j.events, promptTokens(req)
+	o.Attempts, o.Events, o.PromptTokens, o.Resumes = j.sends, j.events, promptTokens(req), req.Resumes
 	if errors.Is(context.Cause(ctx), context.Canceled) && o.Result != "ok" {
 		o.Result, o.Reason, o.Status = "gone", "client", 0
 		return *o
--- a/internal/logs/lines/lines.go
+++ b/internal/logs/lines/lines.go
@@ -98,6 +98,11 @@
 	Events, PromptTokens int
 	// RetryAfter is the Retry-After delay of a refused request.
 	RetryAfter time.Duration
+	// Software is the version of that server's software.
+	Software string
+	// Resumes is the client's attempt that brought the first event of the stream which
+	// this request takes up.
+	Resumes string
 	// TimeLeft is the time until the client's deadline, when routing ended.
 	TimeLeft time.Duration
 	// NotMoved tells why a run that broke off did not go on at another engine: "route",
@@ -130,6 +135,12 @@
 	if o.RetryAfter > 0 {
 		fields = append(fields, "after", Ms(o.RetryAfter))
 	}
+	if o.Software != "" {
+		fields = append(fields, "software", o.Software)
+	}
+	if o.Resumes != "" {
+		fields = append(fields, "resumes", o.Resumes)
+	}
 	if o.NotMoved != "" {
 		fields = append(fields, "unmoved", o.NotMoved)
 	}
--- a/internal/route/fanout/fanout.go
+++ b/internal/route/fanout/fanout.go
@@ -50,6 +50,9 @@
 	// StartedAt is the start of the server's process in Unix milliseconds.
 	StartedAt int64  `cbor:"9,keyasint,omitempty"`
 	Sequence  uint64 `cbor:"12,keyasint,omitempty"`
+	// Version is the version of the server's software. Daemons that don't know the field
+	// leave it out. Key 13 is taken in snapshots.
+	Version string `cbor:"14,keyasint,omitempty"`
 	// Deleted is set when the entry was removed, DuringOutage when that may be
 	// an expiry due to a store outage.
 	Deleted      bool `cbor:"10,keyasint,omitempty"`
@@ -59,7 +62,7 @@
 // PutEvent returns the event of an entry that was added or changed.
 func PutEvent(s pool.Server) Event {
 	return Event{Revision: s.Revision.Number, ID: s.ID, Service: s.Service, Addr: s.Addr, Domain: s.Domain,
-		Slots: s.Slots, Stage: s.Stage, Draining: s.Draining, StartedAt: s.StartedAt.UnixMilli(), Sequence: s.Sequence}
+		Slots: s.Slots, Stage: s.Stage, Draining: s.Draining, StartedAt: s.StartedAt.UnixMilli(), Sequence: s.Sequence, Version: s.Version}
 }
 
 // RevisionIn returns the event's revision, given the store's era.
@@ -71,7 +74,7 @@
 // era.
 func (e *Event) Server(era uint64) pool.Server {
 	return pool.Server{ID: e.ID, Service: e.Service, Addr: e.Addr, Domain: e.Domain, Slots: e.Slots,
-		Stage: e.Stage, Draining: e.Draining, StartedAt: time.UnixMilli(e.StartedAt), Revision: e.RevisionIn(era), Sequence: e.Sequence}
+		Stage: e.Stage, Draining: e.Draining, StartedAt: time.UnixMilli(e.StartedAt), Revision: e.RevisionIn(era), Sequence: e.Sequence, Version: e.Version}
 }
 
 // Update is the message that a reader broadcasts after a read of the store.
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -43,6 +43,9 @@
 	Domain string
 	Slots  int
 	Stage  Stage
+	// Version is the version of the server's software, empty if it is not known. Versions
+	// have no order.
+	Version string
 	// Draining servers get no new requests.
 	Draining bool
 	// StartedAt is the start of the server's process. An entry with an earlier
