Add failing tests of streams that go on at another software version

Seen to fail on this code: a run moved within a response goes from v1 to v2 (three cases), and a stream that a client takes up is sent to any engine while two versions serve.

--- /dev/null
+++ b/internal/front/stream/version_test.go
@@ -0,0 +1,73 @@
+package stream_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/route/config"
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+// setVersions sets the software versions of engines by their IDs.
+func setVersions(servers *pool.Table, versions map[string]string) {
+	for id, version := range versions {
+		if s, ok := servers.Get(time.Now(), id); ok {
+			s.Version, s.Sequence = version, s.Sequence+1
+			servers.Put(s)
+		}
+	}
+}
+
+// Guards against a response that is joined from two software versions, because the run
+// that broke off goes on at any engine.
+func TestMovedStreamStaysAtItsVersion(t *testing.T) {
+	cases := map[string]struct {
+		versions map[string]string
+		second   run
+		// sent are the engines that get the request, one after the other.
+		sent   []string
+		body   string
+		result string
+	}{
+		"another engine of the version": {map[string]string{"d1": "v1", "d2": "v2", "d3": "v1", "d4": "v2"}, run{status: 200, from: 3, to: 4},
+			[]string{"d1", "d3"}, events(4), "ok"},
+		"no other engine of the version": {map[string]string{"d1": "v1", "d2": "v2", "d3": "v2", "d4": "v3"}, run{status: 200, from: 3, to: 4},
+			[]string{"d1"}, events(2), "broken"},
+		"the version of the others is not known": {map[string]string{"d1": "v1"}, run{status: 200, from: 3, to: 4},
+			[]string{"d1"}, events(2), "broken"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var sent []string
+			w := &fakeBackends{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, c.second}, freed: make(chan string, 8)}
+			w.sending = func(to string) { sent = append(sent, to) }
+			servers := table()
+			setVersions(servers, c.versions)
+			rec, o := handle(t, newHandler(servers, w), true, 3*time.Second)
+			if rec.Body.String() != c.body || o.Result != c.result || len(sent) != len(c.sent) || sent[len(sent)-1] != c.sent[len(c.sent)-1] {
+				t.Errorf("sent to %v, body %q, result %q (%s); want %v, %q, %q", sent, rec.Body, o.Result, o.Reason, c.sent, c.body, c.result)
+			}
+		})
+	}
+}
+
+// Guards against a stream that a client takes up and that goes on at any version, when
+// nothing is known of the attempt that began it.
+func TestUnknownStreamIsNotGuessed(t *testing.T) {
+	w := &fakeBackends{runs: []run{{status: 200, from: 3, to: 4}}, freed: make(chan string, 8)}
+	servers := table()
+	setVersions(servers, map[string]string{"d1": "v1", "d2": "v2", "d3": "v1", "d4": "v2"})
+	h := newHandler(servers, w)
+	route := &config.Route{Name: "r", Kind: config.Stream, Timeout: time.Second, Target: 900 * time.Millisecond,
+		Gap: 300 * time.Millisecond, Resume: true, Attempts: 2, Model: true}
+	service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+	req := &proxy.Request{ID: "second", Method: http.MethodPost, Received: time.Now(), Prompt: 100, MaxOutput: 80, LastEventID: "2", Resumes: "first"}
+	rec := httptest.NewRecorder()
+	h.Serve(t.Context(), rec, req, route, service, time.Now().Add(time.Second))
+	if rec.Code != http.StatusServiceUnavailable || len(w.sends) > 0 {
+		t.Errorf("status %d after %d attempts, want 503 and none", rec.Code, len(w.sends))
+	}
+}
