Add the interface for the origins of streams

What decides where a taken-up stream goes on is the version that began it, which several parts have to share: records at other daemons, and what the entries of the last seconds allow.

--- a/edge.go
+++ b/edge.go
@@ -9,6 +9,7 @@
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/config"
+	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
@@ -39,6 +40,18 @@
 	OnLimit(func(pool.Server, pool.Limit))
 }
 
+// Origins keeps at which software version of its service each stream began.
+type Origins interface {
+	// Record stores the origin of a stream here and at the daemons that a client may ask
+	// next. It returns when these have confirmed it, or after a short time without their
+	// confirmation.
+	Record(ctx context.Context, o origin.Origin)
+	// Find returns the version at which a client's attempt began its stream, also if only
+	// one version can have begun it. attempt is empty if the client does not name it. ok
+	// is false if the version can't be known; it is never a guess.
+	Find(ctx context.Context, service, attempt string) (version string, ok bool)
+}
+
 // Ingress decodes the requests of clients and answers them.
 type Ingress interface {
 	// Read decodes the header of a request. The error is an *Error of the kind
