Give a silent run up only once its replacement is certain

The run now stays open while another engine is looked for. It is given up only once a lease there is granted and the retry budget is charged, under the lock that the relay holds but while it waits for an event: either the event or the replacement comes first. Without a replacement it is read until the deadline, the end of the connection, or until the engine's process is found gone in four checks in a row. The silence is recorded as a timeout when it begins, so that the engine is probed at once.

TestSlowAndStalled, TestStalledStreamGoesOn and TestStalledStreamEnds are unchanged.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -29,13 +29,16 @@
 
 // Take consumes one retry, or returns false when the budget is used up.
 func (b *Budget) Take() bool {
-	if b.unused < 1 {
+	if !b.Left() {
 		return false
 	}
 	b.unused--
 	return true
 }
 
+// Left reports whether Take would return true.
+func (b *Budget) Left() bool { return b.unused >= 1 }
+
 // Bounds of Backoff.
 const (
 	minBackoff = 10 * time.Millisecond
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -58,3 +58,10 @@
 	defer q.mu.Unlock()
 	return q.budget(service).Take()
 }
+
+// Left reports whether Take would return true now.
+func (q *Quota) Left(service string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.budget(service).Left()
+}
--- a/internal/front/stream/fault.go
+++ b/internal/front/stream/fault.go
@@ -61,14 +61,12 @@
 // serverOutcome returns what an error shows about the health of its server.
 func serverOutcome(ctx context.Context, sendErr *proxy.SendError) pool.Outcome {
 	switch {
-	case ctx.Err() != nil:
-		return pool.Unknown
+	case ctx.Err() != nil, sendErr.Fault == event.FaultStalled:
+		return pool.Unknown // a stall was recorded when the run fell silent
 	case sendErr.Fault == event.FaultUnsent:
 		return pool.Unreachable
 	case sendErr.Fault == event.FaultRefused:
 		return pool.Refused
-	case sendErr.Fault == event.FaultStalled:
-		return pool.TimedOut
 	}
 	return pool.Broken
 }
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -42,10 +42,6 @@
 	// cacheLossTime is how long a prefill engine counts as unhealthy after its KV cache
 	// was lost.
 	cacheLossTime = 3 * time.Second
-	// stallGaps is the number of longest pauses after which a resumable stream without
-	// events counts as stalled, and minStallTimeout the shortest such time.
-	stallGaps       = 4
-	minStallTimeout = 1200 * time.Millisecond
 	// shutdownMargin is the multiple of the average duration of an answer that must be
 	// left before this daemon exits. Otherwise the client is refused and retries after
 	// shutdownRetryAfter at another daemon.
@@ -68,6 +64,11 @@
 	outcome  lines.Outcome
 
 	lease *lease.Lease
+	// replacement is the lease in favour of which a silent run was given up. The retry
+	// budget has been charged for it.
+	replacement *lease.Lease
+	// leases counts the leases that were used.
+	leases int
 	// leasedAt is when the lease was granted.
 	leasedAt time.Time
 	cache    *proxy.Cache
@@ -100,7 +101,7 @@
 )
 
 func (j *job) run(ctx context.Context) {
-	for leases := 0; leases < maxLeases+min(j.limited, maxLimited); leases++ {
+	for ; j.leases < j.maxLeases(); j.leases++ {
 		if !j.acquire(ctx) {
 			return
 		}
@@ -119,9 +120,12 @@
 	j.fail(ctx, "attempts")
 }
 
-// release gives up the lease and the KV cache of the request.
+// release gives up the leases and the KV cache of the request.
 func (j *job) release(ctx context.Context) {
 	j.closeLease("")
+	if j.replacement != nil {
+		j.replacement.Close("")
+	}
 	j.freeCache(ctx)
 }
 
@@ -186,8 +190,12 @@
 // acquire obtains a lease from the owner of the service, or chooses a server if the
 // service has no ledger.
 func (j *job) acquire(ctx context.Context) bool {
+	if j.replacement != nil {
+		j.lease, j.leasedAt, j.replacement = j.replacement, time.Now(), nil
+		return true
+	}
 	if j.service.Engine == nil {
-		s, ok := j.table.Choose(time.Now(), j.service.Name, j.domain, j.excluded)
+		s, ok := j.chooseServer(j.excluded)
 		if !ok {
 			j.fail(ctx, "server")
 			return false
@@ -201,36 +209,49 @@
 		j.fail(ctx, "stop")
 		return false
 	}
-	elapsed := time.Since(j.req.Received)
-	slack := j.route.Target - elapsed - j.firstEventDelay(j.service.Name)
-	leaseReq := ledger.Request{Service: j.service.Name, Prompt: promptTokens(j.req), Expected: j.expectedOutput(j.route.Name, j.req),
+	granted, err := j.requestLease(ctx, j.leaseRequest())
+	var refused *lease.RefusedError
+	switch {
+	case err == nil:
+		j.lease, j.leasedAt = granted, time.Now()
+		return true
+	case errors.As(err, &refused):
+		j.outcome.RetryAfter = refused.RetryAfter
+		j.fail(ctx, refused.Reason)
+	default:
+		j.fail(ctx, "owner")
+	}
+	return false
+}
+
+// leaseRequest returns the request for a lease on engines that have not failed this
+// request.
+func (j *job) leaseRequest() ledger.Request {
+	slack := j.route.Target - time.Since(j.req.Received) - j.firstEventDelay(j.service.Name)
+	return ledger.Request{Service: j.service.Name, Prompt: promptTokens(j.req), Expected: j.expectedOutput(j.route.Name, j.req),
 		Slack: slack, MaxWait: max(slack, 0) + time.Duration(lateWaitShare*float64(j.route.Target)),
-		RetryMaxWait:  time.Duration(retryWaitShare * float64(j.route.Target)),
+		RetryMaxWait:  min(time.Duration(retryWaitShare*float64(j.route.Target)), time.Until(j.deadline)/2),
 		MaxRetryAfter: time.Duration(maxRetryAfterShare * float64(time.Until(j.deadline))),
 		Fingerprint:   fingerprint(j.req), Prefilled: j.cache != nil, Resumed: j.streaming, Excluded: j.excludedEngines(), Held: j.table.Held(time.Now(), j.service.Name), Rank: j.route.Rank, Gap: j.route.Gap}
-	if limit := time.Until(j.deadline) / 2; leaseReq.RetryMaxWait > limit {
-		leaseReq.RetryMaxWait = limit
-	}
+}
+
+// requestLease asks the owner of the service for a lease and logs its reply. It uses no
+// state of the job that changes.
+func (j *job) requestLease(ctx context.Context, leaseReq ledger.Request) (*lease.Lease, error) {
 	start := time.Now()
 	granted, err := j.acquirer.Acquire(ctx, leaseReq)
 	var refused *lease.RefusedError
 	switch {
 	case err == nil:
-		j.lease, j.leasedAt = granted, time.Now()
 		j.log.Info(lines.Grant, "request", j.req.ID, "service", leaseReq.Service, "owner", granted.Owner.String(),
 			"decode", granted.Decode, "prefill", granted.Prefill, "wait", lines.Ms(time.Since(start)),
-			"load", granted.Load, "prompt", leaseReq.Prompt, "expect", leaseReq.Expected, "slack", lines.Ms(slack))
-		return true
+			"load", granted.Load, "prompt", leaseReq.Prompt, "expect", leaseReq.Expected, "slack", lines.Ms(leaseReq.Slack))
 	case errors.As(err, &refused):
-		j.outcome.RetryAfter = refused.RetryAfter
 		j.log.Info(lines.Refusal, "request", j.req.ID, "service", leaseReq.Service, "owner", refused.Owner.String(),
 			"reason", refused.Reason, "predicted", lines.Ms(refused.Wait), "ahead", refused.Ahead,
-			"load", refused.Load, "waited", lines.Ms(time.Since(start)), "slack", lines.Ms(slack))
-		j.fail(ctx, refused.Reason)
-	default:
-		j.fail(ctx, "owner")
+			"load", refused.Load, "waited", lines.Ms(time.Since(start)), "slack", lines.Ms(leaseReq.Slack))
 	}
-	return false
+	return granted, err
 }
 
 // excludedEngines returns the engines that must not be granted: those that failed
@@ -294,7 +315,7 @@
 		report(time.Now(), pool.Failed, 0)
 		return j.passResponse(ctx, s, resp)
 	}
-	sendErr := j.relay(ctx, cancel, resp)
+	sendErr := j.relay(ctx, cancel, s, resp)
 	if sendErr == nil {
 		report(time.Now(), pool.OK, 0)
 		j.guard.RecordSuccess(j.req, j.service.Name)
@@ -346,7 +367,7 @@
 		j.outcome.NotMoved = "attempts"
 	case ctx.Err() != nil:
 		j.outcome.NotMoved = "deadline"
-	case !j.quota.Take(j.service.Name):
+	case j.replacement == nil && !j.quota.Take(j.service.Name):
 		j.outcome.NotMoved = "budget"
 	default:
 		j.closeLease("")
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -9,37 +9,27 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/route/pool"
 )
 
-// errStall is the cause of the cancellation of a stream without events.
-var errStall = errors.New("no event within the stall timeout")
-
-// relay passes each event of a run to the client as it arrives. It returns nil after
-// the last one.
-func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, resp *proxy.Response) *proxy.SendError {
-	var stall *time.Timer
-	limit := max(stallGaps*j.route.Gap, minStallTimeout)
-	if j.route.Resume && j.runs < j.route.Attempts {
-		stall = time.AfterFunc(limit, func() { cancel(errStall) })
-		defer stall.Stop()
-	}
+// relay passes each event of a run at engine s to the client as it arrives. It returns
+// nil after the last one.
+func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, s pool.Server, resp *proxy.Response) *proxy.SendError {
 	events := newEventReader(resp.Body, j.memory)
 	defer events.close()
+	stall := j.watch(ctx, cancel, s)
+	defer stall.stop()
 	flush := http.NewResponseController(j.out)
 	for {
-		e, err := events.next()
+		e, err := stall.next(events)
+		if ended := stall.verdict(); ended != nil {
+			return ended
+		}
 		if errors.Is(err, io.EOF) {
 			return j.streamEnded(resp)
 		}
 		if err != nil {
-			fault := event.FaultBroken
-			if stall != nil && ctx.Err() == nil && !stall.Stop() {
-				fault, err = event.FaultStalled, errStall
-			}
-			return &proxy.SendError{Fault: fault, Err: err}
-		}
-		if stall != nil && !e.empty {
-			stall.Reset(limit)
+			return &proxy.SendError{Fault: event.FaultBroken, Err: err}
 		}
 		if !j.streaming {
 			j.startStream(resp)
@@ -62,6 +52,7 @@
 		}
 		j.goneOn = j.goneOn || j.guard.RecordProgress(j.req, j.service.Name, j.progress())
 		j.lease.SetGenerated(j.generated())
+		stall.progress()
 	}
 }
 
--- /dev/null
+++ b/internal/front/stream/stall_test.go
@@ -0,0 +1,338 @@
+package stream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/front/stream"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/peer/dgram"
+	"citronrock.example/citronrock/internal/peer/gossip"
+	"citronrock.example/citronrock/internal/room/lease"
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/config"
+	"citronrock.example/citronrock/internal/route/pool"
+	"github.com/hashicorp/go-hclog"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+const (
+	// streamLength is the number of events of a whole stream.
+	streamLength = 4
+	// silentDeadline is the time that a client gives a silent stream.
+	silentDeadline = 5 * time.Minute
+	// lateGrant is how long a late grant takes.
+	lateGrant = 700 * time.Millisecond
+)
+
+// Answers of the owner to one lease request.
+const (
+	refuses = iota
+	grants
+	grantsLate
+	isSilent
+	// grantsRegardless grants late even if the request was withdrawn meanwhile.
+	grantsRegardless
+)
+
+// silence is a plan of silences and faults.
+type silence struct {
+	// pauses are the times before the events of the runs, in milliseconds. They repeat.
+	pauses []int64
+	// header is the time before the header of each run.
+	header time.Duration
+	// dies is the number of events after which the engine of the first run is silent for
+	// good, negative for a sound engine.
+	dies int
+	// down tells whether connections to a dead engine fail.
+	down bool
+	// leaves tells whether its entry is removed while it is silent, as that of a server
+	// that goes on for a while.
+	leaves bool
+	// owner has the owner's answers to the lease requests after the first one; grants
+	// follow.
+	owner  []int
+	budget int
+	// stays means that the route's streams may not go on elsewhere.
+	stays bool
+}
+
+// silentEngines are engines and an owner that behave as planned.
+type silentEngines struct {
+	fakeBackends
+	silence
+	open     []context.Context
+	overlaps int
+	table    *pool.Table
+}
+
+func (w *silentEngines) Acquire(ctx context.Context, a ledger.Request) (*lease.Lease, error) {
+	answer := grants
+	if n := len(w.requests); n > 0 && n <= len(w.owner) {
+		answer = w.owner[n-1]
+	}
+	granted, err := w.fakeBackends.Acquire(ctx, a)
+	wait := time.Duration(0)
+	switch answer {
+	case refuses:
+		return nil, &lease.RefusedError{Reply: ledger.Reply{Reason: ledger.ReasonLate}}
+	case grantsLate:
+		wait = lateGrant
+	case isSilent:
+		wait = silentDeadline
+	}
+	if answer == grantsRegardless {
+		time.Sleep(lateGrant)
+		return granted, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	case <-time.After(wait):
+		return granted, err
+	}
+}
+
+func (w *silentEngines) Send(ctx context.Context, s pool.Server, _ *proxy.Request, o proxy.Options) (*proxy.Response, error) {
+	for _, earlier := range w.open {
+		if earlier.Err() == nil {
+			w.overlaps++
+		}
+	}
+	w.open, w.sends = append(w.open, ctx), append(w.sends, o)
+	time.Sleep(w.header)
+	body := &plannedBody{ctx: ctx, plan: w.silence, run: len(w.sends) - 1}
+	_, _ = fmt.Sscan(o.LastEventID, &body.sent)
+	if body.run > 0 {
+		body.plan.dies = -1
+	}
+	return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: body, Close: func() {}}, nil
+}
+
+// plannedBody sends the events of one run after the planned pauses.
+type plannedBody struct {
+	ctx       context.Context
+	plan      silence
+	run, sent int
+}
+
+func (b *plannedBody) Read(p []byte) (int, error) {
+	if b.sent == streamLength {
+		return 0, io.EOF
+	}
+	var pause <-chan time.Time
+	if b.sent != b.plan.dies {
+		i := b.run*streamLength + b.sent
+		pause = time.After(time.Duration(b.plan.pauses[i%len(b.plan.pauses)]) * time.Millisecond)
+	}
+	select {
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	case <-pause:
+		b.sent++
+		return copy(p, fmt.Sprintf("id: %d\ndata: x\n\n", b.sent)), nil
+	}
+}
+
+// played is what became of a stream.
+type played struct {
+	body    string
+	outcome lines.Outcome
+	took    time.Duration
+	// runs counts the runs, charged what the retry budget was charged.
+	runs, charged, overlaps int
+	status                  int
+}
+
+// play serves one stream as planned.
+func (p silence) play(t *testing.T) (out played) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &silentEngines{silence: p, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
+		w.table = pool.New(pool.WithSuspect(func(s pool.Server) {
+			if p.down && s.ID == "d1" {
+				w.table.SetDown(s, true)
+			}
+			if p.leaves {
+				time.AfterFunc(700*time.Millisecond, func() { w.table.Remove(time.Now(), s.ID, pool.Revision{}, false) })
+			}
+		}))
+		for _, s := range table().All() {
+			w.table.Put(s)
+		}
+		budget := quota.New(0, 100, func() int { return 1 })
+		left := 60 // the daemon's share of the 100
+		for ; left > p.budget; left-- {
+			budget.Take("s")
+		}
+		h := stream.New(w.table, w, ingress{}, w, budget, lines.New(io.Discard, "test"))
+		route := &config.Route{Name: "r", Kind: config.Stream, Target: 900 * time.Millisecond,
+			Gap: 300 * time.Millisecond, Resume: !p.stays, Attempts: 3, Model: true}
+		service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+		ctx, cancel := context.WithTimeout(t.Context(), silentDeadline)
+		defer cancel()
+		rec, start := httptest.NewRecorder(), time.Now()
+		out.outcome = h.Serve(ctx, rec, &proxy.Request{ID: "c", Method: http.MethodPost, Received: start, Prompt: 100, MaxOutput: 80},
+			route, service, start.Add(silentDeadline))
+		out.body, out.status, out.took = rec.Body.String(), rec.Code, time.Since(start)
+		for left = 0; budget.Take("s"); left++ {
+		}
+		out.runs, out.charged, out.overlaps = len(w.sends), p.budget-left, w.overlaps
+		synctest.Wait()
+	})
+	return out
+}
+
+// Guards against streams that end sooner, or go on twice, because their engine is silent.
+func TestSilenceProperties(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(1)
+	p.MinSuccessfulTests = 300
+	ps := gopter.NewProperties(p)
+	pauses := gen.SliceOfN(3*streamLength, gen.Int64Range(0, 6000))
+	owner := gen.SliceOf(gen.IntRange(refuses, grantsRegardless))
+	budget, header := gen.IntRange(0, 3), gen.Int64Range(0, 3000)
+	plan := func(pauses []int64, owner []int, budget int, header int64, dies int) silence {
+		return silence{pauses: pauses, owner: owner, budget: budget, header: time.Duration(header) * time.Millisecond, dies: dies}
+	}
+	ps.Property("the stream of a sound engine is whole", prop.ForAll(func(pauses []int64, owner []int, budget int, header int64) string {
+		out := plan(pauses, owner, budget, header, -1).play(t)
+		if out.body != events(streamLength) || out.outcome.Result != "ok" {
+			return fmt.Sprintf("%+v", out)
+		}
+		return ""
+	}, pauses, owner, budget, header))
+	ps.Property("each run after the first one is charged once, and follows the end of the one before", prop.ForAll(
+		func(pauses []int64, owner []int, budget int, header int64, dies int) string {
+			out := plan(pauses, owner, budget, header, dies).play(t)
+			if out.charged != out.runs-1 || out.overlaps > 0 || out.runs > 3 {
+				return fmt.Sprintf("%+v", out)
+			}
+			return ""
+		}, pauses, owner, budget, header, gen.IntRange(-1, streamLength)))
+	ps.Property("the stream of an engine that dies goes on once there are budget and lease", prop.ForAll(
+		func(pauses []int64, owner []int, budget, dies int) string {
+			for i := range owner {
+				if owner[i] == isSilent {
+					owner[i] = refuses
+				}
+			}
+			p := plan(pauses, owner, budget, 0, dies)
+			for i := range dies {
+				p.pauses[i] %= 1000
+			}
+			if out := p.play(t); out.body != events(streamLength) || out.outcome.Result != "ok" {
+				return fmt.Sprintf("%+v", out)
+			}
+			return ""
+		}, pauses, owner, gen.IntRange(1, 3), gen.IntRange(0, streamLength-1)))
+	ps.TestingRun(t)
+}
+
+// Guards against silent streams that end before their deadline although the engine would
+// go on, and against dead engines that hold a stream until then.
+func TestSilence(t *testing.T) {
+	const seconds = time.Second
+	cases := map[string]struct {
+		plan         silence
+		status, runs int
+		sent         int
+		result       string
+		from, to     time.Duration
+	}{
+		"no header for a while":                    {silence{pauses: []int64{100}, header: 20 * seconds, dies: -1, budget: 3}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
+		"no first event for a while, no budget":    {silence{pauses: []int64{20_000, 100, 100, 100}, dies: -1}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
+		"no first event, no lease":                 {silence{pauses: []int64{5000, 100, 100, 100}, dies: -1, budget: 3, owner: []int{refuses, refuses, isSilent}}, 200, 1, 4, "ok", 5 * seconds, 6 * seconds},
+		"no first event, another engine":           {silence{pauses: []int64{100}, budget: 3}, 200, 2, 4, "ok", seconds, 2 * seconds},
+		"the event comes before the late lease":    {silence{pauses: []int64{100, 1500, 100, 100}, dies: -1, budget: 3, owner: []int{grantsLate}}, 200, 1, 4, "ok", seconds, 2 * seconds},
+		"the event crosses the grant":              {silence{pauses: []int64{100, 1500, 100, 100}, dies: -1, budget: 3, owner: []int{grantsRegardless}}, 200, 1, 4, "ok", seconds, 2 * seconds},
+		"the end crosses the grant":                {silence{pauses: []int64{100, 100, 100, 1500}, dies: -1, budget: 3, owner: []int{grantsRegardless}}, 200, 1, 4, "ok", seconds, 3 * seconds},
+		"dead, another engine":                     {silence{pauses: []int64{100}, dies: 2, budget: 3}, 200, 2, 4, "ok", seconds, 2 * seconds},
+		"dead, the owner grants later":             {silence{pauses: []int64{100}, dies: 2, budget: 3, owner: []int{refuses, refuses}}, 200, 2, 4, "ok", 2 * seconds, 4 * seconds},
+		"dead, no budget":                          {silence{pauses: []int64{100}, dies: 2}, 200, 1, 2, "broken", silentDeadline, silentDeadline + seconds},
+		"dead and down, no budget":                 {silence{pauses: []int64{100}, dies: 2, down: true}, 200, 1, 2, "broken", 2 * seconds, 4 * seconds},
+		"dead and down before an event, no budget": {silence{pauses: []int64{100}, down: true}, 502, 1, 0, "unknown", 2 * seconds, 4 * seconds},
+		"dead and down, may not go on elsewhere":   {silence{pauses: []int64{100}, dies: 2, down: true, budget: 3, stays: true}, 200, 1, 2, "broken", silentDeadline, silentDeadline + seconds},
+		"silent, may not go on elsewhere":          {silence{pauses: []int64{100, 20_000, 100, 100}, dies: -1, budget: 3, stays: true}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
+		"silent, its entry is removed":             {silence{pauses: []int64{100, 20_000, 100, 100}, dies: -1, leaves: true}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
+		"dead and down, its entry is removed":      {silence{pauses: []int64{100}, dies: 2, down: true, leaves: true}, 200, 1, 2, "broken", 2 * seconds, 8 * seconds},
+		"silent twice, no run is left for a third": {silence{pauses: []int64{100, 100, 100, 100, 100, 9000, 100, 100, 100, 100, 9000}, dies: 1, budget: 9}, 200, 3, 4, "ok", 11 * seconds, 13 * seconds},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			out := c.plan.play(t)
+			if out.status != c.status || out.runs != c.runs || out.body != events(c.sent) || out.outcome.Result != c.result {
+				t.Errorf("%+v; want status %d, %d runs, %d events, %s", out, c.status, c.runs, c.sent, c.result)
+			}
+			if out.charged != out.runs-1 || out.overlaps > 0 {
+				t.Errorf("%d runs, %d charged, %d overlaps", out.runs, out.charged, out.overlaps)
+			}
+			if out.took < c.from || out.took > c.to {
+				t.Errorf("took %v, want %v to %v", out.took, c.from, c.to)
+			}
+		})
+	}
+}
+
+// alone connects one daemon to no other.
+type alone struct{ netip.AddrPort }
+
+func (alone) Send(dgram.Kind, any, ...netip.AddrPort) {}
+
+func (alone) Handle(dgram.Kind, dgram.Handler) {}
+
+func (alone) Decode([]byte, any) bool { return false }
+
+func (a alone) Alive() []gossip.LiveMember {
+	return []gossip.LiveMember{{Member: gossip.Member{Addr: a.AddrPort, Incarnation: 1, CPUShare: 40}, Mature: true}}
+}
+
+func (alone) Known() int { return 1 }
+
+func (alone) Usage(context.Context, pool.Server) (ledger.Usage, error) { return ledger.Usage{}, nil }
+
+func (alone) Order(context.Context, pool.Server, lease.Order) error { return nil }
+
+// lateManager returns grants late, even if the request was withdrawn meanwhile.
+type lateManager struct {
+	*lease.Manager
+	granted int
+}
+
+func (m *lateManager) Acquire(ctx context.Context, a ledger.Request) (*lease.Lease, error) {
+	l, err := m.Manager.Acquire(context.WithoutCancel(ctx), a)
+	if err == nil {
+		m.granted++
+	}
+	time.Sleep(lateGrant)
+	return l, err
+}
+
+// Guards against slots that stay taken by leases which came too late for a silent stream.
+func TestLateGrantIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers, self := table(), alone{netip.MustParseAddrPort("10.0.0.9:7000")}
+		m := &lateManager{Manager: lease.Start(gossip.Member{Addr: self.AddrPort, Incarnation: 1}, "", self, self, servers, self, hclog.NewNullLogger())}
+		defer m.Close()
+		m.SetServices(map[string]lease.Capacity{"s": {Slots: 8, Tokens: 100_000}})
+		time.Sleep(time.Second)
+		w := &silentEngines{silence: silence{pauses: []int64{100, 1500, 100, 1500}, dies: -1}, table: servers, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
+		rec, o := handle(t, stream.New(servers, w, ingress{}, m, quota.New(0, 100, func() int { return 1 }), lines.New(io.Discard, "test")), true, 20*time.Second)
+		if rec.Body.String() != events(streamLength) || o.Result != "ok" || len(w.sends) != 1 || m.granted != 3 {
+			t.Fatalf("body %q after %d runs and %d grants; want the whole stream after one and 3", rec.Body, len(w.sends), m.granted)
+		}
+		time.Sleep(2 * time.Second)
+		if runs := m.Loads()["s"].Runs; runs != 0 {
+			t.Errorf("%d runs at the owner after the end of the stream", runs)
+		}
+	})
+}
--- a/internal/route/pool/health.go
+++ b/internal/route/pool/health.go
@@ -156,3 +156,39 @@
 	}
 	return out
 }
+
+// RecordSilence records that a request at a server got nothing for too long, while it goes
+// on there. It counts as a timeout.
+func (t *Table) RecordSilence(now time.Time, s Server) {
+	t.mu.Lock()
+	r := t.servers[s.ID]
+	if r == nil || r.Process() != s.Process() {
+		t.mu.Unlock()
+		return
+	}
+	wasUnhealthy := r.health.unhealthy(now)
+	r.health.observe(now, TimedOut, 0)
+	changed := wasUnhealthy != r.health.unhealthy(now)
+	t.mu.Unlock()
+	t.onSuspect(s)
+	if changed {
+		t.onChange()
+	}
+}
+
+// Lost reports whether the process of an entry seems to be gone: connections to it fail,
+// or another one runs at its address or under its ID. known is false if the entry was
+// removed, which alone shows nothing: servers that leave go on for a while without one.
+func (t *Table) Lost(s Server) (lost, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, misdirected := t.misdirected[s.Process()]
+	r := t.servers[s.ID]
+	switch {
+	case misdirected, r != nil && r.StartedAt.After(s.StartedAt):
+		return true, true
+	case r == nil || r.Process() != s.Process():
+		return false, false
+	}
+	return r.health.down, true
+}
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -179,3 +179,32 @@
 	})
 	both.Wait()
 }
+
+// Guards against servers that count as gone because their entry was removed, and against
+// dead ones that count as silent.
+func TestLost(t *testing.T) {
+	x := server("x", 1, 1)
+	cases := map[string]struct {
+		play        func(*pool.Table)
+		lost, known bool
+	}{
+		"up":                   {func(*pool.Table) {}, false, true},
+		"silent":               {func(p *pool.Table) { p.RecordSilence(t0, x); p.RecordSilence(t0, x) }, false, true},
+		"draining":             {func(p *pool.Table) { p.Put(drain(server("x", 2, 2))) }, false, true},
+		"entry removed":        {func(p *pool.Table) { p.Remove(t0, "x", pool.Revision{Number: 2}, false) }, false, false},
+		"down":                 {func(p *pool.Table) { p.SetDown(x, true) }, true, true},
+		"down, then reached":   {func(p *pool.Table) { p.SetDown(x, true); p.SetDown(x, false) }, false, true},
+		"started again":        {func(p *pool.Table) { p.Put(restarted(server("x", 1, 2))) }, true, true},
+		"another at its place": {func(p *pool.Table) { p.MarkMisdirected(t0, x) }, true, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := pool.New()
+			p.Put(x)
+			c.play(p)
+			if lost, known := p.Lost(x); lost != c.lost || known != c.known {
+				t.Errorf("lost %v, known %v; want %v, %v", lost, known, c.lost, c.known)
+			}
+		})
+	}
+}
