Keep a slow attempt open until another server has answered

Callers of idempotent requests got 502, 500 or 504 although their server would have answered in time: its attempt was cancelled after 1.3 times the target, before it was known whether the retry budget, another server or that server's limit would allow another attempt, and the other server could then refuse, break or be slow, too.

The first attempt now stays open. Another healthy server is tried beside it once the retry budget is charged, within the same numbers of attempts; the first whole answer wins, the others are cancelled then and joined before Serve returns. A server that is slow counts as one timeout at once. Requests that may not be repeated are sent as before, on one goroutine.

--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -21,10 +21,6 @@
 )
 
 const (
-	// attemptTimeoutShare is the share of the latency target after which an attempt of
-	// an idempotent request is cancelled and another server is tried. Healthy servers
-	// rarely take as long.
-	attemptTimeoutShare = 1.3
 	// extraSends is the number of attempts beyond the route's limit for servers that
 	// refuse a request before it runs.
 	extraSends = 2
@@ -83,8 +79,8 @@
 	service       string
 	deadline      time.Time
 	excluded      []string
-	sends         int
 	maybeReceived bool
+	attempts
 	// failure is the last failure response to an idempotent request. It is passed on
 	// when no other server succeeds.
 	failure *response
@@ -94,7 +90,9 @@
 // or the deadline passes.
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, req *proxy.Request, r *config.Route, service string, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, req: req, route: r, service: service, deadline: deadline}
+	j.ended = make(chan *attempt, r.Attempts+extraSends+1)
 	proxy.LimitWrites(w, deadline)
+	defer j.join(ctx)
 	resp, v := j.run(ctx)
 	defer j.releaseBodies(resp)
 	out := lines.Outcome{Attempts: j.sends}
@@ -128,38 +126,45 @@
 
 // run makes attempts until there is a response or no further attempt is allowed.
 func (j *job) run(ctx context.Context) (*response, retry.Decision) {
+	defer j.cancelOpen()
 	for {
-		server, ok := j.table.Choose(time.Now(), j.service, j.domain, j.excluded)
-		if !ok {
-			return j.failure, j.decide(event.FaultRefused, nil)
+		if len(j.open) == 0 {
+			server, ok := j.table.Choose(time.Now(), j.service, j.domain, j.excluded)
+			if !ok {
+				return j.failure, j.decide(event.FaultRefused, nil)
+			}
+			if j.guard.BlockedPart(j.req, j.service) != "" {
+				v := j.decide(event.FaultRefused, nil)
+				v.Reason = citronrock.ReasonSuspect
+				return j.failure, v
+			}
+			j.start(ctx, server)
 		}
-		if j.guard.BlockedPart(j.req, j.service) != "" {
-			v := j.decide(event.FaultRefused, nil)
-			v.Reason = citronrock.ReasonSuspect
-			return j.failure, v
-		}
-		resp, fault, limited := j.send(ctx, server)
-		if limited && ctx.Err() == nil {
-			j.excluded = append(j.excluded, server.ID)
+		a := j.next(ctx)
+		if a.isLimited() && ctx.Err() == nil {
 			continue
 		}
-		if resp != nil && fault == event.FaultNone {
-			return resp, retry.Decision{}
+		if a.resp != nil && a.fault == event.FaultNone {
+			return a.resp, retry.Decision{}
 		}
-		if resp != nil {
-			j.keepFailure(resp)
+		if a.resp != nil {
+			j.keepFailure(a.resp)
 		}
 		if ctx.Err() != nil {
-			v := j.decide(fault, nil)
+			j.maybeReceived = j.maybeReceived || len(j.open) > 0
+			v := j.decide(a.fault, nil)
 			v.Reason = citronrock.ReasonDeadline
 			return j.failure, v
 		}
-		v := j.decide(fault, j.retryPermit(fault))
+		if len(j.open) > 0 {
+			j.maybeReceived = j.maybeReceived || retry.MaybeReceived(a.fault)
+			continue
+		}
+		v := j.decide(a.fault, j.retryPermit(a.fault))
 		j.maybeReceived = v.MaybeReceived
 		if v.Next != retry.Send {
 			return j.failure, v
 		}
-		j.excluded = append(j.excluded, server.ID)
 	}
 }
 
@@ -202,53 +207,6 @@
 		Budget: budget, Left: left, RetryAfter: after})
 }
 
-// send makes one attempt. It returns a response with a fault when the server reports
-// a failure. limited is set when nothing was sent because of the server's limit, which
-// does not count as an attempt.
-func (j *job) send(ctx context.Context, s pool.Server) (resp *response, fault event.Fault, limited bool) {
-	limit := j.deadline
-	if j.route.Kind == config.Idempotent && j.sends+1 < j.route.Attempts && j.failure == nil {
-		if early := time.Now().Add(time.Duration(attemptTimeoutShare * float64(j.route.Target))); early.Before(limit) {
-			limit = early
-		}
-	}
-	attemptCtx, cancel := context.WithDeadlineCause(ctx, limit, errAttemptTimeout)
-	defer cancel()
-	start := time.Now()
-	report := j.table.Begin(s.ID)
-	resp, fault, err := j.exchange(attemptCtx, s)
-	took := time.Since(start)
-	var sendErr *proxy.SendError
-	if errors.As(err, &sendErr) && sendErr.Limited {
-		report(time.Now(), pool.Unknown, 0)
-		return nil, event.FaultUnsent, true
-	}
-	if j.sends == 0 {
-		j.quota.Sent(j.service)
-	}
-	j.sends++
-	report(time.Now(), serverOutcome(ctx, resp, fault), took)
-	switch {
-	case resp != nil:
-		j.guard.RecordSuccess(j.req, j.service)
-	case fault == event.FaultBroken:
-		j.guard.RecordBroken(j.req, s, start, crash.Progress{})
-	}
-	if err != nil || fault != event.FaultNone {
-		text := "server responded with a failure"
-		if err != nil {
-			text = err.Error()
-		}
-		j.log.Info(lines.Attempt, "request", j.req.ID, "service", j.service, "server", s.ID, "entry", s.Revision.String(),
-			"send", j.sends, "fault", fault.String(), "error", text, "took", lines.Ms(took))
-	}
-	return resp, fault, false
-}
-
-// errAttemptTimeout is the cause of the cancellation of an attempt in favour of
-// another one.
-var errAttemptTimeout = errors.New("no response in time, another server is tried")
-
 // exchange sends the request and reads the complete response.
 func (j *job) exchange(ctx context.Context, s pool.Server) (*response, event.Fault, error) {
 	upstream, err := j.backends.Send(ctx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
@@ -283,27 +241,6 @@
 	return resp, event.FaultNone, nil
 }
 
-// serverOutcome returns what an attempt shows about the health of its server.
-func serverOutcome(ctx context.Context, resp *response, f event.Fault) pool.Outcome {
-	switch {
-	case resp != nil && resp.Status < http.StatusInternalServerError:
-		return pool.OK
-	case resp != nil:
-		return pool.Failed
-	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
-		return pool.Unknown
-	}
-	switch f {
-	case event.FaultUnsent:
-		return pool.Unreachable
-	case event.FaultRefused:
-		return pool.Refused
-	case event.FaultStalled:
-		return pool.TimedOut
-	}
-	return pool.Broken
-}
-
 // deliver passes a complete response to the client.
 func deliver(w http.ResponseWriter, resp *response) {
 	proxy.CopyHeader(w.Header(), resp.Header)
