Give a silent prefill up only once its replacement is certain

Callers got 503, and streams that had gone on at another engine broke off, because a prefill engine was silent for 0.9 s: the prefill was cancelled before it was known whether the retry budget or another lease would allow another one. The prefill is now watched as a run is. A cache that comes after the replacement was granted is used, and the grant released.

RecordSilence takes the outcome that the silence counts as: a slow prefill still counts as a broken one, not as a timeout.

--- a/internal/front/stream/fault.go
+++ b/internal/front/stream/fault.go
@@ -62,7 +62,7 @@
 func serverOutcome(ctx context.Context, sendErr *proxy.SendError) pool.Outcome {
 	switch {
 	case ctx.Err() != nil, sendErr.Fault == event.FaultStalled:
-		return pool.Unknown // a stall was recorded when the run fell silent
+		return pool.Unknown // a stall was recorded when the engine fell silent
 	case sendErr.Fault == event.FaultUnsent:
 		return pool.Unreachable
 	case sendErr.Fault == event.FaultRefused:
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -32,9 +32,9 @@
 	// maxRetryAfterShare is the longest Retry-After delay as a share of the remaining
 	// time: clients wait for at most a third.
 	maxRetryAfterShare = 0.32
-	// prefillTimeout bounds a prefill. The ledger lets a prompt queue for up to half a
-	// second, and the prefill itself takes less. After that, a lost response is the
-	// more likely cause.
+	// prefillTimeout is the time after which a prefill engine counts as silent. The ledger
+	// lets a prompt queue for up to half a second, and the prefill itself takes less. After
+	// that, a lost response is the more likely cause.
 	prefillTimeout = 900 * time.Millisecond
 	// offerShare is the share of a KV cache's retention time during which it is offered
 	// to a second engine.
--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -27,11 +27,9 @@
 	if j.refusePart(ctx) {
 		return finish
 	}
-	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
-	defer cancel()
 	start := time.Now()
 	report := j.table.Begin(s.ID)
-	cache, err := j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	cache, err := j.prefillAt(ctx, s)
 	if isLimited(err) {
 		report(time.Now(), pool.Unknown, 0)
 		return j.retryUnlimited(ctx, s.ID)
@@ -46,6 +44,9 @@
 	sendErr := asSendError(err)
 	report(time.Now(), serverOutcome(ctx, sendErr), 0)
 	j.logAttempt("prefill", s, start, sendErr)
+	if j.replacement != nil {
+		return j.retryElsewhere(ctx, s.ID, "", true)
+	}
 	full := ""
 	if sendErr.Fault == event.FaultRefused {
 		full = s.ID // the owner polls the engine for the reason
@@ -56,6 +57,29 @@
 	return j.retryElsewhere(ctx, s.ID, full, sendErr.Fault == event.FaultUnsent || j.quota.Take(j.service.Name))
 }
 
+// prefillAt has the prompt prefilled at an engine. A silent one is given up as a silent run
+// is, since the end of the request would be no better.
+func (j *job) prefillAt(ctx context.Context, s pool.Server) (cache *proxy.Cache, err error) {
+	prefillCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := j.watch(ctx, cancel, s, prefillTimeout, pool.Broken)
+	defer stall.stop()
+	func() {
+		stall.unlock()
+		defer stall.lock()
+		cache, err = j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	}()
+	givenUp := stall.verdict()
+	switch {
+	case givenUp != nil && err != nil:
+		return nil, givenUp
+	case j.replacement != nil: // the cache has come after all
+		j.replacement.Close("")
+		j.replacement = nil
+	}
+	return cache, err
+}
+
 // retryElsewhere releases the lease and prepares another one without the engine id.
 // full is the engine that refused the request for lack of room. allowed tells
 // whether the retry budget permits it.
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -17,7 +17,10 @@
 func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, s pool.Server, resp *proxy.Response) *proxy.SendError {
 	events := newEventReader(resp.Body, j.memory)
 	defer events.close()
-	stall := j.watch(ctx, cancel, s)
+	var stall *watch
+	if j.route.Resume && j.runs < j.route.Attempts {
+		stall = j.watch(ctx, cancel, s, max(stallGaps*j.route.Gap, minStallTimeout), pool.TimedOut)
+	}
 	defer stall.stop()
 	flush := http.NewResponseController(j.out)
 	for {
--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -38,9 +38,9 @@
 	errLost  = errors.New("no event within the stall timeout, the engine's process is gone")
 )
 
-// watch looks for a replacement of a run while it is silent. A run is given up only once a
-// lease on another engine is granted and the retry budget is charged for it, or the
-// engine's process is known to be gone; until then its next event wins.
+// watch looks for a replacement of a run, or of a prefill, while it is silent. A run is
+// given up only once a lease on another engine is granted and the retry budget is charged
+// for it, or the engine's process is known to be gone; until then its next event wins.
 //
 // A nil watch is that of a run that may not be moved.
 type watch struct {
@@ -49,6 +49,7 @@
 	cancel context.CancelCauseFunc
 	server pool.Server
 	limit  time.Duration
+	silent pool.Outcome
 
 	// mu guards the following fields and the state of the job. The relay holds it but
 	// while it waits for an event.
@@ -74,13 +75,15 @@
 	running sync.WaitGroup
 }
 
-// watch starts to watch a run at engine s. stop must be called; until then the caller holds
-// the watch's lock. ctx is that of the request, cancel ends the run.
-func (j *job) watch(ctx context.Context, cancel context.CancelCauseFunc, s pool.Server) *watch {
-	if !j.route.Resume || j.runs >= j.route.Attempts || j.leases+1 >= j.maxLeases() {
+// watch starts to watch a run or a prefill at engine s, which is silent after limit,
+// which counts for its health as the outcome silent. stop must be called; until then the
+// caller holds the watch's lock. ctx is that of the request, cancel ends the run. It returns
+// nil if the request may use no further lease.
+func (j *job) watch(ctx context.Context, cancel context.CancelCauseFunc, s pool.Server, limit time.Duration, silent pool.Outcome) *watch {
+	if j.leases+1 >= j.maxLeases() {
 		return nil
 	}
-	w := &watch{job: j, ctx: ctx, cancel: cancel, server: s, limit: max(stallGaps*j.route.Gap, minStallTimeout), lastEvent: time.Now()}
+	w := &watch{job: j, ctx: ctx, cancel: cancel, server: s, limit: limit, silent: silent, lastEvent: time.Now()}
 	w.mu.Lock()
 	w.arm(w.limit)
 	return w
@@ -94,13 +97,23 @@
 	return j.table.Choose(time.Now(), j.service.Name, j.domain, excluded)
 }
 
+// unlock releases the lock while the caller waits for the engine.
+func (w *watch) unlock() {
+	if w != nil {
+		w.mu.Unlock()
+	}
+}
+
+func (w *watch) lock() {
+	if w != nil {
+		w.mu.Lock()
+	}
+}
+
 // next waits for the next event.
 func (w *watch) next(events *eventReader) (sseEvent, error) {
-	if w == nil {
-		return events.next()
-	}
-	w.mu.Unlock()
-	defer w.mu.Lock()
+	w.unlock()
+	defer w.lock()
 	return events.next()
 }
 
@@ -182,7 +195,7 @@
 	}
 	if w.recorded != w.lastEvent {
 		w.recorded, w.lost, w.searchAt, w.pause = w.lastEvent, 0, now, minSearchPause
-		w.table.RecordSilence(now, w.server)
+		w.table.RecordSilence(now, w.server, w.silent)
 	}
 	if lost, known := w.table.Lost(w.server); lost || !known && w.lost > 0 {
 		w.lost++
--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/stream"
@@ -50,6 +51,9 @@
 type silence struct {
 	// pauses are the times before the events of the runs, in milliseconds. They repeat.
 	pauses []int64
+	// prefills are the times that the first prefills take, longer than silentDeadline for
+	// engines that are silent for good.
+	prefills []time.Duration
 	// header is the time before the header of each run.
 	header time.Duration
 	// dies is the number of events after which the engine of the first run is silent for
@@ -104,6 +108,18 @@
 	}
 }
 
+func (w *silentEngines) Prefill(ctx context.Context, s pool.Server, r *proxy.Request, o proxy.Options) (*proxy.Cache, error) {
+	cache, err := w.fakeBackends.Prefill(ctx, s, r, o)
+	if n := len(w.prefillers); n <= len(w.silence.prefills) {
+		select {
+		case <-ctx.Done():
+			return nil, &proxy.SendError{Fault: event.FaultBroken, Err: context.Cause(ctx)}
+		case <-time.After(w.silence.prefills[n-1]):
+		}
+	}
+	return cache, err
+}
+
 func (w *silentEngines) Send(ctx context.Context, s pool.Server, _ *proxy.Request, o proxy.Options) (*proxy.Response, error) {
 	for _, earlier := range w.open {
 		if earlier.Err() == nil {
@@ -151,8 +167,8 @@
 	outcome lines.Outcome
 	took    time.Duration
 	// runs counts the runs, charged what the retry budget was charged.
-	runs, charged, overlaps int
-	status                  int
+	runs, charged, overlaps, prefills int
+	status                            int
 }
 
 // play serves one stream as planned.
@@ -160,7 +176,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &silentEngines{silence: p, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
 		w.table = pool.New(pool.WithSuspect(func(s pool.Server) {
-			if p.down && s.ID == "d1" {
+			if p.down && (s.ID == "d1" || s.ID == "p1") {
 				w.table.SetDown(s, true)
 			}
 			if p.leaves {
@@ -187,6 +203,7 @@
 		out.body, out.status, out.took = rec.Body.String(), rec.Code, time.Since(start)
 		for left = 0; budget.Take("s"); left++ {
 		}
+		out.prefills = len(w.prefillers)
 		out.runs, out.charged, out.overlaps = len(w.sends), p.budget-left, w.overlaps
 		synctest.Wait()
 	})
@@ -283,6 +300,44 @@
 	}
 }
 
+// Guards against requests that are refused, or streams that break off, because a prefill
+// engine is silent for a while.
+func TestSilentPrefill(t *testing.T) {
+	const second = time.Second
+	dead := 2 * silentDeadline
+	cases := map[string]struct {
+		plan     silence
+		status   int
+		prefills int
+		charged  int
+		result   string
+		from, to time.Duration
+	}{
+		"goes on, no budget":                            {silence{prefills: []time.Duration{2 * second}, dies: -1}, 200, 1, 0, "ok", 2 * second, 3 * second},
+		"goes on, no lease":                             {silence{prefills: []time.Duration{2 * second}, dies: -1, budget: 3, owner: []int{refuses, refuses, refuses}}, 200, 1, 0, "ok", 2 * second, 3 * second},
+		"goes on before the lease":                      {silence{prefills: []time.Duration{1200 * time.Millisecond}, dies: -1, budget: 3, owner: []int{grantsLate}}, 200, 1, 0, "ok", second, 2 * second},
+		"the cache crosses the lease":                   {silence{prefills: []time.Duration{1200 * time.Millisecond}, dies: -1, budget: 3, owner: []int{grantsRegardless}}, 200, 1, 0, "ok", second, 2 * second},
+		"silent, another engine":                        {silence{prefills: []time.Duration{dead}, dies: -1, budget: 3}, 200, 2, 1, "ok", 900 * time.Millisecond, 2 * second},
+		"down, another engine":                          {silence{prefills: []time.Duration{dead}, dies: -1, budget: 3, down: true, owner: []int{refuses}}, 200, 2, 1, "ok", 900 * time.Millisecond, 4 * second},
+		"down, no budget":                               {silence{prefills: []time.Duration{dead}, dies: -1, down: true}, 503, 1, 0, "refused", second, 4 * second},
+		"silent for good, no budget":                    {silence{prefills: []time.Duration{dead}, dies: -1}, 503, 1, 0, "refused", silentDeadline, silentDeadline + second},
+		"in a stream that goes on elsewhere, no budget": {silence{prefills: []time.Duration{0, 5 * second}, dies: 1, budget: 1}, 200, 2, 1, "ok", 6 * second, 7 * second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.plan.pauses = []int64{50}
+			out := c.plan.play(t)
+			if out.status != c.status || out.prefills != c.prefills || out.charged != c.charged || out.outcome.Result != c.result ||
+				out.status == http.StatusOK && out.body != events(streamLength) {
+				t.Errorf("%+v; want status %d, %d prefills, %d charged, %s", out, c.status, c.prefills, c.charged, c.result)
+			}
+			if out.took < c.from || out.took > c.to {
+				t.Errorf("took %v, want %v to %v", out.took, c.from, c.to)
+			}
+		})
+	}
+}
+
 // alone connects one daemon to no other.
 type alone struct{ netip.AddrPort }
 
--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -118,7 +118,7 @@
 	for _, a := range j.open {
 		if !a.slow {
 			a.slow = true
-			j.table.RecordSilence(now, a.server)
+			j.table.RecordSilence(now, a.server, pool.TimedOut)
 		}
 	}
 	s, ok := j.table.Choose(now, j.service, j.domain, j.excluded)
--- a/internal/route/pool/health.go
+++ b/internal/route/pool/health.go
@@ -158,8 +158,8 @@
 }
 
 // RecordSilence records that a request at a server got nothing for too long, while it goes
-// on there. It counts as a timeout.
-func (t *Table) RecordSilence(now time.Time, s Server) {
+// on there. It counts as the outcome o.
+func (t *Table) RecordSilence(now time.Time, s Server, o Outcome) {
 	t.mu.Lock()
 	r := t.servers[s.ID]
 	if r == nil || r.Process() != s.Process() {
@@ -167,7 +167,7 @@
 		return
 	}
 	wasUnhealthy := r.health.unhealthy(now)
-	r.health.observe(now, TimedOut, 0)
+	r.health.observe(now, o, 0)
 	changed := wasUnhealthy != r.health.unhealthy(now)
 	t.mu.Unlock()
 	t.onSuspect(s)
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -189,7 +189,7 @@
 		lost, known bool
 	}{
 		"up":                   {func(*pool.Table) {}, false, true},
-		"silent":               {func(p *pool.Table) { p.RecordSilence(t0, x); p.RecordSilence(t0, x) }, false, true},
+		"silent":               {func(p *pool.Table) { p.RecordSilence(t0, x, pool.TimedOut); p.RecordSilence(t0, x, pool.TimedOut) }, false, true},
 		"draining":             {func(p *pool.Table) { p.Put(drain(server("x", 2, 2))) }, false, true},
 		"entry removed":        {func(p *pool.Table) { p.Remove(t0, "x", pool.Revision{Number: 2}, false) }, false, false},
 		"down":                 {func(p *pool.Table) { p.SetDown(x, true) }, true, true},
