Answer requests that are read while a server stops

http.Server.Shutdown drops a request whose header is complete after it was called: serve returns and the connection closes without an answer. It may also close a kept connection whose next request has been read but not passed to the handler, which then serves it for nobody.

The server now closes connections itself. One is closed for want of a request only while no byte of one has been read, decided under a lock, and a handler runs only on a connection that is still open. At the end of the grace period connections without a request go first, and requests that have just been read get 100 ms for their answers.

--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -32,6 +32,10 @@
 	// drainTime is how long a stopping server still accepts connections that clients
 	// have already opened.
 	drainTime = 100 * time.Millisecond
+	// lastAnswers is the time for answers to requests that have just been read when the
+	// grace period ends, closeInterval that between looks for connections to close.
+	lastAnswers   = 100 * time.Millisecond
+	closeInterval = 20 * time.Millisecond
 	// acceptRetryDelay is the pause after a failed accept.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -47,6 +51,7 @@
 	limits  config.Limits
 	queue   *connQueue
 	servers []*http.Server
+	conns   map[*conn]struct{}
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -90,7 +95,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "can't listen for clients at %s; check that the port is free", addr)
 	}
-	s := &Server{listener: l, handler: handler, log: log, done: make(chan struct{})}
+	s := &Server{listener: l, handler: handler, log: log, conns: map[*conn]struct{}{}, done: make(chan struct{})}
 	s.SetLimits(config.Limits{Header: defaultHeader, HeaderWait: defaultHeaderWait, Idle: defaultIdle})
 	go func() {
 		defer close(s.done)
@@ -101,7 +106,7 @@
 
 func (s *Server) accept() {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := s.listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
@@ -110,7 +115,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.dispatch(conn)
+		s.dispatch(s.track(conn))
 	}
 }
 
@@ -152,7 +157,8 @@
 	s.limits = l
 	q := &connQueue{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.listener.Addr()}
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: l.Header,
-		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleMargin, WriteTimeout: writeTimeout, ErrorLog: s.log.StandardLogger(nil)}
+		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleMargin, WriteTimeout: writeTimeout,
+		ConnState: onState, ConnContext: withConn, ErrorLog: s.log.StandardLogger(nil)}
 	if s.queue != nil {
 		s.queue.close()
 	}
@@ -165,6 +171,9 @@
 // the server is stopping, and after a chunked request body: net/http hides whether
 // the request also had a Content-Length, which could be used for request smuggling.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if !claimed(r) {
+		panic(http.ErrAbortHandler) // nothing is passed on
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	s.handler.ServeHTTP(&responseWriter{ResponseWriter: w, server: s, chunked: len(r.TransferEncoding) > 0}, r)
@@ -219,18 +228,23 @@
 	case <-time.After(notice):
 	}
 	s.drainListener()
+	tick := time.NewTicker(closeInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil && s.closeWaiting(false) > 0 {
+		<-tick.C
+	}
+	for end := time.Now().Add(lastAnswers); s.closeWaiting(true) > 0 && time.Now().Before(end); {
+		<-tick.C
+	}
+	if open := s.InFlight(); open > 0 {
+		s.log.Warn("requests aborted at the end of the grace period", "open", open)
+		s.aborted.Store(true)
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	servers := s.servers
 	s.queue.close()
-	var all sync.WaitGroup
-	for _, server := range s.servers {
-		all.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				s.log.Warn("requests aborted at the end of the grace period", "open", s.InFlight(), "error", err.Error())
-				s.aborted.Store(true)
-				server.Close()
-			}
-		})
+	s.mu.Unlock()
+	for _, server := range servers {
+		server.Close()
 	}
-	all.Wait()
 }
--- a/internal/front/serve/stop_test.go
+++ b/internal/front/serve/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{listener: l, log: hclog.NewNullLogger(), done: make(chan struct{}),
+	s := &Server{listener: l, log: hclog.NewNullLogger(), conns: map[*conn]struct{}{}, done: make(chan struct{}),
 		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
 	return s
 }
@@ -127,3 +128,63 @@
 	expectFinalResponse(t, conn)
 	group.Wait()
 }
+
+// Guards against a request that arrives just as idle connections are closed and is
+// served without an answer, and against one on a connection opened in time that is read
+// later and dropped.
+func TestStopAnswersWhatItServes(t *testing.T) {
+	const notice, conns = 200 * time.Millisecond, 400
+	s := newIdleServer(t)
+	var served sync.Map
+	s.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served.Store(r.URL.Path, true)
+		_, _ = io.WriteString(w, "ok")
+	})
+	s.SetLimits(config.Limits{HeaderWait: time.Second, Idle: time.Minute})
+	go func() {
+		defer close(s.done)
+		s.accept()
+	}()
+	begin := time.Now().Add(500 * time.Millisecond)
+	var clients sync.WaitGroup
+	for i := range conns {
+		kept := i%2 == 0
+		var conn net.Conn
+		var err error
+		if kept {
+			conn = sendRequest(t, s)
+		} else if conn, err = net.Dial("tcp4", s.listener.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		clients.Go(func() {
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if kept {
+				if resp, err := http.ReadResponse(in, nil); err != nil {
+					t.Errorf("before the stop: %v", err)
+					return
+				} else if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+					t.Errorf("before the stop: %v", err)
+				}
+			}
+			at := notice + drainTime + time.Duration(i-conns/2)*20*time.Microsecond
+			time.Sleep(time.Until(begin.Add(at)))
+			path := "/" + strconv.Itoa(i)
+			_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n") // an error shows in the answer
+			resp, err := http.ReadResponse(in, nil)
+			if err == nil {
+				resp.Body.Close()
+				return
+			}
+			if _, ok := served.Load(path); ok || !kept {
+				t.Errorf("request on a connection, kept %v, served %v: %v", kept, ok, err)
+			}
+		})
+	}
+	time.Sleep(time.Until(begin))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s.Stop(ctx, notice)
+	clients.Wait()
+}
