Take requests in a stop only while there is time for their answers

A stopping daemon took plain requests up to its exit with the time limit of the client, and cut them off there; streams were checked against the average answer, under a ledger only, and before they waited for their lease.

A request is passed on in a stop only if its deadline comes before the open requests are answered, 0.3 s before the exit; a stream, or a plain request with a limit longer than the grace period, also if it came in the notice and the longest of the last 64 answers of its service, a quarter longer, fits. Streams are checked before the lease, after it and after the prefill. What has no answer 0.3 s before the exit gets 503 if it was not passed on, else 502 or 504, and servers get no later deadline. A stream that has begun goes on to the exit. Bodies are read no longer than that, either.

TestStopping of front/stream uses the new option with the same times.

--- a/internal/front/router/body.go
+++ b/internal/front/router/body.go
@@ -6,15 +6,26 @@
 	"os"
 	"time"
 
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/route/config"
 )
 
-// readBody reads the body of a request within the published limits, nil for none. It
-// returns the status of a failure, 0 for none.
-func (r *Router) readBody(w http.ResponseWriter, httpReq *http.Request, l config.Limits) (*memory.Body, int) {
+// reasonBody is the reason of requests whose body is not as it has to be.
+const reasonBody = "body"
+
+// refusal says why a body was not read.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// readBody reads the body of a request within the published limits, nil for none. The
+// reading ends when open requests are answered in a stop.
+func (r *Router) readBody(w http.ResponseWriter, httpReq *http.Request, l config.Limits) (*memory.Body, *refusal) {
 	if httpReq.ContentLength == 0 {
-		return nil, 0
+		return nil, nil
 	}
 	control := http.NewResponseController(w)
 	wait := defaultTimeout
@@ -26,19 +37,25 @@
 	if l.Body > 0 {
 		limit = int64(l.Body)
 	}
+	inTime := r.grace.AfterAnswers(func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := r.memory.Read(httpReq.Body, limit)
+	if !inTime() {
+		body.Release()
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusServiceUnavailable, grace.Reason, grace.RetryAfter}
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
-		return body, 0
+		return body, nil
 	}
 	w.Header().Set("Connection", "close") // the rest of the body is not read
 	switch {
 	case errors.Is(err, memory.ErrTooLarge):
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	case errors.Is(err, memory.ErrExhausted):
-		return nil, http.StatusServiceUnavailable
+		return nil, &refusal{http.StatusServiceUnavailable, "memory", memoryRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, http.StatusRequestTimeout
+		return nil, &refusal{status: http.StatusRequestTimeout, reason: reasonBody}
 	}
-	return nil, http.StatusBadRequest
+	return nil, &refusal{status: http.StatusBadRequest, reason: reasonBody}
 }
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -14,6 +14,7 @@
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/site"
 	"citronrock.example/citronrock/internal/daemon/meter"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
@@ -89,8 +90,7 @@
 	stream        *stream.Handler
 	memory        *memory.Budget
 	stopping      atomic.Bool
-	// stopAt is when a stopping router exits.
-	stopAt atomic.Pointer[time.Time]
+	grace         *grace.Period
 	// started is closed once all parts are initialized. The listeners open earlier, so
 	// that requests may arrive before.
 	started chan struct{}
@@ -112,7 +112,7 @@
 // be used. Stop stops it.
 func Start(s *site.Settings, p Deps) (*Router, error) {
 	r := &Router{settings: s, ingress: p.Ingress, log: p.Log, meter: p.Meter, startedAt: time.Now(),
-		started: make(chan struct{})}
+		grace: grace.New(), started: make(chan struct{})}
 	p.Log.Info("start", "domain", s.Domain, "front", s.Front.String(), "peer", s.Peer.String(),
 		"seeds", len(s.Seeds), "store", s.Store.String(), "pid", os.Getpid())
 	var err error
@@ -137,8 +137,8 @@
 	if s.Memory > 0 {
 		r.memory = memory.New(int64(bodyMemoryShare * float64(s.Memory)))
 	}
-	r.unary = unary.New(r.table, r.backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory))
-	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithShutdownDeadline(r.shutdownDeadline),
+	r.unary = unary.New(r.table, r.backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory), unary.WithStop(r.grace))
+	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithStop(r.grace),
 		stream.WithWaste(func(service string, tokens int) { p.Meter.WastedTokens(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -244,7 +244,7 @@
 		o.Result, o.Reason = "broken", "stop"
 	}
 	o.Took = time.Since(received)
-	if end := r.shutdownDeadline(); !end.IsZero() {
+	if end := r.grace.Exit(); !end.IsZero() {
 		o.Stopping, o.GraceLeft = true, time.Until(end)
 	}
 	o.Age, _ = r.follower.Age()
@@ -278,14 +278,11 @@
 		return o
 	}
 	o.Route = route.Name
-	body, status := r.readBody(w, httpReq, d.Limits)
+	body, refused := r.readBody(w, httpReq, d.Limits)
 	defer body.Release()
-	if status != 0 {
-		o.Status, o.Result, o.Reason = status, "refused", "body"
-		if status == http.StatusServiceUnavailable {
-			o.Reason, o.RetryAfter = "memory", memoryRetryAfter
-		}
-		r.refuse(w, req, &o, http.StatusText(status))
+	if refused != nil {
+		o.Result, o.Status, o.Reason, o.RetryAfter = "refused", refused.status, refused.reason, refused.retryAfter
+		r.refuse(w, req, &o, http.StatusText(refused.status))
 		return o
 	}
 	if body != nil {
@@ -332,15 +329,6 @@
 	return out
 }
 
-// shutdownDeadline returns when this router exits, the zero time while it is not
-// stopping.
-func (r *Router) shutdownDeadline() time.Time {
-	if end := r.stopAt.Load(); end != nil {
-		return *end
-	}
-	return time.Time{}
-}
-
 // SetSeeds replaces the seeds after the settings were reloaded.
 func (r *Router) SetSeeds(seeds []netip.AddrPort) { r.gossip.SetSeeds(seeds) }
 
@@ -348,7 +336,7 @@
 // flight and those that still arrive.
 func (r *Router) Stop() {
 	end := time.Now().Add(max(r.settings.Bounds.TerminationGrace-shutdownReserve, time.Second))
-	r.stopAt.Store(&end)
+	r.grace.Begin(shutdownNotice, end)
 	r.stopping.Store(true)
 	r.log.Info("stop", "open", r.server.InFlight())
 	r.gossip.Leave()
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -46,11 +46,6 @@
 	// events counts as stalled, and minStallTimeout the shortest such time.
 	stallGaps       = 4
 	minStallTimeout = 1200 * time.Millisecond
-	// shutdownMargin is the multiple of the average duration of an answer that must be
-	// left before this daemon exits. Otherwise the client is refused and retries after
-	// shutdownRetryAfter at another daemon.
-	shutdownMargin     = 1.5
-	shutdownRetryAfter = 100 * time.Millisecond
 	// freeTimeout bounds the release of a KV cache.
 	freeTimeout = 400 * time.Millisecond
 	// responseLimit bounds a response other than a stream, in bytes.
@@ -77,7 +72,9 @@
 	// that is the header of a stream, and mayHaveRun once the request may have run at
 	// an engine.
 	headerSent, streaming, mayHaveRun bool
-	sends, runs                       int
+	// keep keeps the end of the grace period from ending a stream that has begun.
+	keep        func() bool
+	sends, runs int
 	// limited counts the leases that were not used because of limits of engines.
 	limited int
 	events  int
@@ -101,11 +98,14 @@
 
 func (j *job) run(ctx context.Context) {
 	for leases := 0; leases < maxLeases+min(j.limited, maxLimited); leases++ {
-		if !j.acquire(ctx) {
+		if j.refuseStop(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
 			return
 		}
 		next := j.prefill(ctx)
 		if next == finish && j.outcome.Result == "" {
+			if j.refuseStop(ctx) {
+				return
+			}
 			next = j.decode(ctx)
 		}
 		if next == finish {
@@ -195,12 +195,6 @@
 		j.lease, j.leasedAt = lease.Unmanaged(s.ID), time.Now()
 		return true
 	}
-	if deadline := j.shutdownDeadline(); !j.streaming && !deadline.IsZero() && time.Until(deadline) < time.Duration(shutdownMargin*float64(j.holdTime(j.service.Name))) {
-		// Another daemon has enough time for the complete answer.
-		j.outcome.RetryAfter = shutdownRetryAfter
-		j.fail(ctx, "stop")
-		return false
-	}
 	elapsed := time.Since(j.req.Received)
 	slack := j.route.Target - elapsed - j.firstEventDelay(j.service.Name)
 	leaseReq := ledger.Request{Service: j.service.Name, Prompt: promptTokens(j.req), Expected: j.expectedOutput(j.route.Name, j.req),
@@ -271,7 +265,7 @@
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	resp, err := j.backends.Send(runCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline), Cache: j.cache, LastEventID: j.lastEventID})
+	resp, err := j.backends.Send(runCtx, s, j.req, proxy.Options{Timeout: j.serverTime(), Cache: j.cache, LastEventID: j.lastEventID})
 	if isLimited(err) {
 		report(time.Now(), pool.Unknown, 0)
 		j.freeOldCache(ctx)
--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -31,7 +31,7 @@
 	defer cancel()
 	start := time.Now()
 	report := j.table.Begin(s.ID)
-	cache, err := j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	cache, err := j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: j.serverTime()})
 	if isLimited(err) {
 		report(time.Now(), pool.Unknown, 0)
 		return j.retryUnlimited(ctx, s.ID)
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -42,6 +42,9 @@
 			stall.Reset(limit)
 		}
 		if !j.streaming {
+			if !j.keep() {
+				return errStopped
+			}
 			j.startStream(resp)
 		}
 		if _, err = j.out.Write(e.bytes); err == nil {
@@ -88,6 +91,6 @@
 		j.startStream(resp)
 	}
 	j.learnOutput(j.route.Name, j.req, j.generated())
-	j.learnHoldTime(j.service.Name, time.Since(j.leasedAt))
+	j.recent.Add(j.service.Name, time.Since(j.leasedAt))
 	return nil
 }
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
@@ -41,16 +42,13 @@
 	guard    *crash.Guard
 	memory   *memory.Budget
 	verify   func(pool.Server)
-	// shutdownDeadline returns when this daemon exits, the zero time while it is not
-	// stopping.
-	shutdownDeadline func() time.Time
+	stop     *grace.Period
+	// recent are the times from the grant to the end of the answer.
+	recent grace.Recent
 
 	mu               sync.Mutex
 	outputShares     map[string]*outputShare
 	firstEventDelays map[string]time.Duration
-	// holdTimes are the average times from the grant to the end of the answer, by
-	// service.
-	holdTimes map[string]time.Duration
 }
 
 // Option configures a handler.
@@ -70,12 +68,6 @@
 // misdirected still matches its entry. Its stage may have changed.
 func WithVerify(f func(pool.Server)) Option { return func(h *Handler) { h.verify = f } }
 
-// WithShutdownDeadline sets a function that returns when this daemon exits, the zero
-// time while it is not stopping.
-func WithShutdownDeadline(f func() time.Time) Option {
-	return func(h *Handler) { h.shutdownDeadline = f }
-}
-
 // WithGuard sets the guard that counts the engines which a request has crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
@@ -86,8 +78,8 @@
 // leases on engines from g.
 func New(table *pool.Table, b citronrock.Backends, i citronrock.Ingress, g Acquirer, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, acquirer: g, quota: q, log: log,
-		onWaste: func(string, int) {}, verify: func(pool.Server) {}, shutdownDeadline: func() time.Time { return time.Time{} },
-		outputShares: map[string]*outputShare{}, firstEventDelays: map[string]time.Duration{}, holdTimes: map[string]time.Duration{}}
+		onWaste: func(string, int) {}, verify: func(pool.Server) {}, stop: grace.New(),
+		outputShares: map[string]*outputShare{}, firstEventDelays: map[string]time.Duration{}}
 	for _, o := range opts {
 		o(h)
 	}
@@ -171,24 +163,6 @@
 	h.firstEventDelays[service] = movingAverage(mean, d)
 }
 
-// holdTime returns the average time from a grant to the end of the answer, zero
-// while it is not known.
-func (h *Handler) holdTime(service string) time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.holdTimes[service]
-}
-
-func (h *Handler) learnHoldTime(service string, d time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	mean, ok := h.holdTimes[service]
-	if !ok {
-		mean = d
-	}
-	h.holdTimes[service] = movingAverage(mean, d)
-}
-
 // promptTokens returns the length of a request's prompt in tokens, estimated if the
 // client does not state it.
 func promptTokens(req *proxy.Request) int {
@@ -215,10 +189,14 @@
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, req *proxy.Request, r *config.Route, s config.Service, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, req: req, route: r, service: s, deadline: deadline, out: w, lastEventID: req.LastEventID}
 	proxy.LimitWrites(w, deadline)
+	ctx, keep, release := h.stop.Bind(ctx)
+	defer release()
+	j.keep = keep
 	func() {
 		defer j.release(ctx) // also after a panic: the capacity must be freed
 		j.run(ctx)
 	}()
+	j.noteStop(ctx)
 	o := &j.outcome
 	o.Attempts, o.Events, o.PromptTokens, o.Resumes = j.sends, j.events, promptTokens(req), req.Resumes
 	if errors.Is(context.Cause(ctx), context.Canceled) && o.Result != "ok" {
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -16,6 +16,7 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/stream"
@@ -189,13 +190,13 @@
 		t.Run(name, func(t *testing.T) {
 			w := &fakeBackends{runs: []run{{status: 200, from: 1, to: 4, lasts: 200 * time.Millisecond}}}
 			w.freed = make(chan string, 8)
-			var end time.Time
-			h := newHandler(table(), w, stream.WithShutdownDeadline(func() time.Time { return end }))
+			stop := grace.New()
+			h := newHandler(table(), w, stream.WithStop(stop))
 			if rec, _ := handle(t, h, false, 3*time.Second); rec.Code != http.StatusOK {
 				t.Fatalf("status %d before the stop", rec.Code)
 			}
 			if c.left != 0 {
-				end = time.Now().Add(c.left)
+				stop.Begin(time.Second, time.Now().Add(c.left))
 			}
 			rec, o := handle(t, h, false, 3*time.Second)
 			if rec.Code != c.status || c.status != http.StatusOK && (o.Reason != "stop" || o.RetryAfter <= 0 || len(w.sends) != 1) {
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -11,6 +11,7 @@
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
@@ -45,6 +46,9 @@
 	log      *lines.Log
 	guard    *crash.Guard
 	memory   *memory.Budget
+	stop     *grace.Period
+	// recent are the times from the first attempt at a server to its answer.
+	recent grace.Recent
 }
 
 // Option configures a handler.
@@ -59,9 +63,12 @@
 // WithMemory sets the budget for responses, which are held in memory completely.
 func WithMemory(b *memory.Budget) Option { return func(h *Handler) { h.memory = b } }
 
+// WithStop sets the grace period that bounds requests.
+func WithStop(p *grace.Period) Option { return func(h *Handler) { h.stop = p } }
+
 // New returns a handler that sends requests to the servers of the table.
 func New(table *pool.Table, b citronrock.Backends, i citronrock.Ingress, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
-	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log}
+	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log, stop: grace.New()}
 	for _, o := range opts {
 		o(h)
 	}
@@ -95,6 +102,8 @@
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, req *proxy.Request, r *config.Route, service string, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, req: req, route: r, service: service, deadline: deadline}
 	proxy.LimitWrites(w, deadline)
+	ctx, _, release := h.stop.Bind(ctx)
+	defer release()
 	resp, v := j.run(ctx)
 	defer j.releaseBodies(resp)
 	out := lines.Outcome{Attempts: j.sends}
@@ -111,7 +120,7 @@
 		return out
 	}
 	out.Reason = string(v.Reason)
-	if v.Kind == citronrock.NotRun && len(h.table.Held(time.Now(), service)) > 0 {
+	if v.Kind == citronrock.NotRun && v.Reason != grace.Reason && len(h.table.Held(time.Now(), service)) > 0 {
 		out.Reason = string(citronrock.ReasonLimit)
 	}
 	switch {
@@ -138,6 +147,11 @@
 			v.Reason = citronrock.ReasonSuspect
 			return j.failure, v
 		}
+		if !j.maybeReceived && !j.stop.Admits(j.req.Received, j.deadline, j.recent.Longest(j.service)) {
+			v := j.decide(event.FaultRefused, nil)
+			v.Reason, v.RetryAfter = grace.Reason, grace.RetryAfter
+			return j.failure, v
+		}
 		resp, fault, limited := j.send(ctx, server)
 		if limited && ctx.Err() == nil {
 			j.excluded = append(j.excluded, server.ID)
@@ -152,6 +166,9 @@
 		if ctx.Err() != nil {
 			v := j.decide(fault, nil)
 			v.Reason = citronrock.ReasonDeadline
+			if grace.Ended(ctx) {
+				v.Reason, v.RetryAfter = grace.Reason, min(v.RetryAfter, grace.RetryAfter)
+			}
 			return j.failure, v
 		}
 		v := j.decide(fault, j.retryPermit(fault))
@@ -230,6 +247,7 @@
 	report(time.Now(), serverOutcome(ctx, resp, fault), took)
 	switch {
 	case resp != nil:
+		j.recent.Add(j.service, took)
 		j.guard.RecordSuccess(j.req, j.service)
 	case fault == event.FaultBroken:
 		j.guard.RecordBroken(j.req, s, start, crash.Progress{})
@@ -251,7 +269,7 @@
 
 // exchange sends the request and reads the complete response.
 func (j *job) exchange(ctx context.Context, s pool.Server) (*response, event.Fault, error) {
-	upstream, err := j.backends.Send(ctx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	upstream, err := j.backends.Send(ctx, s, j.req, proxy.Options{Timeout: time.Until(j.stop.Limit(j.deadline, false))})
 	if err != nil {
 		var f *proxy.SendError
 		if !errors.As(err, &f) {
