--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -64,10 +64,11 @@
 	defer cancel(nil)
 	stall := j.watch(ctx, cancel, s, prefillTimeout, pool.Broken)
 	defer stall.stop()
+	timeout := j.serverTime()
 	func() {
 		stall.unlock()
 		defer stall.lock()
-		cache, err = j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+		cache, err = j.backends.Prefill(prefillCtx, s, j.req, proxy.Options{Timeout: timeout})
 	}()
 	givenUp := stall.verdict()
 	switch {
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -35,6 +35,9 @@
 			return &proxy.SendError{Fault: event.FaultBroken, Err: err}
 		}
 		if !j.streaming {
+			if !j.keep() {
+				return errStopped
+			}
 			j.startStream(resp)
 		}
 		if _, err = j.out.Write(e.bytes); err == nil {
@@ -82,6 +85,6 @@
 		j.startStream(resp)
 	}
 	j.learnOutput(j.route.Name, j.req, j.generated())
-	j.learnHoldTime(j.service.Name, time.Since(j.leasedAt))
+	j.recent.Add(j.service.Name, time.Since(j.leasedAt))
 	return nil
 }
--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -157,6 +157,7 @@
 	a.report(time.Now(), a.outcome(ctx), took)
 	switch {
 	case a.resp != nil:
+		j.recent.Add(j.service, took)
 		j.guard.RecordSuccess(j.req, j.service)
 	case a.fault == event.FaultBroken:
 		j.guard.RecordBroken(j.req, a.server, a.start, crash.Progress{})
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -11,6 +11,7 @@
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
@@ -41,6 +42,9 @@
 	log      *lines.Log
 	guard    *crash.Guard
 	memory   *memory.Budget
+	stop     *grace.Period
+	// recent are the times from the first attempt at a server to its answer.
+	recent grace.Recent
 }
 
 // Option configures a handler.
@@ -55,9 +59,12 @@
 // WithMemory sets the budget for responses, which are held in memory completely.
 func WithMemory(b *memory.Budget) Option { return func(h *Handler) { h.memory = b } }
 
+// WithStop sets the grace period that bounds requests.
+func WithStop(p *grace.Period) Option { return func(h *Handler) { h.stop = p } }
+
 // New returns a handler that sends requests to the servers of the table.
 func New(table *pool.Table, b citronrock.Backends, i citronrock.Ingress, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
-	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log}
+	h := &Handler{table: table, backends: b, ingress: i, quota: q, log: log, stop: grace.New()}
 	for _, o := range opts {
 		o(h)
 	}
@@ -92,6 +99,8 @@
 	j := &job{Handler: h, req: req, route: r, service: service, deadline: deadline}
 	j.ended = make(chan *attempt, r.Attempts+extraSends+1)
 	proxy.LimitWrites(w, deadline)
+	ctx, _, release := h.stop.Bind(ctx)
+	defer release()
 	defer j.join(ctx)
 	resp, v := j.run(ctx)
 	defer j.releaseBodies(resp)
@@ -109,7 +118,7 @@
 		return out
 	}
 	out.Reason = string(v.Reason)
-	if v.Kind == citronrock.NotRun && len(h.table.Held(time.Now(), service)) > 0 {
+	if v.Kind == citronrock.NotRun && v.Reason != grace.Reason && len(h.table.Held(time.Now(), service)) > 0 {
 		out.Reason = string(citronrock.ReasonLimit)
 	}
 	switch {
@@ -138,6 +147,11 @@
 				v.Reason = citronrock.ReasonSuspect
 				return j.failure, v
 			}
+			if !j.maybeReceived && !j.stop.Admits(j.req.Received, j.deadline, j.recent.Longest(j.service)) {
+				v := j.decide(event.FaultRefused, nil)
+				v.Reason, v.RetryAfter = grace.Reason, grace.RetryAfter
+				return j.failure, v
+			}
 			j.start(ctx, server)
 		}
 		a := j.next(ctx)
@@ -154,6 +168,9 @@
 			j.maybeReceived = j.maybeReceived || len(j.open) > 0
 			v := j.decide(a.fault, nil)
 			v.Reason = citronrock.ReasonDeadline
+			if grace.Ended(ctx) {
+				v.Reason, v.RetryAfter = grace.Reason, min(v.RetryAfter, grace.RetryAfter)
+			}
 			return j.failure, v
 		}
 		if len(j.open) > 0 {
@@ -209,7 +226,7 @@
 
 // exchange sends the request and reads the complete response.
 func (j *job) exchange(ctx context.Context, s pool.Server) (*response, event.Fault, error) {
-	upstream, err := j.backends.Send(ctx, s, j.req, proxy.Options{Timeout: time.Until(j.deadline)})
+	upstream, err := j.backends.Send(ctx, s, j.req, proxy.Options{Timeout: time.Until(j.stop.Limit(j.deadline, false))})
 	if err != nil {
 		var f *proxy.SendError
 		if !errors.As(err, &f) {
