Find which software versions can have begun a stream that still goes on

A stream that is taken up at a daemon without a record of it may go on if only one version can have begun it.

--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -28,7 +28,10 @@
 	CPUShare uint32
 	// Memory is the memory limit of the process in bytes; zero means no limit.
 	Memory int64
-	Bounds Bounds
+	// Heartbeat is about the interval at which backend servers write their entries, zero if
+	// it is not known.
+	Heartbeat time.Duration
+	Bounds    Bounds
 }
 
 // Bounds are the limits of the contract with the platform.
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -100,6 +100,10 @@
 	backoff map[Process]time.Time
 	// holds has the processes whose limits leave no room for this daemon's requests.
 	holds map[Process]hold
+	// versionSeen is when the last entry with a version of the software went away,
+	// observedSince since when no change of the entries was missed.
+	versionSeen   map[versionKey]time.Time
+	observedSince time.Time
 	// outageEnd is when the last store outage ended.
 	outageEnd  time.Time
 	outage     bool
@@ -122,7 +126,7 @@
 // New returns an empty table.
 func New(opts ...Option) *Table {
 	t := &Table{servers: map[string]*record{}, misdirected: map[Process]time.Time{}, tombstones: map[Process]uint64{},
-		draining: map[Process]time.Time{}, backoff: map[Process]time.Time{}, holds: map[Process]hold{},
+		draining: map[Process]time.Time{}, backoff: map[Process]time.Time{}, holds: map[Process]hold{}, versionSeen: map[versionKey]time.Time{},
 		onChange: func() {}, onSuspect: func(Server) {}, onDraining: func(Server) {}}
 	for _, o := range opts {
 		o(t)
@@ -163,6 +167,9 @@
 		return false
 	}
 	delete(t.tombstones, s.Process())
+	if r != nil && (r.Service != s.Service || r.Version != s.Version) {
+		t.noteVersion(time.Now(), r.Server)
+	}
 	changed := r == nil || r.Process() != s.Process() || r.Addr != s.Addr
 	if changed {
 		t.servers[s.ID] = &record{Server: s}
@@ -204,6 +211,7 @@
 		}
 	} else {
 		t.tombstones[r.Process()] = r.Sequence
+		t.noteVersion(now, r.Server)
 		delete(t.servers, id)
 	}
 	t.mu.Unlock()
@@ -223,6 +231,7 @@
 		}
 	}
 	t.mu.Lock()
+	t.observedSince = now // entries may have come and gone before
 	var missing []string
 	for id, r := range t.servers {
 		if !seen[id] && r.Revision.Compare(revision) <= 0 {
@@ -265,6 +274,7 @@
 	var out []Server
 	for id, r := range t.servers {
 		if !r.removedAt.IsZero() && now.Sub(r.removedAt) > renewalGrace {
+			t.noteVersion(r.removedAt, r.Server)
 			delete(t.servers, id)
 			continue
 		}
