Grant leases at engines of a given software version only

Request has the field version now (empty: any, as before), Engine too. Decode candidates, the predicted wait and the memory of requests without room count only that version's engines; large fleets look up the engines of a version by an index instead of a sample of all. A request whose version no engine has is refused at once, also when the last one leaves while it waits. The prefill engine is one of the decode engine's version among equals.

--- a/internal/room/lease/manager.go
+++ b/internal/room/lease/manager.go
@@ -272,7 +272,7 @@
 				slots = s.Slots
 			}
 			engines = append(engines, ledger.Engine{ID: s.ID, Domain: s.Domain, Stage: s.Stage,
-				Slots: slots, Tokens: capacity.Tokens, StartedAt: s.StartedAt})
+				Slots: slots, Tokens: capacity.Tokens, StartedAt: s.StartedAt, Version: s.Version})
 		}
 		m.ledger(service).SetEngines(now, engines)
 	}
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -207,21 +207,6 @@
 	return out
 }
 
-// idsByStage returns the IDs of a stage's engines in sorted order. The caller must
-// not modify the slice.
-func (l *Ledger) idsByStage(stage pool.Stage) []string {
-	if l.stageIDs == nil {
-		l.stageIDs = map[pool.Stage][]string{}
-		for _, e := range l.engines {
-			l.stageIDs[e.Stage] = append(l.stageIDs[e.Stage], e.ID)
-		}
-		for _, list := range l.stageIDs {
-			slices.Sort(list)
-		}
-	}
-	return l.stageIDs[stage]
-}
-
 // wantedPrefill returns how many of n engines should be prefill engines: the
 // smallest number that can keep the remaining decode engines busy. It returns false
 // while too little has been measured.
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -174,10 +174,10 @@
 	// dirty is set when capacity may have become free for queued requests.
 	dirty    bool
 	placedAt time.Time
-	misfit   misfit
-	// stageIDs are the engine IDs by stage, sorted; nil when they have to be collected
-	// again.
-	stageIDs map[pool.Stage][]string
+	misfits  misfits
+	// groupIDs are the engine IDs by stage and version, sorted; nil when they have to be
+	// collected again.
+	groupIDs map[group][]string
 	// expiredAt is when expired state was last removed.
 	expiredAt time.Time
 }
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -45,42 +45,65 @@
 // freed. Requests that need at least as much are not tried again until memory is
 // freed or placeInterval has passed.
 type misfit struct {
-	since               time.Time
 	noDecode, noPrefill bool
 	prompt, expected    int
 }
 
-func (m *misfit) record(req *Request, v placement) {
+func (m misfit) record(req *Request, v placement) misfit {
 	switch {
-	case len(req.Excluded)+len(req.Held) > 0:
 	case v == noPrefillRoom:
 		m.noPrefill = true
 	case !m.noDecode || req.Prompt <= m.prompt && req.Expected <= m.expected:
 		m.noDecode, m.prompt, m.expected = true, req.Prompt, req.Expected
 	}
+	return m
 }
 
-func (m *misfit) excludes(req *Request) bool {
+func (m misfit) excludes(req *Request) bool {
 	return m.noDecode && req.Prompt >= m.prompt && req.Expected >= m.expected || m.noPrefill && !req.Prefilled
 }
 
+// misfits are the misfits by the version that requests ask for.
+type misfits struct {
+	since     time.Time
+	byVersion map[string]misfit
+}
+
+// record remembers a request without capacity. One that may not use some engines says
+// nothing about others.
+func (m *misfits) record(req *Request, v placement) {
+	if len(req.Excluded)+len(req.Held) > 0 {
+		return
+	}
+	if m.byVersion == nil {
+		m.byVersion = map[string]misfit{}
+	}
+	m.byVersion[req.Version] = m.byVersion[req.Version].record(req, v)
+}
+
+// excludes reports whether a request needs no further try: what finds no capacity at
+// engines of all versions finds none at those of one.
+func (m *misfits) excludes(req *Request) bool {
+	return m.byVersion[""].excludes(req) || m.byVersion[req.Version].excludes(req)
+}
+
 // capacityFreed records that capacity may have become free, so that the queue is
 // tried again.
-func (l *Ledger) capacityFreed() { l.dirty, l.misfit = true, misfit{} }
+func (l *Ledger) capacityFreed() { l.dirty, l.misfits = true, misfits{} }
 
 // enginesChanged drops what depends on the list of engines and their stages.
 func (l *Ledger) enginesChanged() {
 	l.capacityFreed()
-	l.stageIDs = nil
+	l.groupIDs = nil
 }
 
 // candidates returns the engines of a stage that a request may use, in order of
-// their IDs. Unhealthy engines are left out unless no other is usable. In a large
+// their IDs: decode engines of its version only. Unhealthy engines are left out unless no other is usable. In a large
 // fleet only a sample is returned, unless all is set. Its starting point depends on
 // the request.
 func (l *Ledger) candidates(now time.Time, req *Request, stage pool.Stage, all bool) []string {
 	unhealthy := l.unhealthy()
-	ids := l.idsByStage(stage)
+	ids := l.engineIDs(stage, req)
 	want := len(ids)
 	if want > fullSearchLimit && !all {
 		want = sampleSize
@@ -116,7 +139,7 @@
 // or when all have long queues and the decode engine prefills the prompt itself.
 func (l *Ledger) place(now time.Time, req *Request) (decode, prefill string, v placement) {
 	best, ok := l.bestDecode(now, req, l.candidates(now, req, pool.Decode, false))
-	if !ok && len(l.idsByStage(pool.Decode)) > fullSearchLimit {
+	if !ok && len(l.engineIDs(pool.Decode, req)) > fullSearchLimit {
 		best, ok = l.bestDecode(now, req, l.candidates(now, req, pool.Decode, true))
 	}
 	if !ok {
@@ -149,29 +172,31 @@
 func (l *Ledger) bestDecode(now time.Time, req *Request, ids []string) (best Engine, ok bool) {
 	low := 0.0
 	for _, id := range ids {
-		e := l.engines[id]
-		if now.Sub(l.fullAt[id]) < fullCooldown {
-			continue
-		}
-		need, slots := peakNeed(l.projectedRuns(now, id), req, l.outputDeviation())
-		tokens, taken := l.untrackedUse(now, id)
-		need, slots = need+tokens, slots+taken
-		// A request larger than the share of memory that may be granted runs on an
-		// otherwise empty engine.
-		if slots > e.Slots || req.Prompt > e.Tokens || slots > 1 && float64(need) > grantShare*float64(e.Tokens) {
-			continue
-		}
-		cost := max(float64(need)/float64(e.Tokens), float64(slots)/float64(e.Slots))
-		if e.Domain != req.Domain {
-			cost += crossDomainDecode
-		}
-		if !ok || cost < low {
-			best, low, ok = e, cost, true
+		if cost, fits := l.decodeCost(now, req, l.engines[id]); fits && (!ok || cost < low) {
+			best, low, ok = l.engines[id], cost, true
 		}
 	}
 	return best, ok
 }
 
+// decodeCost returns the peak load of an engine after adding a request, and whether the
+// engine has room for it.
+func (l *Ledger) decodeCost(now time.Time, req *Request, e Engine) (cost float64, fits bool) {
+	if now.Sub(l.fullAt[e.ID]) < fullCooldown {
+		return math.Inf(1), false
+	}
+	need, slots := peakNeed(l.projectedRuns(now, e.ID), req, l.outputDeviation())
+	tokens, taken := l.untrackedUse(now, e.ID)
+	need, slots = need+tokens, slots+taken
+	cost = max(float64(need)/float64(e.Tokens), float64(slots)/float64(e.Slots))
+	if e.Domain != req.Domain {
+		cost += crossDomainDecode
+	}
+	// A request larger than the share of memory that may be granted runs on an
+	// otherwise empty engine.
+	return cost, slots <= e.Slots && req.Prompt <= e.Tokens && (slots == 1 || float64(need) <= grantShare*float64(e.Tokens))
+}
+
 // projectedRuns returns the estimated memory of the runs of a decode engine.
 func (l *Ledger) projectedRuns(now time.Time, engine string) []growth {
 	list := l.runs.byDecode[engine]
@@ -193,7 +218,8 @@
 
 // bestPrefill returns the prefill engine with the shortest queue and the length of
 // that queue in tokens. Engines outside the failure domain of the decode engine are
-// charged crossDomainPrefill. In a large fleet only a sample is compared, unless all
+// charged crossDomainPrefill; among equals, one of the decode engine's version is
+// chosen. In a large fleet only a sample is compared, unless all
 // is set.
 func (l *Ledger) bestPrefill(now time.Time, req *Request, decode Engine, all bool) (id string, queue int) {
 	best, low := "", 0
@@ -203,7 +229,7 @@
 		if e.Domain != decode.Domain {
 			cost += crossDomainPrefill
 		}
-		if best == "" || cost < low {
+		if best == "" || cost < low || cost == low && e.Version == decode.Version && l.engines[best].Version != decode.Version {
 			best, low, queue = e.ID, cost, queued
 		}
 	}
@@ -211,7 +237,8 @@
 }
 
 // predictWait estimates how long a request will wait behind the given number of
-// queued requests. It returns a reason when the request can't be served at all.
+// queued requests, of which those count that compete for engines of its version. It
+// returns a reason when the request can't be served at all.
 func (l *Ledger) predictWait(now time.Time, q *queuedRequest, ahead int) (time.Duration, string) {
 	engines := l.candidates(now, &q.Request, pool.Decode, false)
 	if len(engines) == 0 {
@@ -224,15 +251,15 @@
 	if q.Prompt > large {
 		return maxRetryAfter, ReasonTooLarge
 	}
-	need := float64(q.Prompt + q.Expected)
-	for _, earlier := range l.queue[:min(ahead, len(l.queue))] {
-		if earlier != q {
-			need += float64(earlier.Prompt + earlier.Expected)
-		}
-	}
-	rate := l.throughput()
-	if rate <= 0 {
+	rates := l.rates()
+	if rates.of(q.Version) <= 0 {
 		return maxRetryAfter, ReasonNoEngine
 	}
-	return time.Duration(need / rate * float64(time.Second)), ""
+	earlier := newBacklog()
+	for _, e := range l.queue[:min(ahead, len(l.queue))] {
+		if e != q {
+			earlier.add(&e.Request)
+		}
+	}
+	return earlier.wait(rates, &q.Request), ""
 }
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -81,27 +81,26 @@
 	if len(l.queue) == 0 || !l.dirty && now.Sub(l.placedAt) < placeInterval {
 		return nil
 	}
-	if now.Sub(l.misfit.since) > placeInterval {
-		l.misfit = misfit{since: now} // estimates free memory without a report
+	if now.Sub(l.misfits.since) > placeInterval {
+		l.misfits = misfits{since: now} // estimates free memory without a report
 	}
 	l.dirty, l.placedAt = false, now
 	var out []Reply
 	l.sortQueue(now)
 	kept := l.queue[:0]
-	rate, need := l.throughput(), 0.0
+	rates, earlier := l.rates(), newBacklog()
 	for _, q := range l.queue {
-		if !l.misfit.excludes(&q.Request) {
+		if !l.misfits.excludes(&q.Request) {
 			d, p, v := l.place(now, &q.Request)
 			if v == placed {
 				out = append(out, l.grant(now, q, d, p))
 				continue
 			}
-			l.misfit.record(&q.Request, v)
+			l.misfits.record(&q.Request, v)
 		}
-		need += float64(q.Prompt + q.Expected)
-		if now.After(q.refuseAt) || rate > 0 && now.Add(time.Duration(need/rate*float64(time.Second))).After(q.refuseAt) {
+		rate := rates.of(q.Version)
+		if now.After(q.refuseAt) || rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt) {
 			wait, reason := l.predictWait(now, q, len(kept))
-			need -= float64(q.Prompt + q.Expected)
 			fallback := ReasonMaxWait
 			if now.Before(q.refuseAt) {
 				fallback = ReasonLate
@@ -109,6 +108,7 @@
 			out = append(out, l.refuse(now, q, wait, cmp.Or(reason, fallback)))
 			continue
 		}
+		earlier.add(&q.Request)
 		kept = append(kept, q)
 	}
 	clear(l.queue[len(kept):])
@@ -159,7 +159,9 @@
 // refuse refuses a request with the delay after which the client should retry.
 // Retries are scheduled in the order of refusals, spaced by the rate at which memory
 // becomes free beyond the demand of new requests, so that they don't return as
-// another burst. Without spare capacity they are spread over a fixed period.
+// another burst. Without spare capacity they are spread over a fixed period. A
+// version that no engine has may come back, so that the client is asked to try once
+// more, late.
 func (l *Ledger) refuse(now time.Time, q *queuedRequest, wait time.Duration, reason string) Reply {
 	if q.Fingerprint != 0 {
 		l.refusedAt[q.Fingerprint] = now
@@ -168,18 +170,25 @@
 	if q.MaxRetryAfter > 0 {
 		latest = min(latest, q.MaxRetryAfter)
 	}
-	spare := l.throughput() - l.demand(now)
+	rate := l.throughput()
+	spare := rate - l.demand(now)
 	at := now.Add(max(wait, minRetryAfter))
-	if spare < minSpareShare*l.throughput() {
+	gone := q.Version != "" && reason == ReasonNoEngine
+	switch next := l.lastRetryAt.Add(time.Duration(float64(q.Prompt+q.Expected) / spare * float64(time.Second))); {
+	case gone:
+		at = now.Add(latest)
+	case spare <= 0 || spare < minSpareShare*rate:
 		l.retryPhase = math.Mod(l.retryPhase+math.Phi-1, 1)
 		at = now.Add(time.Duration((1 - retrySpread*l.retryPhase) * float64(latest)))
-	} else if next := l.lastRetryAt.Add(time.Duration(float64(q.Prompt+q.Expected) / spare * float64(time.Second))); at.Before(next) {
+	case at.Before(next):
 		at = next
 	}
 	if limit := now.Add(latest); at.After(limit) {
 		at = limit
 	}
-	l.lastRetryAt = at
+	if !gone {
+		l.lastRetryAt = at
+	}
 	reply := Reply{To: q.edge, Service: l.service, Incarnation: q.Incarnation, ID: q.ID, Status: Refused,
 		RetryAfter: at.Sub(now), Reason: reason, Wait: wait, Ahead: len(l.queue), Load: float32(l.load())}
 	l.replies[q.key()] = sentReply{reply, now}
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -22,6 +22,8 @@
 	// StartedAt is the start time of the engine's process. Stage orders don't survive a
 	// restart.
 	StartedAt time.Time
+	// Version is the version of the engine's software, empty if it is not known.
+	Version string
 }
 
 // Phase is the progress of a run.
@@ -109,6 +111,9 @@
 	// Gap is the longest pause between events with which a response still meets its
 	// target.
 	Gap time.Duration `cbor:"16,keyasint,omitempty"`
+	// Version is the version of the decode engines that may be chosen, because they have
+	// to go on with what one of it began. Empty allows all.
+	Version string `cbor:"18,keyasint,omitempty"`
 }
 
 // Bounds of the numbers in peer messages: far above what engines can hold, and small
--- /dev/null
+++ b/internal/room/ledger/version.go
@@ -0,0 +1,128 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+// group is a stage and a version of engines. The empty version stands for all.
+type group struct {
+	stage   pool.Stage
+	version string
+}
+
+// idsByStage returns the IDs of a stage's engines in sorted order. The caller must
+// not modify the slice.
+func (l *Ledger) idsByStage(stage pool.Stage) []string { return l.groups()[group{stage: stage}] }
+
+// engineIDs returns the IDs of a stage's engines that may serve a request in sorted
+// order. The version of prefill engines doesn't matter. The caller must not modify the
+// slice.
+func (l *Ledger) engineIDs(stage pool.Stage, req *Request) []string {
+	if stage == pool.Prefill {
+		return l.idsByStage(stage)
+	}
+	return l.groups()[group{stage, req.Version}]
+}
+
+func (l *Ledger) groups() map[group][]string {
+	if l.groupIDs == nil {
+		l.groupIDs = map[group][]string{}
+		add := func(g group, id string) { l.groupIDs[g] = append(l.groupIDs[g], id) }
+		for _, e := range l.engines {
+			add(group{stage: e.Stage}, e.ID)
+			if e.Version != "" {
+				add(group{e.Stage, e.Version}, e.ID)
+			}
+		}
+		for _, list := range l.groupIDs {
+			slices.Sort(list)
+		}
+	}
+	return l.groupIDs
+}
+
+// rates are the memory in tokens that can be granted per second, in all and by version.
+type rates struct {
+	total     float64
+	byVersion map[string]float64
+}
+
+// rates divides the throughput among the versions by the memory of their decode engines.
+func (l *Ledger) rates() rates {
+	out, all := rates{l.throughput(), map[string]float64{}}, 0.0
+	for _, e := range l.engines {
+		if e.Stage != pool.Prefill {
+			out.byVersion[e.Version] += float64(e.Tokens)
+			all += float64(e.Tokens)
+		}
+	}
+	for v := range out.byVersion {
+		out.byVersion[v] *= out.total / max(all, 1)
+	}
+	return out
+}
+
+// of returns the rate of a version, in all for the empty one.
+func (r rates) of(version string) float64 {
+	if version == "" {
+		return r.total
+	}
+	return r.byVersion[version]
+}
+
+// backlog is the memory in tokens that queued requests need: those that any engine may
+// serve, and those for one version.
+type backlog struct {
+	shared    float64
+	byVersion map[string]float64
+}
+
+func newBacklog() *backlog { return &backlog{byVersion: map[string]float64{}} }
+
+func (b *backlog) add(req *Request) {
+	need := float64(req.Prompt + req.Expected)
+	if req.Version == "" {
+		b.shared += need
+		return
+	}
+	b.byVersion[req.Version] += need
+}
+
+// wait returns the time after which a request is served behind the backlog. The rate of
+// the engines that may serve it must be above zero.
+func (b *backlog) wait(r rates, req *Request) time.Duration {
+	seconds := func(need, rate float64) time.Duration {
+		return time.Duration(min(need/rate, maxDuration.Seconds()) * float64(time.Second))
+	}
+	need := float64(req.Prompt + req.Expected)
+	if req.Version != "" {
+		rate := r.byVersion[req.Version]
+		return seconds(need+b.byVersion[req.Version]+b.shared*rate/r.total, rate)
+	}
+	need += b.shared
+	if len(b.byVersion) == 0 {
+		return seconds(need, r.total)
+	}
+	// Engines of each version serve any request once they have served those for their
+	// version, so that versions are added in the order in which they get there.
+	type version struct{ need, rate float64 }
+	var versions []version
+	for v, rate := range r.byVersion {
+		if rate > 0 {
+			versions = append(versions, version{b.byVersion[v], rate})
+		}
+	}
+	slices.SortFunc(versions, func(a, b version) int { return cmp.Compare(a.need*b.rate, b.need*a.rate) })
+	rate := 0.0
+	for i, v := range versions {
+		need, rate = need+v.need, rate+v.rate
+		if i+1 == len(versions) || need/rate <= versions[i+1].need/versions[i+1].rate {
+			break
+		}
+	}
+	return seconds(need, rate)
+}
