Let streams that go on come before new requests in the ledger

A stream that is taken up needs memory at engines of one version and for its text, too. Resumed requests now come first in the queue, before those that are only prefilled. For each one that finds no room the engine of its version with the least load is kept: new requests get no grant there until it has its place or is refused. Refused ones come back spaced by the whole rate, not by what new demand leaves.

--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -120,16 +120,18 @@
 // Ledger is the owner's account of one service's engines. It is not safe for
 // concurrent use.
 type Ledger struct {
-	service     string
-	engines     map[string]Engine
-	runs        runs
-	reporters   map[netip.AddrPort]*reporter
-	queue       []*queuedRequest
-	fullAt      map[string]time.Time
-	replies     map[runKey]sentReply
-	refusedAt   map[uint64]time.Time
-	holdTime    time.Duration
-	lastRetryAt time.Time
+	service   string
+	engines   map[string]Engine
+	runs      runs
+	reporters map[netip.AddrPort]*reporter
+	queue     []*queuedRequest
+	fullAt    map[string]time.Time
+	replies   map[runKey]sentReply
+	refusedAt map[uint64]time.Time
+	holdTime  time.Duration
+	// lastRetryAt and lastResumeAt are when the last refused requests should come back,
+	// new ones and resumed ones.
+	lastRetryAt, lastResumeAt time.Time
 	// retryPhase is a golden-ratio sequence in 0 to 1, whose successive values are far
 	// apart. It spreads retries.
 	retryPhase float64
@@ -178,6 +180,8 @@
 	// groupIDs are the engine IDs by stage and version, sorted; nil when they have to be
 	// collected again.
 	groupIDs map[group][]string
+	// reserved are the engines that are kept for waiting resumed requests.
+	reserved map[string]bool
 	// expiredAt is when expired state was last removed.
 	expiredAt time.Time
 }
@@ -186,7 +190,7 @@
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: newRuns(), selfPrefillAt: map[string]time.Time{},
 		reporters: map[netip.AddrPort]*reporter{}, fullAt: map[string]time.Time{}, untracked: map[string]Untracked{}, polledAt: map[string]time.Time{},
-		switching: map[string]time.Time{}, orderedAt: map[string]time.Time{}, overrides: map[string]stageOverride{}, busy: map[string]bool{},
+		switching: map[string]time.Time{}, orderedAt: map[string]time.Time{}, overrides: map[string]stageOverride{}, busy: map[string]bool{}, reserved: map[string]bool{},
 		replies: map[runKey]sentReply{}, refusedAt: map[uint64]time.Time{}, holdTime: initialHoldTime, decodeRate: initialDecodeRate, outputVariance: initialSpread * initialSpread}
 }
 
@@ -357,27 +361,6 @@
 	maps.DeleteFunc(l.refusedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > refusedTTL })
 }
 
-// throughput returns the memory in tokens that can be granted per second. It is
-// limited by what decode engines free at full load and by what prefill engines can
-// fill.
-func (l *Ledger) throughput() float64 {
-	total, prefillers := 0, 0.0
-	for _, e := range l.engines {
-		switch e.Stage {
-		case pool.Prefill:
-			prefillers++
-		default:
-			total += e.Tokens
-			prefillers += selfPrefillShare
-		}
-	}
-	rate := fillShare * float64(total) / l.holdTime.Seconds()
-	if prefillRate := l.prefillRate(); prefillRate > 0 && prefillers > 0 && l.meanPrompt > 0 {
-		rate = min(rate, prefillers*prefillRate*l.meanNeed/l.meanPrompt)
-	}
-	return rate
-}
-
 // load returns the share of decode memory that the runs are expected to need.
 func (l *Ledger) load() float64 {
 	total, used := 0, 0
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -71,8 +71,8 @@
 
 // record remembers a request without capacity. One that may not use some engines says
 // nothing about others.
-func (m *misfits) record(req *Request, v placement) {
-	if len(req.Excluded)+len(req.Held) > 0 {
+func (m *misfits) record(req *Request, v placement, reserved int) {
+	if len(req.Excluded)+len(req.Held) > 0 || reserved > 0 && !req.Resumed {
 		return
 	}
 	if m.byVersion == nil {
@@ -167,11 +167,14 @@
 }
 
 // bestDecode returns the engine with the lowest peak load after adding a request,
-// false if none has room. Engines outside the failure domain of the edge daemon are
+// false if none has room. Engines that are reserved take resumed requests only. Engines outside the failure domain of the edge daemon are
 // charged crossDomainDecode.
 func (l *Ledger) bestDecode(now time.Time, req *Request, ids []string) (best Engine, ok bool) {
 	low := 0.0
 	for _, id := range ids {
+		if l.reserved[id] && !req.Resumed {
+			continue
+		}
 		if cost, fits := l.decodeCost(now, req, l.engines[id]); fits && (!ok || cost < low) {
 			best, low, ok = l.engines[id], cost, true
 		}
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -89,6 +89,7 @@
 	l.sortQueue(now)
 	kept := l.queue[:0]
 	rates, earlier := l.rates(), newBacklog()
+	clear(l.reserved)
 	for _, q := range l.queue {
 		if !l.misfits.excludes(&q.Request) {
 			d, p, v := l.place(now, &q.Request)
@@ -96,7 +97,7 @@
 				out = append(out, l.grant(now, q, d, p))
 				continue
 			}
-			l.misfits.record(&q.Request, v)
+			l.misfits.record(&q.Request, v, len(l.reserved))
 		}
 		rate := rates.of(q.Version)
 		if now.After(q.refuseAt) || rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt) {
@@ -109,6 +110,9 @@
 			continue
 		}
 		earlier.add(&q.Request)
+		if q.Resumed {
+			l.reserve(now, &q.Request)
+		}
 		kept = append(kept, q)
 	}
 	clear(l.queue[len(kept):])
@@ -116,20 +120,22 @@
 	return out
 }
 
-// sortQueue sorts the queue by class: resumed or prefilled requests first, then
+// sortQueue sorts the queue by class: resumed requests first, then prefilled ones, then
 // first attempts that can still meet their latency target, then retries, then the
 // rest. Within a class the route's priority counts, then the earliest deadline.
 func (l *Ledger) sortQueue(now time.Time) {
 	class := func(q *queuedRequest) int {
 		switch {
-		case q.Resumed || q.Prefilled:
+		case q.Resumed:
 			return 0
-		case now.Before(q.lateAt) && !q.retried:
+		case q.Prefilled:
 			return 1
-		case q.retried:
+		case now.Before(q.lateAt) && !q.retried:
 			return 2
+		case q.retried:
+			return 3
 		}
-		return 3
+		return 4
 	}
 	slices.SortStableFunc(l.queue, func(a, b *queuedRequest) int {
 		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.Rank, b.Rank), a.lateAt.Compare(b.lateAt))
@@ -159,9 +165,9 @@
 // refuse refuses a request with the delay after which the client should retry.
 // Retries are scheduled in the order of refusals, spaced by the rate at which memory
 // becomes free beyond the demand of new requests, so that they don't return as
-// another burst. Without spare capacity they are spread over a fixed period. A
-// version that no engine has may come back, so that the client is asked to try once
-// more, late.
+// another burst. Without spare capacity they are spread over a fixed period. Resumed
+// requests, which come before new ones, are spaced by the whole rate. A version that no
+// engine has may come back, so that the client is asked to try once more, late.
 func (l *Ledger) refuse(now time.Time, q *queuedRequest, wait time.Duration, reason string) Reply {
 	if q.Fingerprint != 0 {
 		l.refusedAt[q.Fingerprint] = now
@@ -171,10 +177,13 @@
 		latest = min(latest, q.MaxRetryAfter)
 	}
 	rate := l.throughput()
-	spare := rate - l.demand(now)
+	last, spare := &l.lastRetryAt, rate-l.demand(now)
+	if q.Resumed {
+		last, spare = &l.lastResumeAt, rate
+	}
 	at := now.Add(max(wait, minRetryAfter))
 	gone := q.Version != "" && reason == ReasonNoEngine
-	switch next := l.lastRetryAt.Add(time.Duration(float64(q.Prompt+q.Expected) / spare * float64(time.Second))); {
+	switch next := last.Add(time.Duration(float64(q.Prompt+q.Expected) / spare * float64(time.Second))); {
 	case gone:
 		at = now.Add(latest)
 	case spare <= 0 || spare < minSpareShare*rate:
@@ -187,7 +196,7 @@
 		at = limit
 	}
 	if !gone {
-		l.lastRetryAt = at
+		*last = at
 	}
 	reply := Reply{To: q.edge, Service: l.service, Incarnation: q.Incarnation, ID: q.ID, Status: Refused,
 		RetryAfter: at.Sub(now), Reason: reason, Wait: wait, Ahead: len(l.queue), Load: float32(l.load())}
--- a/internal/room/ledger/resume_test.go
+++ b/internal/room/ledger/resume_test.go
@@ -182,22 +182,53 @@
 	}
 }
 
-// Guards against a grant at another version than a request needs, and against memory that
-// is granted twice.
-func TestVersionsOfGrants(t *testing.T) {
+// Guards against streams that clients take up and that are refused while new ones begin,
+// against a grant at another version than they need, and against memory that is granted
+// twice.
+func TestResumedComeFirst(t *testing.T) {
 	p := gopter.DefaultTestParametersWithSeed(34)
-	p.MinSuccessfulTests = 60
+	p.MinSuccessfulTests = 40
 	ps := gopter.NewProperties(p)
-	ps.Property("grants are at the version asked for", prop.ForAll(
+	ps.Property("taken-up streams go on at least as often as new ones begin", prop.ForAll(
 		func(seed uint64, count, versions int, load, share, breaks float64, flap bool) string {
 			f := newResumeFleet(seed, max(count, versions), versions)
-			f.play(8*time.Second, resumeLoad{load, share, breaks, flap})
-			return f.fault
+			f.play(6*time.Second, resumeLoad{load, share, breaks, flap})
+			up, fresh := float64(f.begun[true])/float64(max(f.asked[true], 1)), float64(f.begun[false])/float64(max(f.asked[false], 1))
+			switch {
+			case f.fault != "":
+				return f.fault
+			case f.asked[true] >= 12 && up < fresh:
+				return fmt.Sprintf("%d of %d taken-up streams went on, %d of %d new ones began", f.begun[true], f.asked[true], f.begun[false], f.asked[false])
+			}
+			return ""
 		},
 		gen.UInt64(), gen.IntRange(2, 12), gen.IntRange(1, 3), gen.Float64Range(0.5, 3), gen.Float64Range(0, 0.9), gen.Float64Range(0, 1), gen.Bool()))
 	ps.TestingRun(t)
 }
 
+// Guards against new requests that starve, though no stream is taken up, or because the
+// streams that are taken up need other engines.
+func TestNewRequestsGoOn(t *testing.T) {
+	begun := func(versions int, change func(*ledger.Request)) int {
+		f := newResumeFleet(5, 8, versions)
+		for id := uint64(1000); id < 1040; id++ {
+			req := ledger.Request{Service: "s", Incarnation: 1, ID: id, Prompt: 50_000, Expected: 9000, MaxWait: time.Minute, RetryMaxWait: time.Minute}
+			change(&req)
+			f.ledger.Submit(f.now, edge1, req)
+		}
+		f.play(6*time.Second, resumeLoad{load: 2})
+		return f.begun[false]
+	}
+	none := begun(2, func(r *ledger.Request) { r.MaxWait = -time.Second })
+	if one := begun(1, func(r *ledger.Request) { r.MaxWait = -time.Second }); none < one*95/100 {
+		t.Errorf("%d requests begun at engines of two versions, %d at those of one", none, one)
+	}
+	beside := begun(2, func(r *ledger.Request) { r.Resumed, r.Version = true, "v1" })
+	if none == 0 || beside < none/3 {
+		t.Errorf("%d requests begun beside many taken-up streams of one version of two, %d without; want a third at least", beside, none)
+	}
+}
+
 // Guards against a version's lack of room that keeps requests for another one waiting,
 // and against a request that waits for a version which has left.
 func TestVersionsAreApart(t *testing.T) {
@@ -230,6 +261,35 @@
 	}
 }
 
+// Guards against a taken-up stream that waits for room, while new requests with shorter
+// prompts take each piece of memory that becomes free at its version's engines.
+func TestRoomIsKeptForResumed(t *testing.T) {
+	l := ledger.New("s")
+	list := engines(2, 8, 20000)
+	list[1].Version, list[2].Version = "v1", "v2"
+	l.SetEngines(t0, list)
+	for id := uint64(1); id <= 6; id++ {
+		req := request(id)
+		req.Prompt, req.Expected = 5000, 1000
+		replyTo(t, l.Submit(t0, edge1, req), id)
+	}
+	large := request(10)
+	large.Prompt, large.Expected, large.Version, large.Resumed, large.RetryMaxWait = 12_000, 1000, "v1", true, 9*time.Second
+	if got := replyTo(t, l.Submit(t0, edge1, large), 10); got.Status != ledger.Queued {
+		t.Fatalf("reply %+v, want the request queued", got)
+	}
+	l.Cancel(t0, edge1, 1, 1)
+	small := request(11)
+	small.Prompt, small.Expected = 3000, 500
+	if got := replyTo(t, l.Submit(t0, edge1, small), 11); got.Status == ledger.Granted {
+		t.Errorf("reply %+v, want no grant on the engine that is kept", got)
+	}
+	l.Cancel(t0, edge1, 1, 3)
+	if got := replyTo(t, l.Tick(t0.Add(10*time.Millisecond)), 10); got.Decode != "d1" {
+		t.Errorf("reply %+v, want a grant on d1", got)
+	}
+}
+
 // Guards against engines of a version that a sample of a large fleet misses.
 func TestVersionInLargeFleet(t *testing.T) {
 	l := ledger.New("s")
--- a/internal/room/ledger/version.go
+++ b/internal/room/ledger/version.go
@@ -2,12 +2,17 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
+// maxReserved bounds the engines that are kept for resumed requests, and so the cost of
+// the search for them.
+const maxReserved = 64
+
 // group is a stage and a version of engines. The empty version stands for all.
 type group struct {
 	stage   pool.Stage
@@ -45,6 +50,27 @@
 	return l.groupIDs
 }
 
+// throughput returns the memory in tokens that can be granted per second. It is
+// limited by what decode engines free at full load and by what prefill engines can
+// fill.
+func (l *Ledger) throughput() float64 {
+	total, prefillers := 0, 0.0
+	for _, e := range l.engines {
+		switch e.Stage {
+		case pool.Prefill:
+			prefillers++
+		default:
+			total += e.Tokens
+			prefillers += selfPrefillShare
+		}
+	}
+	rate := fillShare * float64(total) / l.holdTime.Seconds()
+	if prefillRate := l.prefillRate(); prefillRate > 0 && prefillers > 0 && l.meanPrompt > 0 {
+		rate = min(rate, prefillers*prefillRate*l.meanNeed/l.meanPrompt)
+	}
+	return rate
+}
+
 // rates are the memory in tokens that can be granted per second, in all and by version.
 type rates struct {
 	total     float64
@@ -126,3 +152,25 @@
 	}
 	return seconds(need, rate)
 }
+
+// reserve keeps an engine for a resumed request that finds no room: the one of its
+// version with the least load that is not kept yet. Otherwise new requests, which fit
+// sooner as their prompts are shorter or which may use engines of all versions, would
+// take each piece of memory that becomes free there.
+func (l *Ledger) reserve(now time.Time, req *Request) {
+	if len(l.reserved) >= maxReserved {
+		return
+	}
+	best, low := "", math.Inf(1)
+	for _, id := range l.candidates(now, req, pool.Decode, false) {
+		if l.reserved[id] || req.Prompt > l.engines[id].Tokens {
+			continue
+		}
+		if cost, _ := l.decodeCost(now, req, l.engines[id]); cost < low {
+			best, low = id, cost
+		}
+	}
+	if best != "" {
+		l.reserved[best] = true
+	}
+}
