Choose servers of one software version in the table

ChooseVersion keeps to one version, HasVersion tells whether one is left, and Entry returns the entry also of an engine that gets no new requests, to see whether it has changed since a send. An empty version equals nothing.

go test -race ./internal/route/pool: passes, with TestChooseVersion.

--- a/internal/route/pool/choose.go
+++ b/internal/route/pool/choose.go
@@ -24,6 +24,16 @@
 // are chosen only when all others are excluded. While a healthy one is only held, none
 // is chosen instead: the client can come back when there is room.
 func (t *Table) Choose(now time.Time, service, domain string, exclude []string) (Server, bool) {
+	return t.choose(now, service, domain, exclude, func(*record) bool { return true })
+}
+
+// ChooseVersion is Choose among the servers of one software version. None has the empty
+// version.
+func (t *Table) ChooseVersion(now time.Time, service, domain, version string, exclude []string) (Server, bool) {
+	return t.choose(now, service, domain, exclude, func(r *record) bool { return r.IsVersion(version) })
+}
+
+func (t *Table) choose(now time.Time, service, domain string, exclude []string, fits func(*record) bool) (Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	minFailureRate := 1.0
@@ -36,7 +46,7 @@
 	var lowest time.Duration
 	healthyHeld := false
 	for _, r := range t.servers {
-		if r.Service != service || r.Stage == Prefill || !t.usable(now, r) {
+		if r.Service != service || r.Stage == Prefill || !t.usable(now, r) || !fits(r) {
 			continue
 		}
 		if now.Before(t.holds[r.Process()].until) && !r.health.unhealthy(now) {
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -59,6 +59,10 @@
 	Sequence uint64
 }
 
+// IsVersion reports whether the server's software is known to have a version. It is
+// false for the empty version, which stands for one that is not known.
+func (s *Server) IsVersion(version string) bool { return version != "" && s.Version == version }
+
 // Times of the table.
 const (
 	// renewalGrace is how long a server stays in use whose entry expired around
@@ -287,6 +291,30 @@
 	return r.Server, true
 }
 
+// Entry returns the last known entry of a server, also of one that gets no new requests.
+func (t *Table) Entry(id string) (Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.servers[id]
+	if r == nil {
+		return Server{}, false
+	}
+	return r.Server, true
+}
+
+// HasVersion reports whether a service has a usable server of a software version besides
+// the excluded ones.
+func (t *Table) HasVersion(now time.Time, service, version string, exclude []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, r := range t.servers {
+		if r.Service == service && r.IsVersion(version) && t.usable(now, r) && !slices.Contains(exclude, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns every known entry, sorted by ID, for display.
 func (t *Table) All() []Server {
 	t.mu.Lock()
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -179,3 +179,36 @@
 	})
 	both.Wait()
 }
+
+// Guards against a server that is chosen although its version is another one or not known.
+func TestChooseVersion(t *testing.T) {
+	table := pool.New()
+	for id, version := range map[string]string{"a1": "v1", "a2": "v2", "a3": "", "a4": "v2", "p1": "v3"} {
+		s := pool.Server{ID: id, Service: "s", Version: version, Sequence: 1}
+		if id == "p1" {
+			s.Stage = pool.Prefill
+		}
+		table.Put(s)
+	}
+	cases := map[string]struct {
+		version  string
+		excluded []string
+		want     string
+		has      bool
+	}{
+		"one server":         {"v1", nil, "a1", true},
+		"one is excluded":    {"v2", []string{"a2"}, "a4", true},
+		"all are excluded":   {"v2", []string{"a2", "a4"}, "", false},
+		"none has it":        {"v9", nil, "", false},
+		"it is not known":    {"", nil, "", false},
+		"prefill engine has": {"v3", nil, "", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, _ := table.ChooseVersion(t0, "s", "a", c.version, c.excluded)
+			if has := table.HasVersion(t0, "s", c.version, c.excluded); got.ID != c.want || has != c.has {
+				t.Errorf("chose %q, has the version: %v; want %q, %v", got.ID, has, c.want, c.has)
+			}
+		})
+	}
+}
