Let streams go on only at the version that began them

Now a response's version is fixed and recorded (Origins.Record) before its first event is sent, each further lease asks for it, and the edge daemon checks the entry of the granted engine before the prefill and before the send: owners may be older or out of date. A stream that is taken up gets its version from Origins.Find, or is refused at once (reason origin, or version if no engine has it); without Origins nothing is known. If the engine's entry changes between the send and the first event, the version of a first run is not known and a run that goes on is given up; if it changes until the first run breaks off, the record is withdrawn.

Fixtures: the engines of stream_test.go have the version v1, as a moved stream needs one; "the version of the others is not known" therefore says so for d2 to d4. The property leaves out two changes of one engine between the send and the first event that cancel out or end in its leaving: the entry can't show these.

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -67,6 +67,9 @@
 	out      http.ResponseWriter
 	outcome  lines.Outcome
 
+	// version is where the response goes on.
+	version version
+
 	lease *lease.Lease
 	// leasedAt is when the lease was granted.
 	leasedAt time.Time
@@ -80,7 +83,11 @@
 	sends, runs                       int
 	// limited counts the leases that were not used because of limits of engines.
 	limited int
-	events  int
+	// strays counts the leases that were not used because of the engine's version.
+	strays int
+	events int
+	// server is the entry of the engine as of the last send.
+	server pool.Server
 	// runEvents counts the events of the current run, firstEventAt is when it sent the
 	// first one.
 	runEvents    int
@@ -100,11 +107,17 @@
 )
 
 func (j *job) run(ctx context.Context) {
-	for leases := 0; leases < maxLeases+min(j.limited, maxLimited); leases++ {
-		if !j.acquire(ctx) {
+	if !j.findOrigin(ctx) {
+		return
+	}
+	for leases := 0; leases < maxLeases+min(j.limited+j.strays, maxLimited); leases++ {
+		if !j.mayGoOn(ctx) || !j.acquire(ctx) {
 			return
 		}
-		next := j.prefill(ctx)
+		next := j.checkGrant(ctx)
+		if next == finish {
+			next = j.prefill(ctx)
+		}
 		if next == finish && j.outcome.Result == "" {
 			next = j.decode(ctx)
 		}
@@ -187,7 +200,7 @@
 // service has no ledger.
 func (j *job) acquire(ctx context.Context) bool {
 	if j.service.Engine == nil {
-		s, ok := j.table.Choose(time.Now(), j.service.Name, j.domain, j.excluded)
+		s, ok := j.choose()
 		if !ok {
 			j.fail(ctx, "server")
 			return false
@@ -211,6 +224,7 @@
 	if limit := time.Until(j.deadline) / 2; leaseReq.RetryMaxWait > limit {
 		leaseReq.RetryMaxWait = limit
 	}
+	j.goOn(&leaseReq)
 	start := time.Now()
 	granted, err := j.acquirer.Acquire(ctx, leaseReq)
 	var refused *lease.RefusedError
@@ -263,11 +277,14 @@
 	if !ok {
 		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
 	}
+	if !j.suits(s) {
+		return j.strayed(ctx, s)
+	}
 	if j.refusePart(ctx) {
 		return finish
 	}
 	start := time.Now()
-	j.runEvents, j.goneOn = 0, false
+	j.server, j.runEvents, j.goneOn = s, 0, false
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -346,6 +363,8 @@
 		j.outcome.NotMoved = "attempts"
 	case ctx.Err() != nil:
 		j.outcome.NotMoved = "deadline"
+	case !j.mayMove(ctx, s):
+		j.outcome.NotMoved = "version"
 	case !j.quota.Take(j.service.Name):
 		j.outcome.NotMoved = "budget"
 	default:
--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -40,7 +40,11 @@
 	if err == nil {
 		report(time.Now(), pool.OK, time.Since(start))
 		j.cache, j.prefiller = cache, s.ID
-		j.lease.PrefillDone(time.Since(start))
+		took := time.Since(start)
+		if j.text() > 0 {
+			took = 0 // the lease's prompt includes text that is read elsewhere
+		}
+		j.lease.PrefillDone(took)
 		return finish
 	}
 	sendErr := asSendError(err)
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -41,6 +41,9 @@
 		if stall != nil && !e.empty {
 			stall.Reset(limit)
 		}
+		if !e.empty && j.runEvents == 0 && !j.fixVersion(ctx) {
+			return &proxy.SendError{Fault: event.FaultFailed, Err: errVersion}
+		}
 		if !j.streaming {
 			j.startStream(resp)
 		}
@@ -61,16 +64,16 @@
 			j.firstEventAt = time.Now()
 		}
 		j.goneOn = j.goneOn || j.guard.RecordProgress(j.req, j.service.Name, j.progress())
-		j.lease.SetGenerated(j.generated())
+		j.lease.SetGenerated(j.tokens(j.runEvents))
 	}
 }
 
-// generated returns the output so far in tokens.
-func (j *job) generated() int {
+// tokens returns the length of a number of events in tokens.
+func (j *job) tokens(events int) int {
 	if j.service.Engine == nil {
-		return j.events
+		return events
 	}
-	return j.events * max(j.service.Engine.Stride, 1)
+	return events * max(j.service.Engine.Stride, 1)
 }
 
 // startStream sends the header of the first run's response.
@@ -87,7 +90,9 @@
 	if !j.streaming {
 		j.startStream(resp)
 	}
-	j.learnOutput(j.route.Name, j.req, j.generated())
-	j.learnHoldTime(j.service.Name, time.Since(j.leasedAt))
+	if !j.takenUp() { // a part of the answer says little about whole ones
+		j.learnOutput(j.route.Name, j.req, j.tokens(j.events))
+		j.learnHoldTime(j.service.Name, time.Since(j.leasedAt))
+	}
 	return nil
 }
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -41,6 +41,7 @@
 	guard    *crash.Guard
 	memory   *memory.Budget
 	verify   func(pool.Server)
+	origins  citronrock.Origins
 	// shutdownDeadline returns when this daemon exits, the zero time while it is not
 	// stopping.
 	shutdownDeadline func() time.Time
@@ -79,6 +80,10 @@
 // WithGuard sets the guard that counts the engines which a request has crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
+// WithOrigins sets the records of the versions at which streams began. Without them no
+// stream that a client takes up goes on.
+func WithOrigins(o citronrock.Origins) Option { return func(h *Handler) { h.origins = o } }
+
 // WithMemory sets the budget for response data held in memory.
 func WithMemory(b *memory.Budget) Option { return func(h *Handler) { h.memory = b } }
 
@@ -86,7 +91,7 @@
 // leases on engines from g.
 func New(table *pool.Table, b citronrock.Backends, i citronrock.Ingress, g Acquirer, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, acquirer: g, quota: q, log: log,
-		onWaste: func(string, int) {}, verify: func(pool.Server) {}, shutdownDeadline: func() time.Time { return time.Time{} },
+		onWaste: func(string, int) {}, origins: noOrigins{}, verify: func(pool.Server) {}, shutdownDeadline: func() time.Time { return time.Time{} },
 		outputShares: map[string]*outputShare{}, firstEventDelays: map[string]time.Duration{}, holdTimes: map[string]time.Duration{}}
 	for _, o := range opts {
 		o(h)
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -140,7 +140,7 @@
 		if id[0] == 'p' {
 			stage = pool.Prefill
 		}
-		t.Put(pool.Server{ID: id, Service: "s", Stage: stage, Sequence: 1,
+		t.Put(pool.Server{ID: id, Service: "s", Stage: stage, Version: "v1", Sequence: 1,
 			Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(8000+i))})
 	}
 	return t
--- /dev/null
+++ b/internal/front/stream/version.go
@@ -0,0 +1,228 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/config"
+	"citronrock.example/citronrock/internal/route/origin"
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+const (
+	// findTimeout bounds the search for the version at which a stream began.
+	findTimeout = 250 * time.Millisecond
+	// originRetryAfter is the Retry-After delay for a stream whose version is not known
+	// here. Another daemon may know it, and a daemon that just started may learn it.
+	originRetryAfter = 500 * time.Millisecond
+	// minLeftShare is the least part of the expected output that a stream which goes on
+	// is assumed to have left.
+	minLeftShare = 0.2
+	// maxStrays bounds the engines of other versions that a lease request excludes after
+	// the owner has granted one of them.
+	maxStrays = 64
+	// maxTextEvents bounds the number of events that a client may claim to have.
+	maxTextEvents = 1 << 20
+)
+
+// Reasons for refusing a stream that goes on.
+const (
+	// reasonOrigin is for streams of which it is not known at which version they began.
+	reasonOrigin = "origin"
+	// reasonVersion is for streams whose version no engine has.
+	reasonVersion = "version"
+)
+
+// errVersion ends a run whose engine was replaced around the time of its start.
+var errVersion = errors.New("the engine's entry changed before the first event")
+
+// version is the software version at which a response goes on.
+type version struct {
+	// fixed is set once events of the stream were sent, in this or in an earlier attempt.
+	fixed bool
+	// name is empty if the version is not known. It then equals no other.
+	name string
+	// run is the number of the run that brought the first event, zero if that was in an
+	// earlier attempt.
+	run int
+}
+
+// noOrigins knows no stream.
+type noOrigins struct{}
+
+func (noOrigins) Record(context.Context, origin.Origin) {}
+
+func (noOrigins) Find(context.Context, string, string) (string, bool) { return "", false }
+
+// takenUp reports whether the client takes up a stream that an earlier attempt began.
+func (j *job) takenUp() bool { return j.req.LastEventID != "" || j.req.Resumes != "" }
+
+// findOrigin fixes the version of a stream that the client takes up. It refuses one of
+// which it is not known where it began.
+func (j *job) findOrigin(ctx context.Context) bool {
+	if !j.takenUp() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	name, ok := "", false
+	if j.req.Resumes != "" || !hasChoice(j.route) {
+		name, ok = j.origins.Find(ctx, j.service.Name, j.req.Resumes)
+	}
+	j.version = version{fixed: true, name: name}
+	if ok && name != "" {
+		return true
+	}
+	j.outcome.RetryAfter = min(originRetryAfter, j.maxRetryAfter())
+	j.fail(ctx, reasonOrigin)
+	return false
+}
+
+// hasChoice reports whether a route's requests go to several services.
+func hasChoice(r *config.Route) bool {
+	n := 0
+	for _, s := range r.Splits {
+		if s.Weight > 0 {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// mayGoOn refuses a stream if no engine of its version is left. The version may come
+// back, so that the client is asked to try once more, late.
+func (j *job) mayGoOn(ctx context.Context) bool {
+	if !j.version.fixed || j.table.HasVersion(time.Now(), j.service.Name, j.version.name, j.excluded) {
+		return true
+	}
+	j.outcome.RetryAfter = j.maxRetryAfter()
+	j.fail(ctx, reasonVersion)
+	return false
+}
+
+// maxRetryAfter returns the longest delay after which the client would still retry.
+func (j *job) maxRetryAfter() time.Duration {
+	return max(time.Duration(maxRetryAfterShare*float64(time.Until(j.deadline))), time.Millisecond)
+}
+
+// choose chooses a server for a service without a ledger.
+func (j *job) choose() (pool.Server, bool) {
+	if j.version.fixed {
+		return j.table.ChooseVersion(time.Now(), j.service.Name, j.domain, j.version.name, j.excluded)
+	}
+	return j.table.Choose(time.Now(), j.service.Name, j.domain, j.excluded)
+}
+
+// goOn asks for what a stream that goes on needs: engines of its version, and memory for
+// the text that the client has, which has to be read like the prompt.
+func (j *job) goOn(req *ledger.Request) {
+	if !j.version.fixed {
+		return
+	}
+	text := j.text()
+	req.Resumed, req.Version = true, j.version.name
+	req.Prompt += text
+	req.Expected = max(req.Expected-text, int(minLeftShare*float64(req.Expected)))
+}
+
+// text returns the length in tokens of what the client has of the stream. It is zero for
+// a stream that is taken up at an event whose ID is not a number.
+func (j *job) text() int {
+	events, err := strconv.Atoi(j.lastEventID)
+	if err != nil || events < 0 {
+		events = j.events
+	}
+	if most := j.req.MaxOutput; most > 0 {
+		return min(j.tokens(min(events, most)), most)
+	}
+	return j.tokens(min(events, maxTextEvents))
+}
+
+// suits reports whether the request may be sent to an engine.
+func (j *job) suits(s pool.Server) bool {
+	return !j.version.fixed || s.IsVersion(j.version.name)
+}
+
+// checkGrant gives back a lease on an engine of another version before its prompt is
+// prefilled. The owner may not know the version, or have an older entry.
+func (j *job) checkGrant(ctx context.Context) step {
+	if s, ok := j.table.Available(time.Now(), j.lease.Decode); ok && !j.suits(s) {
+		return j.strayed(ctx, s)
+	}
+	return finish
+}
+
+// strayed prepares another lease without the engines of other versions.
+func (j *job) strayed(ctx context.Context, s pool.Server) step {
+	j.strays++
+	others := 0
+	for _, other := range j.table.Usable(time.Now(), j.service.Name) {
+		if other.ID != s.ID && other.Stage != pool.Prefill && !j.suits(other) && others < maxStrays {
+			j.exclude(other.ID)
+			others++
+		}
+	}
+	return j.retryElsewhere(ctx, s.ID, "", true)
+}
+
+// fixVersion fixes the version of the response before the first event of a run is sent to
+// the client, and records it for its next attempts. It returns false if the run must not
+// go on: the stream has a version, and the engine may have got another one.
+func (j *job) fixVersion(ctx context.Context) bool {
+	same := j.isSame(j.server)
+	if j.version.fixed && !same {
+		return false
+	}
+	if !j.version.fixed {
+		j.version.fixed, j.version.run = true, j.runs
+		if same {
+			j.version.name = j.server.Version
+		}
+	}
+	j.record(ctx)
+	return true
+}
+
+// isSame reports whether the entry of an engine is still the one to which the request was
+// sent, as far as its process and version are concerned.
+func (j *job) isSame(s pool.Server) bool {
+	now, ok := j.table.Entry(s.ID)
+	return !ok || now.Process() == s.Process() && now.Version == s.Version
+}
+
+// record records the version for the attempt that brought the first event.
+func (j *job) record(ctx context.Context) {
+	if !j.route.Resume {
+		return
+	}
+	o := origin.Origin{Attempt: j.req.ID, Service: j.service.Name, Version: j.version.name, Until: j.deadline}
+	if j.takenUp() {
+		o.Attempt = j.req.Resumes
+	}
+	if j.req.Timeout > 0 {
+		o.Until = j.req.Received.Add(j.req.Timeout)
+	}
+	if o.Attempt != "" {
+		j.origins.Record(ctx, o)
+	}
+}
+
+// mayMove reports whether a run that broke off may go on at another engine than s: the
+// version of the stream is known, and another engine has it. If the entry of the engine
+// that brought the first event has another version by now, the process may have changed
+// before that event, unseen, so that the version is not known.
+func (j *job) mayMove(ctx context.Context, s pool.Server) bool {
+	v := &j.version
+	if !v.fixed {
+		return true
+	}
+	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" {
+		v.name = ""
+		j.record(ctx)
+	}
+	return j.table.HasVersion(time.Now(), j.service.Name, v.name, slices.Concat(j.excluded, []string{s.ID}))
+}
--- a/internal/front/stream/version_test.go
+++ b/internal/front/stream/version_test.go
@@ -36,7 +36,7 @@
 			[]string{"d1", "d3"}, events(4), "ok"},
 		"no other engine of the version": {map[string]string{"d1": "v1", "d2": "v2", "d3": "v2", "d4": "v3"}, run{status: 200, from: 3, to: 4},
 			[]string{"d1"}, events(2), "broken"},
-		"the version of the others is not known": {map[string]string{"d1": "v1"}, run{status: 200, from: 3, to: 4},
+		"the version of the others is not known": {map[string]string{"d1": "v1", "d2": "", "d3": "", "d4": ""}, run{status: 200, from: 3, to: 4},
 			[]string{"d1"}, events(2), "broken"},
 	}
 	for name, c := range cases {
--- a/internal/logs/lines/lines.go
+++ b/internal/logs/lines/lines.go
@@ -106,7 +106,7 @@
 	// TimeLeft is the time until the client's deadline, when routing ended.
 	TimeLeft time.Duration
 	// NotMoved tells why a run that broke off did not go on at another engine: "route",
-	// "attempts", "deadline" or "budget".
+	// "attempts", "deadline", "version" or "budget".
 	NotMoved string
 	// Stopping is set if the daemon was stopping when the request ended. GraceLeft is the
 	// time until it exits.
