Send a taken-up stream to the service of the attempt that began it

The service is picked by the attempt that Resumes names. If the weights have changed in between, another service may still be picked; the record of the origin then has to say that it isn't that service's.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -291,7 +292,7 @@
 	if body != nil {
 		req.Body = body.Bytes
 	}
-	o.Service = route.Pick(req.ID)
+	o.Service = pick(route, req)
 	service, ok := d.Services[o.Service]
 	if !ok {
 		o.Status, o.Result, o.Reason, o.RetryAfter = http.StatusServiceUnavailable, "refused", "service", time.Second
@@ -311,6 +312,12 @@
 	return r.dispatch(w, httpReq, req, route, service, o)
 }
 
+// pick returns the service of a request. A stream that is taken up goes to the service of
+// the attempt that began it, as long as the weights stay.
+func pick(route *config.Route, req *proxy.Request) string {
+	return route.Pick(cmp.Or(req.Resumes, req.ID))
+}
+
 func (r *Router) dispatch(w http.ResponseWriter, httpReq *http.Request, req *proxy.Request, route *config.Route, service config.Service, o lines.Outcome) lines.Outcome {
 	wait := req.Timeout
 	if route.Timeout > 0 && (wait == 0 || route.Timeout < wait) {
