Test that owners grant leases at the version that edge daemons ask for

The version passes through the entry, the ledger's engine and the datagram of the request. TestLeaseAtVersion asks a remote owner; it fails if refresh doesn't copy the version (tried). go test -race -run Lease ./internal/room/lease: passes.

--- a/internal/room/lease/lease_test.go
+++ b/internal/room/lease/lease_test.go
@@ -290,3 +290,31 @@
 		}
 	})
 }
+
+// Guards against a lease on an engine of another version than the edge daemon asks for,
+// because the owner doesn't get or know versions.
+func TestLeaseAtVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		managers, _ := start(t, 3)
+		defer stop(managers)
+		for _, m := range managers {
+			for i, version := range []string{"v1", "v2", "v3"} {
+				m.table.Put(pool.Server{ID: fmt.Sprint("d", i+1), Service: service, Stage: pool.Decode, Version: version, Sequence: 2})
+			}
+			m.Refresh()
+		}
+		time.Sleep(time.Second)
+		for _, c := range []struct{ version, decode string }{{"v2", "d2"}, {"v3", "d3"}, {"v1", "d1"}, {"v4", ""}} {
+			start := time.Now()
+			lease, err := managers[2].Acquire(t.Context(), ledger.Request{Service: service, Prompt: 1000, Expected: 1000, Version: c.version, Resumed: true,
+				Slack: 300 * time.Millisecond, MaxWait: 500 * time.Millisecond, RetryMaxWait: 500 * time.Millisecond})
+			var refused *RefusedError
+			switch {
+			case c.decode == "" && (!errors.As(err, &refused) || refused.Reason != ledger.ReasonNoEngine || time.Since(start) > 100*time.Millisecond):
+				t.Errorf("lease %+v, error %v for version %s; want a refusal at once", lease, err, c.version)
+			case c.decode != "" && (err != nil || lease.Decode != c.decode):
+				t.Errorf("lease %+v, error %v for version %s; want one on %s", lease, err, c.version, c.decode)
+			}
+		}
+	})
+}
