Ask clients back soon when an owner lacks their stream's version

The ledger refuses a request whose version no engine has, with the longest delay. An owner may have an older list of engines than the edge daemon, which has just seen one of that version. Half a second is said then.

--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -96,7 +96,7 @@
 		}
 		return l, nil
 	}
-	return nil, &lease.RefusedError{Reply: ledger.Reply{Status: ledger.Refused, Reason: ledger.ReasonNoEngine}}
+	return nil, &lease.RefusedError{Reply: ledger.Reply{Status: ledger.Refused, Reason: ledger.ReasonNoEngine, RetryAfter: 4 * time.Second}}
 }
 
 func (f *versionedFleet) Prefill(_ context.Context, s pool.Server, _ *proxy.Request, _ proxy.Options) (*proxy.Cache, error) {
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -236,7 +236,7 @@
 			"load", granted.Load, "prompt", leaseReq.Prompt, "expect", leaseReq.Expected, "slack", lines.Ms(slack))
 		return true
 	case errors.As(err, &refused):
-		j.outcome.RetryAfter = refused.RetryAfter
+		j.outcome.RetryAfter = j.retryAfter(refused)
 		j.log.Info(lines.Refusal, "request", j.req.ID, "service", leaseReq.Service, "owner", refused.Owner.String(),
 			"reason", refused.Reason, "predicted", lines.Ms(refused.Wait), "ahead", refused.Ahead,
 			"load", refused.Load, "waited", lines.Ms(time.Since(start)), "slack", lines.Ms(slack))
--- a/internal/front/stream/origin_test.go
+++ b/internal/front/stream/origin_test.go
@@ -288,3 +288,16 @@
 		})
 	}
 }
+
+// Guards against a client that comes back late because the owner doesn't know an engine of
+// its stream's version yet.
+func TestOwnerLacksTheVersion(t *testing.T) {
+	f := newVersionedFleet("v1", "v2")
+	c := &client{fleet: f}
+	f.breaks = []int{2}
+	c.attempt(t, "", true)
+	f.grants = func(ledger.Request) string { return "" }
+	if _, o := c.attempt(t, c.first, true); o.Result != "refused" || o.RetryAfter <= 0 || o.RetryAfter > 500*time.Millisecond {
+		t.Errorf("result %q, to retry after %v; want a refusal with half a second at most", o.Result, o.RetryAfter)
+	}
+}
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/origin"
@@ -104,6 +105,15 @@
 	return false
 }
 
+// retryAfter returns the delay after a refusal by the owner. An owner that finds no engine
+// of the version, though one is known here, has an older list of engines.
+func (j *job) retryAfter(refused *lease.RefusedError) time.Duration {
+	if j.version.fixed && refused.Reason == ledger.ReasonNoEngine {
+		return min(originRetryAfter, refused.RetryAfter)
+	}
+	return refused.RetryAfter
+}
+
 // maxRetryAfter returns the longest delay after which the client would still retry.
 func (j *job) maxRetryAfter() time.Duration {
 	return max(time.Duration(maxRetryAfterShare*float64(time.Until(j.deadline))), time.Millisecond)
