Record a stream's origin once each response

Each run of a response that was moved recorded the same origin again before its first event, with the messages and the wait for them.

--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -49,6 +49,8 @@
 	granted    string
 	// grants chooses an engine; the default is the first of the version.
 	grants func(ledger.Request) string
+	// records counts the calls of Record.
+	records int
 	// lost lets Find fail.
 	lost func() bool
 	// late is the version whose entry under the same ID comes when the next run breaks off.
@@ -138,7 +140,10 @@
 	return 0, errReset
 }
 
-func (f *versionedFleet) Record(_ context.Context, o origin.Origin) { f.origins[o.Attempt] = o }
+func (f *versionedFleet) Record(_ context.Context, o origin.Origin) {
+	f.origins[o.Attempt] = o
+	f.records++
+}
 
 func (f *versionedFleet) Find(_ context.Context, _, attempt string) (string, bool) {
 	o := f.origins[attempt]
--- a/internal/front/stream/origin_test.go
+++ b/internal/front/stream/origin_test.go
@@ -301,3 +301,17 @@
 		t.Errorf("result %q, to retry after %v; want a refusal with half a second at most", o.Result, o.RetryAfter)
 	}
 }
+
+// Guards against a record, with its messages and its wait, for each run of a response.
+func TestOneRecordEachResponse(t *testing.T) {
+	f := newVersionedFleet("v1", "v1", "v1")
+	f.breaks = []int{0, 2, 2}
+	c := &client{fleet: f}
+	c.attempt(t, "", true)
+	if len(f.sent) != 3 || f.records != 1 {
+		t.Errorf("%d runs, %d records; want three runs and one record", len(f.sent), f.records)
+	}
+	if c.attempt(t, c.first, true); f.records != 2 {
+		t.Errorf("%d records after the second response, want two", f.records)
+	}
+}
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -50,6 +50,8 @@
 	// run is the number of the run that brought the first event, zero if that was in an
 	// earlier attempt.
 	run int
+	// recorded is set once the origins have the version from this response.
+	recorded bool
 }
 
 // noOrigins knows no stream.
@@ -193,7 +195,9 @@
 			j.version.name = j.server.Version
 		}
 	}
-	j.record(ctx)
+	if !j.version.recorded {
+		j.record(ctx)
+	}
 	return true
 }
 
@@ -209,6 +213,7 @@
 	if !j.route.Resume {
 		return
 	}
+	j.version.recorded = true
 	o := origin.Origin{Attempt: j.req.ID, Service: j.service.Name, Version: j.version.name, Until: j.deadline}
 	if j.takenUp() {
 		o.Attempt = j.req.Resumes
