Keep a decode engine of each version when stages are switched

That engine stays, and of prefill engines those whose version has no decode engine are switched to decode first.

TestSwitchesKeepVersions: passes; without the rule three of its five cases fail (tried). go test -run 'Switches|Balance|Order' ./internal/room/ledger: passes.

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -81,9 +81,10 @@
 	switch {
 	case len(prefill) > want && len(unhealthy) == 0 && now.Sub(l.stableSince) > stableDelay:
 		// An engine with queued prompts would refuse them after the switch.
-		eligible = slices.DeleteFunc(slices.Clone(eligible), func(id string) bool { return l.prefillQueue(now, id) > 0 })
+		eligible = slices.DeleteFunc(l.keepVersions(prefill, stage), func(id string) bool { return l.prefillQueue(now, id) > 0 })
 	case len(prefill) < want && l.prefillShort(now) && len(decode) > 1:
-		eligible, stage = l.leastLoaded(decode), pool.Prefill
+		stage = pool.Prefill
+		eligible = l.leastLoaded(l.keepVersions(decode, stage))
 	default:
 		return StageChange{}, false
 	}
@@ -126,6 +127,9 @@
 // leastLoaded returns the engines with the fewest runs. An engine only switches once
 // its runs have ended.
 func (l *Ledger) leastLoaded(ids []string) []string {
+	if len(ids) == 0 {
+		return nil
+	}
 	runs := map[string]int{}
 	for _, r := range l.runs.all {
 		runs[r.Decode]++
--- a/internal/room/ledger/version.go
+++ b/internal/room/ledger/version.go
@@ -174,3 +174,18 @@
 		l.reserved[best] = true
 	}
 }
+
+// keepVersions returns which engines may switch to a stage: the last decode engine of a
+// version stays one, as streams that began there can go on nowhere else, and prefill
+// engines of a version without a decode engine are switched first.
+func (l *Ledger) keepVersions(ids []string, stage pool.Stage) []string {
+	decoders := func(id string) int { return len(l.groups()[group{pool.Decode, l.engines[id].Version}]) }
+	if stage == pool.Prefill {
+		return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return decoders(id) == 1 })
+	}
+	lacking := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return decoders(id) > 0 })
+	if len(lacking) > 0 {
+		return lacking
+	}
+	return slices.Clone(ids)
+}
