--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -161,7 +161,7 @@
 }
 
 // attempt sends one attempt that names the one that brought the first event.
-func (c *client) attempt(t *testing.T, resumes string, resume bool) (*httptest.ResponseRecorder, lines.Outcome) {
+func (c *client) attempt(t *testing.T, resumes string) (*httptest.ResponseRecorder, lines.Outcome) {
 	t.Helper()
 	f := c.fleet
 	c.attempts++
@@ -170,14 +170,14 @@
 		req.LastEventID = fmt.Sprint(len(c.held))
 	}
 	route := &config.Route{Name: "r", Kind: config.Stream, Timeout: time.Second, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond,
-		Resume: resume, Attempts: 3, Model: true, Splits: []config.Split{{Service: "s", Weight: 1}}}
+		Resume: true, Attempts: 3, Model: true, Splits: []config.Split{{Service: "s", Weight: 1}}}
 	service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
 	h := stream.New(f.table, f, ingress{}, f, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"), stream.WithOrigins(f))
 	rec := httptest.NewRecorder()
 	out := recordedWriter{rec, func() {
 		_, here := f.origins[req.ID]
 		_, there := f.origins[resumes]
-		f.unrecorded = f.unrecorded || resume && !here && !there
+		f.unrecorded = f.unrecorded || !here && !there
 	}}
 	o := h.Serve(t.Context(), out, req, route, service, time.Now().Add(time.Second))
 	for line := range strings.Lines(rec.Body.String()) {
--- a/internal/front/stream/origin_test.go
+++ b/internal/front/stream/origin_test.go
@@ -111,7 +111,7 @@
 					names = try.names
 				}
 				begun := time.Now()
-				rec, o := cl.attempt(t, names, true)
+				rec, o := cl.attempt(t, names)
 				if o.Result != try.result || o.Reason != try.reason {
 					t.Errorf("attempt %d: result %q, reason %q, status %d; want %q, %q", i+1, o.Result, o.Reason, rec.Code, try.result, try.reason)
 				}
@@ -185,7 +185,7 @@
 				names = []string{"", "?", "try1", "try2"}[rng.IntN(4)]
 			}
 			had := len(c.held)
-			_, o := c.attempt(t, names, true)
+			_, o := c.attempt(t, names)
 			if had > 0 && len(c.held) > had {
 				wentOn++
 			}
@@ -295,9 +295,9 @@
 	f := newVersionedFleet("v1", "v2")
 	c := &client{fleet: f}
 	f.breaks = []int{2}
-	c.attempt(t, "", true)
+	c.attempt(t, "")
 	f.grants = func(ledger.Request) string { return "" }
-	if _, o := c.attempt(t, c.first, true); o.Result != "refused" || o.RetryAfter <= 0 || o.RetryAfter > 500*time.Millisecond {
+	if _, o := c.attempt(t, c.first); o.Result != "refused" || o.RetryAfter <= 0 || o.RetryAfter > 500*time.Millisecond {
 		t.Errorf("result %q, to retry after %v; want a refusal with half a second at most", o.Result, o.RetryAfter)
 	}
 }
@@ -307,11 +307,11 @@
 	f := newVersionedFleet("v1", "v1", "v1")
 	f.breaks = []int{0, 2, 2}
 	c := &client{fleet: f}
-	c.attempt(t, "", true)
+	c.attempt(t, "")
 	if len(f.sent) != 3 || f.records != 1 {
 		t.Errorf("%d runs, %d records; want three runs and one record", len(f.sent), f.records)
 	}
-	if c.attempt(t, c.first, true); f.records != 2 {
+	if c.attempt(t, c.first); f.records != 2 {
 		t.Errorf("%d records after the second response, want two", f.records)
 	}
 }
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -77,7 +77,8 @@
 	if !ok || changing > 0 && float64(changing+1) > maxSwitchShare*float64(len(prefill)) {
 		return StageChange{}, false
 	}
-	eligible, stage := prefill, pool.Decode
+	var eligible []string
+	stage := pool.Decode
 	switch {
 	case len(prefill) > want && len(unhealthy) == 0 && now.Sub(l.stableSince) > stableDelay:
 		// An engine with queued prompts would refuse them after the switch.
