--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -58,6 +58,9 @@
 	out      http.ResponseWriter
 	outcome  lines.Outcome
 
+	// version is where the response goes on.
+	version version
+
 	lease *lease.Lease
 	// replacement is the lease in favour of which a silent run was given up. The retry
 	// budget has been charged for it.
@@ -78,7 +81,11 @@
 	sends, runs int
 	// limited counts the leases that were not used because of limits of engines.
 	limited int
-	events  int
+	// strays counts the leases that were not used because of the engine's version.
+	strays int
+	events int
+	// server is the entry of the engine as of the last send.
+	server pool.Server
 	// runEvents counts the events of the current run, firstEventAt is when it sent the
 	// first one.
 	runEvents    int
@@ -98,11 +105,17 @@
 )
 
 func (j *job) run(ctx context.Context) {
+	if !j.findOrigin(ctx) {
+		return
+	}
 	for ; j.leases < j.maxLeases(); j.leases++ {
-		if j.refuseStop(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
+		if j.refuseStop(ctx) || !j.mayGoOn(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
 			return
 		}
-		next := j.prefill(ctx)
+		next := j.checkGrant(ctx)
+		if next == finish {
+			next = j.prefill(ctx)
+		}
 		if next == finish && j.outcome.Result == "" {
 			if j.refuseStop(ctx) {
 				return
@@ -210,7 +223,7 @@
 		j.lease, j.leasedAt = granted, time.Now()
 		return true
 	case errors.As(err, &refused):
-		j.outcome.RetryAfter = refused.RetryAfter
+		j.outcome.RetryAfter = j.retryAfter(refused)
 		j.fail(ctx, refused.Reason)
 	default:
 		j.fail(ctx, "owner")
@@ -222,11 +235,13 @@
 // request.
 func (j *job) leaseRequest() ledger.Request {
 	slack := j.route.Target - time.Since(j.req.Received) - j.firstEventDelay(j.service.Name)
-	return ledger.Request{Service: j.service.Name, Prompt: promptTokens(j.req), Expected: j.expectedOutput(j.route.Name, j.req),
+	req := ledger.Request{Service: j.service.Name, Prompt: promptTokens(j.req), Expected: j.expectedOutput(j.route.Name, j.req),
 		Slack: slack, MaxWait: max(slack, 0) + time.Duration(lateWaitShare*float64(j.route.Target)),
 		RetryMaxWait:  min(time.Duration(retryWaitShare*float64(j.route.Target)), time.Until(j.deadline)/2),
 		MaxRetryAfter: time.Duration(maxRetryAfterShare * float64(time.Until(j.deadline))),
 		Fingerprint:   fingerprint(j.req), Prefilled: j.cache != nil, Resumed: j.streaming, Excluded: j.excludedEngines(), Held: j.table.Held(time.Now(), j.service.Name), Rank: j.route.Rank, Gap: j.route.Gap}
+	j.goOn(&req)
+	return req
 }
 
 // requestLease asks the owner of the service for a lease and logs its reply. It uses no
@@ -278,11 +293,14 @@
 	if !ok {
 		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
 	}
+	if !j.suits(s) {
+		return j.strayed(ctx, s)
+	}
 	if j.refusePart(ctx) {
 		return finish
 	}
 	start := time.Now()
-	j.runEvents, j.goneOn = 0, false
+	j.server, j.runEvents, j.goneOn = s, 0, false
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -361,6 +379,8 @@
 		j.outcome.NotMoved = "attempts"
 	case ctx.Err() != nil:
 		j.outcome.NotMoved = "deadline"
+	case !j.mayMove(ctx, s):
+		j.outcome.NotMoved = "version"
 	case j.replacement == nil && !j.quota.Take(j.service.Name):
 		j.outcome.NotMoved = "budget"
 	default:
--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -90,12 +90,7 @@
 }
 
 // maxLeases returns the number of leases that the request may use.
-func (j *job) maxLeases() int { return maxLeases + min(j.limited, maxLimited) }
-
-// chooseServer chooses a server of a service that has no ledger.
-func (j *job) chooseServer(excluded []string) (pool.Server, bool) {
-	return j.table.Choose(time.Now(), j.service.Name, j.domain, excluded)
-}
+func (j *job) maxLeases() int { return maxLeases + min(j.limited+j.strays, maxLimited) }
 
 // unlock releases the lock while the caller waits for the engine.
 func (w *watch) unlock() {
@@ -206,7 +201,7 @@
 		w.giveUp(event.FaultBroken, errLost)
 		return nil, ledger.Request{}
 	}
-	if now.Before(w.searchAt) || !w.quota.Left(w.service.Name) {
+	if now.Before(w.searchAt) || !w.quota.Left(w.service.Name) || !w.hasOther(w.server) {
 		w.arm(checkInterval)
 		return nil, ledger.Request{}
 	}
@@ -262,7 +257,8 @@
 		if id == "" {
 			continue
 		}
-		if _, ok := w.table.Available(time.Now(), id); !ok || w.table.IsUnhealthy(time.Now(), id) {
+		s, ok := w.table.Available(time.Now(), id)
+		if !ok || w.table.IsUnhealthy(time.Now(), id) || id == l.Decode && !w.suits(s) {
 			w.unusable = append(w.unusable, id)
 			return false
 		}
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -42,6 +42,7 @@
 	guard    *crash.Guard
 	memory   *memory.Budget
 	verify   func(pool.Server)
+	origins  citronrock.Origins
 	stop     *grace.Period
 	// recent are the times from the grant to the end of the answer.
 	recent grace.Recent
@@ -71,6 +72,10 @@
 // WithGuard sets the guard that counts the engines which a request has crashed.
 func WithGuard(g *crash.Guard) Option { return func(h *Handler) { h.guard = g } }
 
+// WithOrigins sets the records of the versions at which streams began. Without them no
+// stream that a client takes up goes on.
+func WithOrigins(o citronrock.Origins) Option { return func(h *Handler) { h.origins = o } }
+
 // WithMemory sets the budget for response data held in memory.
 func WithMemory(b *memory.Budget) Option { return func(h *Handler) { h.memory = b } }
 
@@ -78,7 +83,7 @@
 // leases on engines from g.
 func New(table *pool.Table, b citronrock.Backends, i citronrock.Ingress, g Acquirer, q *quota.Quota, log *lines.Log, opts ...Option) *Handler {
 	h := &Handler{table: table, backends: b, ingress: i, acquirer: g, quota: q, log: log,
-		onWaste: func(string, int) {}, verify: func(pool.Server) {}, stop: grace.New(),
+		onWaste: func(string, int) {}, origins: noOrigins{}, verify: func(pool.Server) {}, stop: grace.New(),
 		outputShares: map[string]*outputShare{}, firstEventDelays: map[string]time.Duration{}}
 	for _, o := range opts {
 		o(h)
--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -77,13 +77,15 @@
 	if !ok || changing > 0 && float64(changing+1) > maxSwitchShare*float64(len(prefill)) {
 		return StageChange{}, false
 	}
-	eligible, stage := prefill, pool.Decode
+	var eligible []string
+	stage := pool.Decode
 	switch {
 	case len(prefill) > want && len(unhealthy) == 0 && now.Sub(l.stableSince) > stableDelay:
 		// An engine with queued prompts would refuse them after the switch.
-		eligible = slices.DeleteFunc(slices.Clone(eligible), func(id string) bool { return l.prefillQueue(now, id) > 0 })
+		eligible = slices.DeleteFunc(l.keepVersions(prefill, stage), func(id string) bool { return l.prefillQueue(now, id) > 0 })
 	case len(prefill) < want && l.prefillShort(now) && len(decode) > 1:
-		eligible, stage = l.leastLoaded(decode), pool.Prefill
+		stage = pool.Prefill
+		eligible = l.leastLoaded(l.keepVersions(decode, stage))
 	default:
 		return StageChange{}, false
 	}
@@ -126,6 +128,9 @@
 // leastLoaded returns the engines with the fewest runs. An engine only switches once
 // its runs have ended.
 func (l *Ledger) leastLoaded(ids []string) []string {
+	if len(ids) == 0 {
+		return nil
+	}
 	runs := map[string]int{}
 	for _, r := range l.runs.all {
 		runs[r.Decode]++
@@ -207,21 +212,6 @@
 	return out
 }
 
-// idsByStage returns the IDs of a stage's engines in sorted order. The caller must
-// not modify the slice.
-func (l *Ledger) idsByStage(stage pool.Stage) []string {
-	if l.stageIDs == nil {
-		l.stageIDs = map[pool.Stage][]string{}
-		for _, e := range l.engines {
-			l.stageIDs[e.Stage] = append(l.stageIDs[e.Stage], e.ID)
-		}
-		for _, list := range l.stageIDs {
-			slices.Sort(list)
-		}
-	}
-	return l.stageIDs[stage]
-}
-
 // wantedPrefill returns how many of n engines should be prefill engines: the
 // smallest number that can keep the remaining decode engines busy. It returns false
 // while too little has been measured.
