Hold the origins of streams at four daemons and find them from any

A client may take its stream up at any daemon, also when the one that served it is dead, frozen or cut off. The record goes to three others, by rendezvous hashing of the attempt, before the first event goes to the client; later ones in the order stand in for silent ones. Who doesn't have it asks the first six, and holds and sends on what it finds. Without a record, only a list of versions that is certainly complete and has one version decides; anything else is a refusal. go test -race ./internal/route/origin passes: fleets of 7, 72 and 295 daemons, datagrams lost, deaths, starts, cuts, older builds, and 60 random mixes.

--- a/internal/peer/dgram/dgram.go
+++ b/internal/peer/dgram/dgram.go
@@ -31,11 +31,16 @@
 	Limit
 	PermitRequest
 	PermitReply
+	OriginRecord
+	OriginConfirm
+	OriginQuery
+	OriginReply
 )
 
 // KindNames holds the name of each kind in metrics.
 var KindNames = map[Kind]string{Gossip: "beat", LeaseRequest: "ask", LeaseReply: "answer", LeaseCancel: "drop", Report: "report", Update: "notice", Strike: "strike", Drain: "leave",
-	Limit: "limit", PermitRequest: "want", PermitReply: "permit"}
+	Limit: "limit", PermitRequest: "want", PermitReply: "permit",
+	OriginRecord: "keep", OriginConfirm: "kept", OriginQuery: "seek", OriginReply: "found"}
 
 const (
 	// version increases with each incompatible change of a message.
--- /dev/null
+++ b/internal/route/origin/group.go
@@ -0,0 +1,360 @@
+package origin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"citronrock.example/citronrock/internal/core/owner"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/logs/panics"
+	"citronrock.example/citronrock/internal/peer/dgram"
+	"citronrock.example/citronrock/internal/peer/gossip"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// holders is the number of other daemons that hold a record, reach the number of those
+	// in rendezvous order that may have it: later ones stand in for silent holders, and the
+	// order grows by daemons that join after the record was made.
+	holders, reach = 3, 6
+	// A record is sent again each resendAfter to those that have not confirmed it, until
+	// confirmTime has passed.
+	resendAfter = 25 * time.Millisecond
+	confirmTime = 100 * time.Millisecond
+	// silentTime is how long a daemon that did not confirm a record is not waited for.
+	silentTime = time.Second
+	// maxDeliveries and maxSearches bound the records and searches in flight, maxSpreads
+	// the records that are sent again in the background.
+	maxDeliveries = 1024
+	maxSearches   = 1024
+	maxSpreads    = 64
+	// warnInterval is the least time between log lines about records without confirmation.
+	warnInterval = time.Second
+)
+
+// History returns the versions of all engines of a service that may have begun a stream
+// which is still going on, an empty one for an engine whose version is not known, and
+// whether this list is certainly complete. It may wait, until ctx is done; if ctx is done
+// already, it returns at once what it knows. It is called by many goroutines at the same
+// time.
+type History func(ctx context.Context, service string) (versions []string, complete bool)
+
+// Group holds the records of this daemon and exchanges them with the others. It implements
+// citronrock.Origins.
+type Group struct {
+	self     netip.AddrPort
+	socket   dgram.Transport
+	members  gossip.Members
+	log      hclog.Logger
+	history  History
+	capacity int
+	warn     *rate.Limiter
+	// done is a context that is done, closing is done once the group is closed.
+	done, closing context.Context
+	cancel        context.CancelFunc
+	spreads       chan struct{}
+	running       sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	table  *Table
+	// number identifies the last delivery or search in flight. It starts at random, so that
+	// answers to an earlier process don't fit.
+	number     uint64
+	deliveries map[uint64]*delivery
+	searches   map[uint64]*search
+	// silent has the daemons that are not waited for, and until when.
+	silent map[netip.AddrPort]time.Time
+
+	unconfirmed atomic.Int64
+	found       [results]atomic.Int64
+}
+
+// Option sets an option of a Group.
+type Option func(*Group)
+
+// WithHistory sets the function that returns which versions can have begun a stream of
+// which there is no record. Without it such a stream's version is unknown.
+func WithHistory(h History) Option { return func(g *Group) { g.history = h } }
+
+// WithCapacity sets the number of records that this daemon holds at most.
+func WithCapacity(n int) Option { return func(g *Group) { g.capacity = n } }
+
+// New returns the group of the daemon at self and subscribes it to the messages of others.
+// Close ends it.
+func New(self netip.AddrPort, socket dgram.Transport, members gossip.Members, log hclog.Logger, opts ...Option) *Group {
+	g := &Group{self: self, socket: socket, members: members, log: log, capacity: DefaultCapacity, done: endedContext(),
+		history:  func(context.Context, string) ([]string, bool) { return nil, false },
+		warn:     rate.NewLimiter(rate.Every(warnInterval), 1),
+		spreads:  make(chan struct{}, maxSpreads),
+		number:   rand.Uint64(),
+		searches: map[uint64]*search{}, deliveries: map[uint64]*delivery{}, silent: map[netip.AddrPort]time.Time{}}
+	for _, o := range opts {
+		o(g)
+	}
+	g.table = NewTable(g.capacity)
+	g.closing, g.cancel = context.WithCancel(context.Background())
+	g.subscribe()
+	return g
+}
+
+// Close ends what waits for other daemons.
+func (g *Group) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.cancel()
+	g.running.Wait()
+}
+
+// Held returns the number of records that this daemon holds.
+func (g *Group) Held() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.expire(time.Now())
+	return int64(g.table.Len())
+}
+
+// Unconfirmed returns the number of records that fewer daemons have confirmed in time than
+// are to hold them.
+func (g *Group) Unconfirmed() int64 { return g.unconfirmed.Load() }
+
+// InFlight returns the number of records and searches that wait for other daemons.
+func (g *Group) InFlight() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return int64(len(g.deliveries) + len(g.searches))
+}
+
+// Record stores the origin of a stream here and at three other daemons. It returns when
+// they have confirmed it, after 100 ms at the latest. An attempt must be recorded before
+// its first event goes to the client, and not go on at another version after that.
+func (g *Group) Record(ctx context.Context, o Origin) {
+	version := o.Version
+	g.mu.Lock()
+	o, ok := g.table.Put(time.Now(), o)
+	g.mu.Unlock()
+	if !ok {
+		return // no client can name this attempt, or only after the end of its time
+	}
+	started := time.Now()
+	confirmed, want := g.deliver(ctx, o, holders)
+	g.mu.Lock()
+	merged, ok := g.table.Get(time.Now(), o.Attempt)
+	g.mu.Unlock()
+	if ok && merged.Version == "" && version != "" {
+		// Others have it at another version. All that may be asked must know that, the
+		// daemon that has recorded it first, too.
+		g.log.Warn("origin of a stream contradicts an earlier one; its version is unknown", "request", o.Attempt, "software", version)
+		g.spread(merged, reach+1)
+	}
+	if confirmed >= want {
+		return
+	}
+	if g.unconfirmed.Add(1); g.warn.Allow() {
+		g.log.Warn("origin of a stream not confirmed by enough daemons; the stream goes on", "request", o.Attempt, "service", o.Service,
+			"software", o.Version, "confirmed", confirmed, "want", want, "took", lines.Ms(time.Since(started)))
+	}
+}
+
+// waiter is woken when there is news.
+type waiter chan struct{}
+
+func (w waiter) poke() {
+	select {
+	case w <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
+// delivery is a record on its way to other daemons. The group's mu guards asked and
+// confirmed.
+type delivery struct {
+	waiter
+	attempt string
+	until   time.Time
+	// asked has the daemons that got the record, true while they have not confirmed it.
+	asked     map[netip.AddrPort]bool
+	confirmed int
+}
+
+// deliver sends a record to the first n daemons that are to hold it, and returns how many
+// have confirmed that, and how many should have. Later daemons in the order stand in for
+// silent ones.
+func (g *Group) deliver(ctx context.Context, o Origin, n int) (confirmed, want int) {
+	order, _ := g.order(o.Attempt, n+reach-holders)
+	want = min(n, len(order))
+	if want == 0 {
+		return 0, 0
+	}
+	started := time.Now()
+	d := &delivery{waiter: make(waiter, 1), attempt: o.Attempt, until: o.Until, asked: map[netip.AddrPort]bool{}}
+	g.mu.Lock()
+	// need is the number of confirmations to wait for.
+	need, next := 0, 0
+	for ; next < len(order) && need < want; next++ {
+		d.asked[order[next]] = true
+		if !started.Before(g.silent[order[next]]) {
+			need++
+		}
+	}
+	g.number++
+	number := g.number
+	inFlight := len(g.deliveries) < maxDeliveries
+	if inFlight {
+		g.deliveries[number] = d
+	}
+	targets := d.pending()
+	g.mu.Unlock()
+	defer g.endDelivery(number, d, started)
+	m := record{Number: number, Attempt: []byte(o.Attempt), Service: []byte(o.Service), Version: []byte(o.Version), Left: left(started, o.Until)}
+	g.socket.Send(dgram.OriginRecord, m, targets...)
+	if !inFlight {
+		return 0, want
+	}
+	// Timers without channels: see fleet_test.go.
+	timer := time.AfterFunc(resendAfter, d.poke)
+	defer timer.Stop()
+	for sent := started; ; {
+		g.mu.Lock()
+		confirmed = d.confirmed
+		now := time.Now()
+		if confirmed >= need || now.Sub(started) >= confirmTime {
+			g.mu.Unlock()
+			return confirmed, want
+		}
+		targets = nil
+		if now.Sub(sent) >= resendAfter {
+			for range want - confirmed {
+				if next < len(order) {
+					d.asked[order[next]] = true
+					next++
+				}
+			}
+			need, targets, sent = want, d.pending(), now
+			timer.Reset(resendAfter)
+		}
+		g.mu.Unlock()
+		if len(targets) > 0 {
+			m.Left = left(now, o.Until)
+			g.socket.Send(dgram.OriginRecord, m, targets...)
+		}
+		select {
+		case <-d.waiter:
+		case <-ctx.Done():
+			return confirmed, want
+		case <-g.closing.Done():
+			return confirmed, want
+		}
+	}
+}
+
+// pending returns the daemons that have not confirmed the record.
+func (d *delivery) pending() []netip.AddrPort {
+	var out []netip.AddrPort
+	for addr, waiting := range d.asked {
+		if waiting {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// endDelivery forgets a delivery. Those that have not confirmed it although it was sent
+// again are not waited for next time, unless this process was paused.
+func (g *Group) endDelivery(number uint64, d *delivery, started time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.deliveries, number)
+	now := time.Now()
+	if took := now.Sub(started); took < resendAfter || took > 2*confirmTime {
+		return
+	}
+	for addr, end := range g.silent {
+		if !now.Before(end) {
+			delete(g.silent, addr)
+		}
+	}
+	for _, addr := range d.pending() {
+		g.silent[addr] = now.Add(silentTime)
+	}
+}
+
+// spread sends a record again in the background to the first n daemons that are to hold it,
+// so that it survives deaths one after the other.
+func (g *Group) spread(o Origin, n int) {
+	select {
+	case g.spreads <- struct{}{}:
+	default:
+		return // bounded; the next search for the record does it
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		<-g.spreads
+		return
+	}
+	g.running.Go(func() {
+		defer func() { <-g.spreads }()
+		defer panics.Recover(g.log, "origins of streams")
+		g.deliver(g.closing, o, n)
+	})
+}
+
+// order returns the n other daemons that are first to hold the record of an attempt, best
+// first, and those that may hold it by the view of others. Daemons that leave or have just
+// started are taken last. One that started before this one may be older than this one knows.
+func (g *Group) order(attempt string, n int) (best, all []netip.AddrPort) {
+	type ranked struct {
+		addr  netip.AddrPort
+		score uint64
+		fit   bool
+	}
+	alive := g.members.Alive()
+	var own int64
+	for _, m := range alive {
+		if m.Addr == g.self {
+			own = m.Incarnation
+		}
+	}
+	list := make([]ranked, 0, len(alive))
+	for _, m := range alive {
+		if m.Addr != g.self {
+			list = append(list, ranked{m.Addr, owner.Score(attempt, m.Addr.String()), !m.Leaving && (m.Mature || m.Incarnation < own)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return a.addr.Compare(b.addr)
+	})
+	for i, r := range list {
+		if i < n {
+			all = append(all, r.addr)
+		}
+		if r.fit && len(best) < n {
+			best = append(best, r.addr)
+		}
+	}
+	for _, r := range list {
+		if !r.fit && len(best) < holders {
+			best = append(best, r.addr)
+		}
+	}
+	for _, addr := range best {
+		if !slices.Contains(all, addr) {
+			all = append(all, addr)
+		}
+	}
+	return best, all
+}
