--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -13,6 +13,7 @@
 	"citronrock.example/citronrock/internal/peer/gossip"
 	"citronrock.example/citronrock/internal/room/gate"
 	"citronrock.example/citronrock/internal/room/lease"
+	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/rotisserie/eris"
 )
@@ -161,7 +162,14 @@
 			return r.backends.Sent(gate.Path(path))
 		}))
 	}
+	for result, name := range origin.ResultNames {
+		failed = append(failed, r.meter.Gauge("origins_"+name, "searches for the origin of a stream with this result", func() int64 {
+			return r.origins.Found(origin.Result(result))
+		}))
+	}
 	return errors.Join(append(failed,
+		r.meter.Gauge("origins", "origins of streams that this daemon holds", r.origins.Held),
+		r.meter.Gauge("origins_unconfirmed", "origins of streams that too few daemons have confirmed in time", r.origins.Unconfirmed),
 		r.meter.Gauge("limited", "servers that name a limit on the requests of all daemons", r.backends.Limited),
 		r.meter.Gauge("permits", "permits for requests to limited servers that this daemon got", r.backends.Granted),
 		r.meter.Gauge("permits_denied", "requests to limited servers that got no permit", r.backends.Denied),
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -30,6 +30,7 @@
 	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/fanout"
 	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
 	"citronrock.example/citronrock/internal/route/probe"
 	"github.com/rotisserie/eris"
@@ -64,6 +65,8 @@
 	shutdownReserve = 400 * time.Millisecond
 )
 
+var _ citronrock.Origins = (*origin.Group)(nil)
+
 // Router is one router process.
 type Router struct {
 	settings  *site.Settings
@@ -78,6 +81,7 @@
 	table         *pool.Table
 	prober        *probe.Prober
 	guard         *crash.Guard
+	origins       *origin.Group
 	fanout        *fanout.Node
 	leases        *lease.Manager
 	follower      *follow.Follower
@@ -130,6 +134,7 @@
 	r.backends = gate.New(s.Peer, r.socket, r.gossip, r.fanout, r.table, p.Backends, p.Log)
 	r.backends.OnSignal(r.onSignal)
 	r.guard = crash.New(s.Peer, r.socket, r.gossip, p.Log)
+	r.origins = origin.New(s.Peer, r.socket, r.gossip, p.Log)
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
 	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
 	budget := quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
@@ -368,6 +373,7 @@
 func (r *Router) closePeers() {
 	r.prober.Close()
 	r.guard.Close()
+	r.origins.Close()
 	r.leases.Close()
 	r.backends.Close()
 	r.gossip.Close()
--- a/internal/route/origin/find.go
+++ b/internal/route/origin/find.go
@@ -142,12 +142,18 @@
 		return Unknown
 	}
 	defer g.endSearch(number)
-	ctx, cancel := context.WithTimeout(ctx, historyTime)
-	defer cancel()
 	m := query{Number: number, Attempt: []byte(s.attempt), Service: []byte(s.service)}
 	started := time.Now()
 	g.socket.Send(dgram.OriginQuery, m, g.silentOnes(s)...)
-	g.readHistory(ctx, s, number)
+	known := g.knowsHistory(s)
+	if result, done := g.decide(s, false); known && done {
+		return result
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyTime)
+	defer cancel()
+	if !known {
+		g.readHistory(ctx, s, number)
+	}
 	// Timers without channels: see fleet_test.go.
 	timer := time.AfterFunc(askAgain, s.poke)
 	defer timer.Stop()
@@ -231,15 +237,25 @@
 	return Unknown, false
 }
 
-// readHistory adds this daemon's own history to a search, later if it is not known yet.
-func (g *Group) readHistory(ctx context.Context, s *search, number uint64) {
+// knowsHistory adds this daemon's own history to a search, and reports whether no more can
+// be known of it.
+func (g *Group) knowsHistory(s *search) bool {
+	if g.history == nil {
+		return true
+	}
 	versions, complete := g.history(g.done, s.service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if complete {
 		s.addHistory(versions)
-		return
 	}
+	return complete
+}
+
+// readHistory adds this daemon's own history to a search later, if that has not ended.
+func (g *Group) readHistory(ctx context.Context, s *search, number uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.closed {
 		return
 	}
@@ -250,7 +266,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.searches[number] != s {
-			return // it has ended
+			return
 		}
 		if s.reading = false; complete {
 			s.addHistory(versions)
--- a/internal/route/origin/group.go
+++ b/internal/route/origin/group.go
@@ -52,7 +52,7 @@
 	socket   dgram.Transport
 	members  gossip.Members
 	log      hclog.Logger
-	history  History
+	history  History // may be nil
 	capacity int
 	warn     *rate.Limiter
 	// done is a context that is done, closing is done once the group is closed.
@@ -90,7 +90,6 @@
 // Close ends it.
 func New(self netip.AddrPort, socket dgram.Transport, members gossip.Members, log hclog.Logger, opts ...Option) *Group {
 	g := &Group{self: self, socket: socket, members: members, log: log, capacity: DefaultCapacity, done: endedContext(),
-		history:  func(context.Context, string) ([]string, bool) { return nil, false },
 		warn:     rate.NewLimiter(rate.Every(warnInterval), 1),
 		spreads:  make(chan struct{}, maxSpreads),
 		number:   rand.Uint64(),
--- a/internal/route/origin/group_test.go
+++ b/internal/route/origin/group_test.go
@@ -305,6 +305,7 @@
 		"known to nobody":                {unknown, unknown, false, 10 * time.Millisecond},
 		"several versions":               {two, two, false, 10 * time.Millisecond},
 		"others know of more":            {one, two, false, 10 * time.Millisecond},
+		"others know of more, at last":   {unknown, list{[]string{"v1", "v1", "v1", "v2"}, true, 0}, false, 10 * time.Millisecond},
 		"an engine of unknown version":   {list{[]string{"v1", ""}, true, 0}, unknown, false, 10 * time.Millisecond},
 		"engines of unknown version":     {list{[]string{""}, true, 0}, unknown, false, 10 * time.Millisecond},
 		"the same version twice":         {list{[]string{"v1", "v1"}, true, 0}, one, true, 10 * time.Millisecond},
--- a/internal/route/origin/wire.go
+++ b/internal/route/origin/wire.go
@@ -124,11 +124,13 @@
 	g.mu.Unlock()
 	if ok {
 		answer.Known, answer.Service, answer.Version, answer.Left = true, []byte(o.Service), []byte(o.Version), left(now, o.Until)
-	} else if versions, complete := g.history(g.done, string(m.Service)); complete {
-		answer.Complete = true
-		for _, v := range versions {
-			if answer.Versions = append(answer.Versions, []byte(v)); len(answer.Versions) == maxVersions {
-				break
+	} else if g.history != nil {
+		var versions []string
+		if versions, answer.Complete = g.history(g.done, string(m.Service)); answer.Complete {
+			for _, v := range distinct(versions) {
+				if answer.Versions = append(answer.Versions, []byte(v)); len(answer.Versions) == maxVersions {
+					break
+				}
 			}
 		}
 	}
