Hand the origins of streams over before a stop

Where all daemons are replaced one after the other, the four that hold a record may be gone before the stream ends, though each stop is planned. A stopping daemon now sends what it holds to three others that stay, for 150 ms at most.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -63,6 +63,8 @@
 	// shutdownReserve is the part of the grace period that is kept for the shutdown
 	// after the last request.
 	shutdownReserve = 400 * time.Millisecond
+	// handOverTime is the part of it for the origins of streams.
+	handOverTime = 150 * time.Millisecond
 )
 
 var _ citronrock.Origins = (*origin.Group)(nil)
@@ -360,6 +362,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	r.server.Stop(ctx, shutdownNotice)
+	r.handOver()
 	r.follower.Close()
 	r.closePeers()
 	r.stateListener.Close()
@@ -370,6 +373,13 @@
 	r.log.Info("stopped", "open", r.server.InFlight(), "took", lines.Ms(time.Since(r.startedAt)))
 }
 
+// handOver hands the origins of streams over to other routers.
+func (r *Router) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	r.origins.Leave(ctx)
+}
+
 func (r *Router) closePeers() {
 	r.prober.Close()
 	r.guard.Close()
--- a/internal/route/origin/group.go
+++ b/internal/route/origin/group.go
@@ -306,6 +306,30 @@
 	})
 }
 
+// Leave hands the records that this daemon holds over to others, before its process ends.
+// It returns when these have confirmed them, or when ctx is done.
+func (g *Group) Leave(ctx context.Context) {
+	g.mu.Lock()
+	all := g.table.All(time.Now())
+	g.mu.Unlock()
+	var running sync.WaitGroup
+	defer running.Wait()
+	free := make(chan struct{}, maxSpreads)
+	for _, o := range all {
+		select {
+		case free <- struct{}{}:
+		case <-ctx.Done():
+			g.log.Warn("not all origins of streams handed over in time", "held", len(all))
+			return
+		}
+		running.Go(func() {
+			defer func() { <-free }()
+			defer panics.Recover(g.log, "origins of streams")
+			g.deliver(ctx, o, holders)
+		})
+	}
+}
+
 // order returns the n other daemons that are first to hold the record of an attempt, best
 // first, and those that may hold it by the view of others. Daemons that leave or have just
 // started are taken last. One that started before this one may be older than this one knows.
--- a/internal/route/origin/group_test.go
+++ b/internal/route/origin/group_test.go
@@ -215,6 +215,34 @@
 	})
 }
 
+// Guards against records that are lost as all daemons are replaced one after the other,
+// while their streams go on.
+func TestReplacedFleet(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "before the others count them": 300 * time.Millisecond, "after that": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(7, 0.1, 9)
+				defer f.close()
+				s := f.begin(100)
+				for _, d := range f.daemons {
+					d.leave(true)
+					time.Sleep(100 * time.Millisecond)
+					ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+					d.group.Leave(ctx)
+					cancel()
+					d.leave(false)
+					d.start()
+					time.Sleep(pause)
+				}
+				time.Sleep(200 * time.Millisecond) // until the last one knows the others
+				if found, wrong, _ := f.find(s); found < 99 || wrong > 0 {
+					t.Errorf("%d of %d found, %d at a wrong version", found, len(s), wrong)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a version that is guessed for an attempt that brought no first event, and
 // against the loss of one that is named twice, or after an attempt without events.
 func TestNamedAttempts(t *testing.T) {
--- a/internal/route/origin/table.go
+++ b/internal/route/origin/table.go
@@ -118,6 +118,16 @@
 	return e.origin(), true
 }
 
+// All returns all records.
+func (t *Table) All(now time.Time) []Origin {
+	t.expire(now)
+	out := make([]Origin, 0, len(t.expiry))
+	for _, e := range t.expiry {
+		out = append(out, e.origin())
+	}
+	return out
+}
+
 // Len returns the number of records, expired ones that are not yet dropped included.
 func (t *Table) Len() int { return len(t.entries) }
 
