Take daemons that leave or have just started last, without a rule on their age

The rule that one that started earlier counts as mature had no effect that a test could show: a fresh daemon learns all others at once from a seed. Without it those that are unfit still stand in for silent ones. go test -race ./internal/route/origin passes (70 s).

--- a/internal/route/origin/group.go
+++ b/internal/route/origin/group.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -332,7 +333,7 @@
 
 // order returns the n other daemons that are first to hold the record of an attempt, best
 // first, and those that may hold it by the view of others. Daemons that leave or have just
-// started are taken last. One that started before this one may be older than this one knows.
+// started are taken last.
 func (g *Group) order(attempt string, n int) (best, all []netip.AddrPort) {
 	type ranked struct {
 		addr  netip.AddrPort
@@ -340,26 +341,14 @@
 		fit   bool
 	}
 	alive := g.members.Alive()
-	var own int64
-	for _, m := range alive {
-		if m.Addr == g.self {
-			own = m.Incarnation
-		}
-	}
 	list := make([]ranked, 0, len(alive))
 	for _, m := range alive {
 		if m.Addr != g.self {
-			list = append(list, ranked{m.Addr, owner.Score(attempt, m.Addr.String()), !m.Leaving && (m.Mature || m.Incarnation < own)})
+			list = append(list, ranked{m.Addr, owner.Score(attempt, m.Addr.String()), m.Mature && !m.Leaving})
 		}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		}
-		return a.addr.Compare(b.addr)
+		return cmp.Or(cmp.Compare(b.score, a.score), a.addr.Compare(b.addr))
 	})
 	for i, r := range list {
 		if i < n {
@@ -370,7 +359,7 @@
 		}
 	}
 	for _, r := range list {
-		if !r.fit && len(best) < holders {
+		if !r.fit && len(best) < n {
 			best = append(best, r.addr)
 		}
 	}
