--- a/internal/route/origin/cost_test.go
+++ b/internal/route/origin/cost_test.go
@@ -181,6 +181,28 @@
 	}
 }
 
+// FuzzDatagrams guards against datagrams that stop a daemon, or make it hold more than one
+// record each.
+func FuzzDatagrams(f *testing.F) {
+	for _, m := range []map[int]any{{1: 7, 2: []byte("a"), 3: []byte("llm"), 4: []byte("v1"), 5: 1000}, {1: 7, 2: true}, {1: 7, 6: [][]byte{[]byte("x")}, 7: true}} {
+		body, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, g := newAlone()
+		defer g.Close()
+		for _, k := range []dgram.Kind{dgram.OriginConfirm, dgram.OriginQuery, dgram.OriginReply, dgram.OriginRecord, dgram.OriginQuery} {
+			a.receive(k, body)
+		}
+		if g.Held() > 1 || g.InFlight() > 0 {
+			t.Errorf("%d records, %d calls", g.Held(), g.InFlight())
+		}
+	})
+}
+
 // Guards against a first event that is held up longer than datagrams take between
 // processes, and against kinds of messages that sockets don't pass on.
 func TestOverSockets(t *testing.T) {
--- a/internal/route/origin/fleet_test.go
+++ b/internal/route/origin/fleet_test.go
@@ -121,7 +121,7 @@
 	if was != nil {
 		was.Close()
 	}
-	history := origin.WithHistory(func(ctx context.Context, _ string) ([]string, bool) { return d.fleet.history(ctx, d) })
+	history := origin.WithHistory(func(ctx context.Context, _ string) ([]string, bool) { return d.history(ctx, d) })
 	group := origin.New(d.addr, d, d, hclog.NewNullLogger(), history)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/route/origin/mix_test.go
+++ b/internal/route/origin/mix_test.go
@@ -115,7 +115,7 @@
 			for _, d := range m.some(random.IntN(1 + len(m.daemons)/3)) {
 				d.startOld()
 			}
-			m.fleet.history = func(context.Context, *daemon) ([]string, bool) {
+			m.history = func(context.Context, *daemon) ([]string, bool) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
 				if m.noise.IntN(3) > 0 {
