--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -32,6 +32,7 @@
 	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/fanout"
 	"citronrock.example/citronrock/internal/route/follow"
+	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
 	"citronrock.example/citronrock/internal/route/probe"
 	"github.com/rotisserie/eris"
@@ -64,8 +65,12 @@
 	// shutdownReserve is the part of the grace period that is kept for the shutdown
 	// after the last request.
 	shutdownReserve = 400 * time.Millisecond
+	// handOverTime is the part of it for the origins of streams.
+	handOverTime = 150 * time.Millisecond
 )
 
+var _ citronrock.Origins = (*origin.Group)(nil)
+
 // Router is one router process.
 type Router struct {
 	settings  *site.Settings
@@ -80,6 +85,7 @@
 	table         *pool.Table
 	prober        *probe.Prober
 	guard         *crash.Guard
+	origins       *origin.Group
 	fanout        *fanout.Node
 	leases        *lease.Manager
 	follower      *follow.Follower
@@ -131,6 +137,7 @@
 	r.backends = gate.New(s.Peer, r.socket, r.gossip, r.fanout, r.table, p.Backends, p.Log)
 	r.backends.OnSignal(r.onSignal)
 	r.guard = crash.New(s.Peer, r.socket, r.gossip, p.Log)
+	r.origins = origin.New(s.Peer, r.socket, r.gossip, p.Log)
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
 	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
 	budget := quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
@@ -350,6 +357,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	r.server.Stop(ctx, shutdownNotice)
+	r.handOver()
 	r.follower.Close()
 	r.closePeers()
 	r.stateListener.Close()
@@ -360,9 +368,17 @@
 	r.log.Info("stopped", "open", r.server.InFlight(), "took", lines.Ms(time.Since(r.startedAt)))
 }
 
+// handOver hands the origins of streams over to other routers.
+func (r *Router) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	r.origins.Leave(ctx)
+}
+
 func (r *Router) closePeers() {
 	r.prober.Close()
 	r.guard.Close()
+	r.origins.Close()
 	r.leases.Close()
 	r.backends.Close()
 	r.gossip.Close()
