Let taken-up streams go on by the records of their origins

The router passes the group of origins to the stream handler and gives it the versions that can have begun a stream without a record. A daemon's own list always counts and is confirmed by a read of the store first: with others' lists alone, a version that they don't know of yet would have been left out. The case 'others know before the store' of TestStreamWithoutRecord had the daemon's own list name v2 and wanted v1, which is a guess; it is a refusal now, and two cases are added. go test -race of front/router, route/origin and route/builds passes.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -28,6 +28,7 @@
 	"citronrock.example/citronrock/internal/peer/gossip"
 	"citronrock.example/citronrock/internal/room/gate"
 	"citronrock.example/citronrock/internal/room/lease"
+	"citronrock.example/citronrock/internal/route/builds"
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/fanout"
@@ -80,12 +81,14 @@
 	meter     *meter.Meter
 	startedAt time.Time
 
-	socket        *dgram.Socket
-	gossip        *gossip.Node
-	table         *pool.Table
-	prober        *probe.Prober
-	guard         *crash.Guard
-	origins       *origin.Group
+	socket  *dgram.Socket
+	gossip  *gossip.Node
+	table   *pool.Table
+	prober  *probe.Prober
+	guard   *crash.Guard
+	origins *origin.Group
+	// builds is nil until the store is read: other daemons may ask before.
+	builds        atomic.Pointer[builds.Finder]
 	fanout        *fanout.Node
 	leases        *lease.Manager
 	follower      *follow.Follower
@@ -137,7 +140,7 @@
 	r.backends = gate.New(s.Peer, r.socket, r.gossip, r.fanout, r.table, p.Backends, p.Log)
 	r.backends.OnSignal(r.onSignal)
 	r.guard = crash.New(s.Peer, r.socket, r.gossip, p.Log)
-	r.origins = origin.New(s.Peer, r.socket, r.gossip, p.Log)
+	r.origins = origin.New(s.Peer, r.socket, r.gossip, p.Log, origin.WithHistory(r.versions))
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
 	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
 	budget := quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
@@ -146,14 +149,16 @@
 		r.memory = memory.New(int64(bodyMemoryShare * float64(s.Memory)))
 	}
 	r.unary = unary.New(r.table, r.backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory), unary.WithStop(r.grace))
-	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithStop(r.grace),
+	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithStop(r.grace), stream.WithOrigins(r.origins),
 		stream.WithWaste(func(service string, tokens int) { p.Meter.WastedTokens(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
 		return nil, err
 	}
 	r.follower = follow.Start(p.Store, r.table, r.fanout, p.Log, follow.WithOnDocument(r.apply))
+	r.builds.Store(builds.Start(p.Store, r.table, r.follower, p.Log, builds.WithHeartbeat(s.Heartbeat), builds.WithPeers(r.fanout.PeerCount)))
 	if err := r.listen(); err != nil {
+		r.builds.Load().Close()
 		r.follower.Close()
 		r.closePeers()
 		return nil, err
@@ -194,6 +199,19 @@
 	return r.listenReady()
 }
 
+// versions returns the software versions of a service that can have begun a stream, at
+// once if ctx is done.
+func (r *Router) versions(ctx context.Context, service string) ([]string, bool) {
+	f := r.builds.Load()
+	switch {
+	case f == nil:
+		return nil, false
+	case ctx.Err() != nil:
+		return f.Recent(service)
+	}
+	return f.Versions(ctx, service)
+}
+
 // sameServer returns whether the server at an address is still the one of its entry.
 func (r *Router) sameServer(ctx context.Context, s pool.Server) (bool, error) {
 	path := ""
@@ -358,6 +376,7 @@
 	defer cancel()
 	r.server.Stop(ctx, shutdownNotice)
 	r.handOver()
+	r.builds.Load().Close()
 	r.follower.Close()
 	r.closePeers()
 	r.stateListener.Close()
--- a/internal/route/origin/find.go
+++ b/internal/route/origin/find.go
@@ -98,10 +98,11 @@
 	// origin is the record that was found if known is set.
 	origin Origin
 	known  bool
-	// versions are those of all complete lists, without repetitions.
+	// versions are those of all complete lists and of this daemon's own, without
+	// repetitions. complete is set if one of the lists is.
 	versions []string
 	complete bool
-	// reading is set while this daemon's own history is not known.
+	// reading is set while this daemon's own history is not confirmed.
 	reading bool
 }
 
@@ -114,9 +115,10 @@
 	s.origin, s.known = o, true
 }
 
-// addHistory takes a complete list.
-func (s *search) addHistory(versions []string) {
-	s.versions, s.complete = distinct(slices.Concat(s.versions, versions)), true
+// addHistory takes a list. An incomplete one of this daemon's own counts for what it has:
+// others may not know of the newest engines yet.
+func (s *search) addHistory(versions []string, complete bool) {
+	s.versions, s.complete = distinct(slices.Concat(s.versions, versions)), s.complete || complete
 }
 
 // judge returns how a search ends that found a record.
@@ -145,15 +147,9 @@
 	m := query{Number: number, Attempt: []byte(s.attempt), Service: []byte(s.service)}
 	started := time.Now()
 	g.socket.Send(dgram.OriginQuery, m, g.silentOnes(s)...)
-	known := g.knowsHistory(s)
-	if result, done := g.decide(s, false); known && done {
-		return result
-	}
 	ctx, cancel := context.WithTimeout(ctx, historyTime)
 	defer cancel()
-	if !known {
-		g.readHistory(ctx, s, number)
-	}
+	g.readHistory(ctx, s, number)
 	// Timers without channels: see fleet_test.go.
 	timer := time.AfterFunc(askAgain, s.poke)
 	defer timer.Stop()
@@ -171,8 +167,7 @@
 		select {
 		case <-s.waiter:
 		case <-ctx.Done():
-			result, _ := g.decide(s, true)
-			return result
+			return g.lastResult(s)
 		case <-g.closing.Done():
 			return Unknown
 		}
@@ -227,35 +222,34 @@
 	switch {
 	case s.known:
 		return s.judge(Peer), true
-	case !over && s.answered < len(s.asked):
+	case !over && s.answered < len(s.asked), s.reading:
 		return Unknown, false
 	case s.complete && len(s.versions) == 1 && s.versions[0] != "":
 		return Only, true
-	case s.complete, !s.reading:
-		return Unknown, true
 	}
-	return Unknown, false
+	return Unknown, true
 }
 
-// knowsHistory adds this daemon's own history to a search, and reports whether no more can
-// be known of it.
-func (g *Group) knowsHistory(s *search) bool {
-	if g.history == nil {
-		return true
-	}
-	versions, complete := g.history(g.done, s.service)
+// lastResult returns the result of a search that can wait no longer: the lists of others
+// count although this daemon could not confirm its own.
+func (g *Group) lastResult(s *search) Result {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if complete {
-		s.addHistory(versions)
-	}
-	return complete
+	s.reading = false
+	g.mu.Unlock()
+	result, _ := g.decide(s, true)
+	return result
 }
 
-// readHistory adds this daemon's own history to a search later, if that has not ended.
+// readHistory adds this daemon's own history to a search: what it knows at once, and later
+// the confirmed list, if the search has not ended.
 func (g *Group) readHistory(ctx context.Context, s *search, number uint64) {
+	if g.history == nil {
+		return
+	}
+	versions, _ := g.history(g.done, s.service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	s.addHistory(versions, false)
 	if g.closed {
 		return
 	}
@@ -268,9 +262,8 @@
 		if g.searches[number] != s {
 			return
 		}
-		if s.reading = false; complete {
-			s.addHistory(versions)
-		}
+		s.reading = false
+		s.addHistory(versions, complete)
 		s.poke()
 	})
 }
--- a/internal/route/origin/wire.go
+++ b/internal/route/origin/wire.go
@@ -157,7 +157,7 @@
 		for _, v := range m.Versions[:min(len(m.Versions), maxVersions)] {
 			versions = append(versions, string(v))
 		}
-		s.addHistory(versions)
+		s.addHistory(versions, true)
 	}
 	s.poke()
 }
