--- a/internal/room/ledger/balance_test.go
+++ b/internal/room/ledger/balance_test.go
@@ -322,3 +322,52 @@
 		})
 	}
 }
+
+// Guards against a version without a decode engine, at which no stream can go on, because
+// its last one is switched to prefill, or others are switched to decode first.
+func TestSwitchesKeepVersions(t *testing.T) {
+	cases := map[string]struct {
+		// versions are those of the engines by their IDs: prefill engines begin with p.
+		versions map[string]string
+		rate     float64
+		want     string
+	}{
+		"prefill engines are short, one version": {map[string]string{"pa": "v1", "da": "v1", "db": "v1", "dc": "v1"}, 20_000, "dc"},
+		"that one is the last of its version":    {map[string]string{"pa": "v1", "da": "v1", "db": "v1", "dc": "v2"}, 20_000, "db"},
+		"each is the last of its version":        {map[string]string{"pa": "v1", "da": "v1", "db": "v2", "dc": "v3"}, 20_000, ""},
+		"too many prefill engines":               {map[string]string{"pa": "v1", "pb": "v1", "pc": "v1", "da": "v1"}, 500_000, "pa"},
+		"a version only prefills":                {map[string]string{"pa": "v1", "pb": "v1", "pc": "v2", "da": "v1"}, 500_000, "pc"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			var list []ledger.Engine
+			for id, version := range c.versions {
+				e := ledger.Engine{ID: id, Stage: pool.Decode, Slots: 12, Tokens: 100_000, Version: version}
+				if id[0] == 'p' {
+					e.Stage = pool.Prefill
+				}
+				list = append(list, e)
+			}
+			switched := ""
+			for i := range uint64(100) {
+				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+				l.SetEngines(now, list)
+				for k := range uint64(2) {
+					l.Submit(now, edge1, request(2*i+k+1))
+				}
+				report := ledger.Report{Service: "s", Incarnation: 1, Sequence: i + 1, PrefillRate: c.rate}
+				for lease := uint64(1); lease <= 30; lease++ {
+					report.Runs = append(report.Runs, ledger.Run{Lease: 1_000_000 + i + lease, Decode: "da", Prompt: 1000, Expected: 100, Generated: 50, Phase: ledger.Decoding})
+				}
+				l.ApplyReport(now, edge1, report)
+				if change, ok := l.Rebalance(now, time.Minute, func(ids []string) string { return slices.Min(ids) }); ok && switched == "" {
+					switched = change.Engine
+				}
+			}
+			if switched != c.want {
+				t.Errorf("switched %q, want %q", switched, c.want)
+			}
+		})
+	}
+}
--- a/internal/room/ledger/ledger.go
+++ b/internal/room/ledger/ledger.go
@@ -95,6 +95,9 @@
 	edge netip.AddrPort
 	// retried is set for a retry after a refusal.
 	retried bool
+	// kept is the engine that is kept for the request, keptAt when it was chosen.
+	kept   string
+	keptAt time.Time
 	// seenAt is when the request was last received. The response misses its latency
 	// target after lateAt, and the request is refused at refuseAt.
 	queuedAt, seenAt, lateAt, refuseAt time.Time
@@ -180,8 +183,9 @@
 	// groupIDs are the engine IDs by stage and version, sorted; nil when they have to be
 	// collected again.
 	groupIDs map[group][]string
-	// reserved are the engines that are kept for waiting resumed requests.
-	reserved map[string]bool
+	// reserved are the engines that are kept for waiting resumed requests, allReserved the
+	// versions of which no other engine is left.
+	reserved, allReserved map[string]bool
 	// expiredAt is when expired state was last removed.
 	expiredAt time.Time
 }
@@ -190,7 +194,7 @@
 func New(service string) *Ledger {
 	return &Ledger{service: service, engines: map[string]Engine{}, runs: newRuns(), selfPrefillAt: map[string]time.Time{},
 		reporters: map[netip.AddrPort]*reporter{}, fullAt: map[string]time.Time{}, untracked: map[string]Untracked{}, polledAt: map[string]time.Time{},
-		switching: map[string]time.Time{}, orderedAt: map[string]time.Time{}, overrides: map[string]stageOverride{}, busy: map[string]bool{}, reserved: map[string]bool{},
+		switching: map[string]time.Time{}, orderedAt: map[string]time.Time{}, overrides: map[string]stageOverride{}, busy: map[string]bool{}, reserved: map[string]bool{}, allReserved: map[string]bool{},
 		replies: map[runKey]sentReply{}, refusedAt: map[uint64]time.Time{}, holdTime: initialHoldTime, decodeRate: initialDecodeRate, outputVariance: initialSpread * initialSpread}
 }
 
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -63,28 +63,39 @@
 	return m.noDecode && req.Prompt >= m.prompt && req.Expected >= m.expected || m.noPrefill && !req.Prefilled
 }
 
-// misfits are the misfits by the version that requests ask for.
+// misfits are the misfits of resumed requests and of others, for which less is free, by
+// the version that they ask for.
 type misfits struct {
-	since     time.Time
-	byVersion map[string]misfit
+	since time.Time
+	by    map[misfitKey]misfit
+}
+
+type misfitKey struct {
+	resumed bool
+	version string
 }
 
 // record remembers a request without capacity. One that may not use some engines says
 // nothing about others.
-func (m *misfits) record(req *Request, v placement, reserved int) {
-	if len(req.Excluded)+len(req.Held) > 0 || reserved > 0 && !req.Resumed {
+func (m *misfits) record(req *Request, v placement) {
+	if len(req.Excluded)+len(req.Held) > 0 {
 		return
 	}
-	if m.byVersion == nil {
-		m.byVersion = map[string]misfit{}
+	if m.by == nil {
+		m.by = map[misfitKey]misfit{}
 	}
-	m.byVersion[req.Version] = m.byVersion[req.Version].record(req, v)
+	k := misfitKey{req.Resumed, req.Version}
+	m.by[k] = m.by[k].record(req, v)
 }
 
 // excludes reports whether a request needs no further try: what finds no capacity at
-// engines of all versions finds none at those of one.
+// engines of all versions finds none at those of one, and what finds none as a resumed
+// request finds none as another.
 func (m *misfits) excludes(req *Request) bool {
-	return m.byVersion[""].excludes(req) || m.byVersion[req.Version].excludes(req)
+	misses := func(resumed bool) bool {
+		return m.by[misfitKey{resumed, ""}].excludes(req) || m.by[misfitKey{resumed, req.Version}].excludes(req)
+	}
+	return misses(true) || !req.Resumed && misses(false)
 }
 
 // capacityFreed records that capacity may have become free, so that the queue is
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -90,6 +90,7 @@
 	kept := l.queue[:0]
 	rates, earlier := l.rates(), newBacklog()
 	clear(l.reserved)
+	clear(l.allReserved)
 	for _, q := range l.queue {
 		if !l.misfits.excludes(&q.Request) {
 			d, p, v := l.place(now, &q.Request)
@@ -97,7 +98,7 @@
 				out = append(out, l.grant(now, q, d, p))
 				continue
 			}
-			l.misfits.record(&q.Request, v, len(l.reserved))
+			l.misfits.record(&q.Request, v)
 		}
 		rate := rates.of(q.Version)
 		if now.After(q.refuseAt) || rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt) {
@@ -111,7 +112,7 @@
 		}
 		earlier.add(&q.Request)
 		if q.Resumed {
-			l.reserve(now, &q.Request)
+			l.reserve(now, q)
 		}
 		kept = append(kept, q)
 	}
--- a/internal/room/ledger/resume_test.go
+++ b/internal/room/ledger/resume_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -262,27 +261,37 @@
 	}
 }
 
-// Guards against a taken-up stream that waits for room, while new requests with shorter
-// prompts take each piece of memory that becomes free at its version's engines.
-func TestRoomIsKeptForResumed(t *testing.T) {
+// keptRoom returns a ledger with an engine of v1, d1, that is kept for the waiting resumed
+// request 10 and has room for a small request only, and a full engine of v2.
+func keptRoom(t *testing.T) *ledger.Ledger {
+	t.Helper()
 	l := ledger.New("s")
 	list := engines(2, 8, 20000)
 	list[1].Version, list[2].Version = "v1", "v2"
 	l.SetEngines(t0, list)
 	for id := uint64(1); id <= 6; id++ {
-		req := request(id)
-		req.Prompt, req.Expected = 5000, 1000
-		replyTo(t, l.Submit(t0, edge1, req), id)
+		replyTo(t, l.Submit(t0, edge1, sized(id, 5000, 1000)), id)
 	}
-	large := request(10)
-	large.Prompt, large.Expected, large.Version, large.Resumed, large.RetryMaxWait = 12_000, 1000, "v1", true, 9*time.Second
+	large := sized(10, 12_000, 1000)
+	large.Version, large.Resumed, large.RetryMaxWait = "v1", true, 9*time.Second
 	if got := replyTo(t, l.Submit(t0, edge1, large), 10); got.Status != ledger.Queued {
 		t.Fatalf("reply %+v, want the request queued", got)
 	}
 	l.Cancel(t0, edge1, 1, 1)
-	small := request(11)
-	small.Prompt, small.Expected = 3000, 500
-	if got := replyTo(t, l.Submit(t0, edge1, small), 11); got.Status == ledger.Granted {
+	return l
+}
+
+func sized(id uint64, prompt, expected int) ledger.Request {
+	req := request(id)
+	req.Prompt, req.Expected = prompt, expected
+	return req
+}
+
+// Guards against a taken-up stream that waits for room, while new requests with shorter
+// prompts take each piece of memory that becomes free at its version's engines.
+func TestRoomIsKeptForResumed(t *testing.T) {
+	l := keptRoom(t)
+	if got := replyTo(t, l.Submit(t0, edge1, sized(11, 3000, 500)), 11); got.Status == ledger.Granted {
 		t.Errorf("reply %+v, want no grant on the engine that is kept", got)
 	}
 	l.Cancel(t0, edge1, 1, 3)
@@ -291,6 +300,18 @@
 	}
 }
 
+// Guards against room that is kept from resumed requests, too, because a new request found
+// none.
+func TestKeptRoomIsForResumed(t *testing.T) {
+	l := keptRoom(t)
+	replyTo(t, l.Submit(t0, edge1, sized(11, 3000, 500)), 11)
+	small := sized(12, 3000, 500)
+	small.Version, small.Resumed = "v1", true
+	if got := replyTo(t, l.Submit(t0, edge1, small), 12); got.Decode != "d1" {
+		t.Errorf("reply %+v, want a grant on d1", got)
+	}
+}
+
 // Guards against engines of a version that a sample of a large fleet misses.
 func TestVersionInLargeFleet(t *testing.T) {
 	l := ledger.New("s")
@@ -336,52 +357,3 @@
 		})
 	}
 }
-
-// Guards against a version without a decode engine, at which no stream can go on, because
-// its last one is switched to prefill, or others are switched to decode first.
-func TestSwitchesKeepVersions(t *testing.T) {
-	cases := map[string]struct {
-		// versions are those of the engines by their IDs: prefill engines begin with p.
-		versions map[string]string
-		rate     float64
-		want     string
-	}{
-		"prefill engines are short, one version": {map[string]string{"pa": "v1", "da": "v1", "db": "v1", "dc": "v1"}, 20_000, "dc"},
-		"that one is the last of its version":    {map[string]string{"pa": "v1", "da": "v1", "db": "v1", "dc": "v2"}, 20_000, "db"},
-		"each is the last of its version":        {map[string]string{"pa": "v1", "da": "v1", "db": "v2", "dc": "v3"}, 20_000, ""},
-		"too many prefill engines":               {map[string]string{"pa": "v1", "pb": "v1", "pc": "v1", "da": "v1"}, 500_000, "pa"},
-		"a version only prefills":                {map[string]string{"pa": "v1", "pb": "v1", "pc": "v2", "da": "v1"}, 500_000, "pc"},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			l := ledger.New("s")
-			var list []ledger.Engine
-			for id, version := range c.versions {
-				e := ledger.Engine{ID: id, Stage: pool.Decode, Slots: 12, Tokens: 100_000, Version: version}
-				if id[0] == 'p' {
-					e.Stage = pool.Prefill
-				}
-				list = append(list, e)
-			}
-			switched := ""
-			for i := range uint64(100) {
-				now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
-				l.SetEngines(now, list)
-				for k := range uint64(2) {
-					l.Submit(now, edge1, request(2*i+k+1))
-				}
-				report := ledger.Report{Service: "s", Incarnation: 1, Sequence: i + 1, PrefillRate: c.rate}
-				for lease := uint64(1); lease <= 30; lease++ {
-					report.Runs = append(report.Runs, ledger.Run{Lease: 1_000_000 + i + lease, Decode: "da", Prompt: 1000, Expected: 100, Generated: 50, Phase: ledger.Decoding})
-				}
-				l.ApplyReport(now, edge1, report)
-				if change, ok := l.Rebalance(now, time.Minute, func(ids []string) string { return slices.Min(ids) }); ok && switched == "" {
-					switched = change.Engine
-				}
-			}
-			if switched != c.want {
-				t.Errorf("switched %q, want %q", switched, c.want)
-			}
-		})
-	}
-}
--- a/internal/room/ledger/version.go
+++ b/internal/room/ledger/version.go
@@ -9,9 +9,13 @@
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
-// maxReserved bounds the engines that are kept for resumed requests, and so the cost of
-// the search for them.
-const maxReserved = 64
+const (
+	// maxReserved bounds the engines that are kept for resumed requests, and keepInterval
+	// is how long one is kept before another may have less load. Both bound the cost of
+	// the searches.
+	maxReserved  = 32
+	keepInterval = 200 * time.Millisecond
+)
 
 // group is a stage and a version of engines. The empty version stands for all.
 type group struct {
@@ -157,10 +161,25 @@
 // version with the least load that is not kept yet. Otherwise new requests, which fit
 // sooner as their prompts are shorter or which may use engines of all versions, would
 // take each piece of memory that becomes free there.
-func (l *Ledger) reserve(now time.Time, req *Request) {
-	if len(l.reserved) >= maxReserved {
+func (l *Ledger) reserve(now time.Time, q *queuedRequest) {
+	kept := l.engines[q.kept]
+	switch {
+	case len(l.reserved) >= maxReserved || l.allReserved[q.Version]:
 		return
+	case kept.ID == "" || q.Version != "" && kept.Version != q.Version || l.reserved[q.kept] || now.Sub(q.keptAt) > keepInterval:
+		q.kept, q.keptAt = l.leastUnreserved(now, &q.Request), now
+	}
+	switch {
+	case q.kept != "":
+		l.reserved[q.kept] = true
+	case len(q.Excluded)+len(q.Held) == 0:
+		l.allReserved[q.Version] = true
 	}
+}
+
+// leastUnreserved returns the engine for a request with the least load that is not
+// reserved, an empty ID if there is none.
+func (l *Ledger) leastUnreserved(now time.Time, req *Request) string {
 	best, low := "", math.Inf(1)
 	for _, id := range l.candidates(now, req, pool.Decode, false) {
 		if l.reserved[id] || req.Prompt > l.engines[id].Tokens {
@@ -170,9 +189,7 @@
 			best, low = id, cost
 		}
 	}
-	if best != "" {
-		l.reserved[best] = true
-	}
+	return best
 }
 
 // keepVersions returns which engines may switch to a stage: the last decode engine of a
