Ask engines for the streams they run when all daemons have just started

Engines report the attempts that they run, and go on with them for a while. So that this is no guess, a request that may have run goes to engines of one version only, also before its first event. The history of the store is also read in smaller parts when the store no longer has the first one.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -36,6 +36,7 @@
 	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
 	"citronrock.example/citronrock/internal/route/probe"
+	"citronrock.example/citronrock/internal/route/sweep"
 	"github.com/rotisserie/eris"
 )
 
@@ -87,6 +88,7 @@
 	prober  *probe.Prober
 	guard   *crash.Guard
 	origins *origin.Group
+	sweep   *sweep.Sweep
 	// builds is nil until the store is read: other daemons may ask before.
 	builds        atomic.Pointer[builds.Finder]
 	fanout        *fanout.Node
@@ -157,7 +159,9 @@
 	}
 	r.follower = follow.Start(p.Store, r.table, r.fanout, p.Log, follow.WithOnDocument(r.apply))
 	r.builds.Store(builds.Start(p.Store, r.table, r.follower, p.Log, builds.WithHeartbeat(s.Heartbeat), builds.WithPeers(r.fanout.PeerCount)))
+	r.sweep = sweep.Start(s.Peer, r.gossip, r.table, r.backends, r.origins, p.Log)
 	if err := r.listen(); err != nil {
+		r.sweep.Close()
 		r.builds.Load().Close()
 		r.follower.Close()
 		r.closePeers()
@@ -376,6 +380,7 @@
 	defer cancel()
 	r.server.Stop(ctx, shutdownNotice)
 	r.handOver()
+	r.sweep.Close()
 	r.builds.Load().Close()
 	r.follower.Close()
 	r.closePeers()
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -320,8 +320,7 @@
 	}
 	defer resp.Close()
 	j.cache = nil // the engine has taken it over
-	j.runs++
-	j.mayHaveRun = true
+	j.noteRun(s)
 	j.outcome.Server, j.outcome.Software = s.ID, s.Version
 	if resp.Status != http.StatusOK {
 		report(time.Now(), pool.Failed, 0)
@@ -364,8 +363,7 @@
 		return j.retryElsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
 	}
 	j.cache = nil // the engine may have taken it over
-	j.runs++
-	j.mayHaveRun = true
+	j.noteRun(s)
 	return j.runFailed(ctx, s, sendErr)
 }
 
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -43,8 +43,12 @@
 
 // version is the software version at which a response goes on.
 type version struct {
-	// fixed is set once events of the stream were sent, in this or in an earlier attempt.
+	// fixed is set once the request may have run, or events of the stream were sent in an
+	// earlier attempt. Engines of several versions that ran one attempt would contradict
+	// each other when daemons that have lost their records ask them.
 	fixed bool
+	// begun is set once events of the stream were sent, in this or in an earlier attempt.
+	begun bool
 	// name is empty if the version is not known. It then equals no other.
 	name string
 	// run is the number of the run that brought the first event, zero if that was in an
@@ -76,7 +80,7 @@
 	if j.req.Resumes != "" || !hasChoice(j.route) {
 		name, ok = j.origins.Find(ctx, j.service.Name, j.req.Resumes)
 	}
-	j.version = version{fixed: true, name: name}
+	j.version = version{fixed: true, begun: true, name: name}
 	if ok && name != "" {
 		return true
 	}
@@ -186,11 +190,11 @@
 // go on: the stream has a version, and the engine may have got another one.
 func (j *job) fixVersion(ctx context.Context) bool {
 	same := j.isSame(j.server)
-	if j.version.fixed && !same {
+	if j.version.begun && !same {
 		return false
 	}
-	if !j.version.fixed {
-		j.version.fixed, j.version.run = true, j.runs
+	if !j.version.begun {
+		j.version.fixed, j.version.begun, j.version.run, j.version.name = true, true, j.runs, ""
 		if same {
 			j.version.name = j.server.Version
 		}
@@ -201,6 +205,15 @@
 	return true
 }
 
+// noteRun fixes the version of a request that may have run at an engine.
+func (j *job) noteRun(s pool.Server) {
+	j.runs++
+	j.mayHaveRun = true
+	if !j.version.fixed && s.Version != "" {
+		j.version.fixed, j.version.name = true, s.Version
+	}
+}
+
 // isSame reports whether the entry of an engine is still the one to which the request was
 // sent, as far as its process and version are concerned.
 func (j *job) isSame(s pool.Server) bool {
--- a/internal/room/ledger/untracked.go
+++ b/internal/room/ledger/untracked.go
@@ -47,6 +47,8 @@
 	Accepted int
 	// Stage is the current stage, pool.Plain when the engine doesn't report it.
 	Stage pool.Stage
+	// Attempts are the IDs of the client attempts that the engine runs.
+	Attempts []string
 }
 
 // Untracked is the capacity of an engine held by runs that the ledger doesn't know.
--- a/internal/route/builds/past.go
+++ b/internal/route/builds/past.go
@@ -21,10 +21,10 @@
 	// to have written in a time: the interval between them is approximate.
 	writeShare = 0.95
 	// moreEntries is the number of entries of each process that are read in addition.
-	// historyGrowth is the factor by which a history that was too short is extended: twice
-	// as much would often be more than the store keeps.
-	moreEntries   = 2
-	historyGrowth = 1.25
+	// historyStep is the factor by which a history that was too short is extended, or one
+	// that the store no longer has is shortened: the number of servers changes.
+	moreEntries = 2
+	historyStep = 1.25
 	// maxMissing is the largest step between the sequence numbers of two entries of a
 	// process that is no gap: a write may have failed.
 	maxMissing = 2
@@ -39,12 +39,18 @@
 	}
 	start := time.Now()
 	back := float64(len(f.table.All())) * (within.Seconds()/(writeShare*f.heartbeat.Seconds()) + moreEntries)
-	covered, reads := time.Duration(0), 0
+	covered, reads, compacted := time.Duration(0), 0, false
 	var err error
 	for ; reads < maxHistoryReads; reads++ {
 		after := pool.Revision{Era: at.Era, Number: at.Number - min(uint64(back), at.Number)}
 		var c *citronrock.Changes
-		if c, err = f.store.Watch(ctx, after, 0); err != nil {
+		c, err = f.store.Watch(ctx, after, 0)
+		if errors.Is(err, citronrock.ErrCompacted) {
+			compacted = true
+			back /= historyStep
+			continue
+		}
+		if err != nil {
 			break
 		}
 		// A response that ends before the revision is not the whole history.
@@ -61,7 +67,11 @@
 			f.log.Info("history of the store read", "covers", lines.Ms(covered), "servers", len(c.Servers), "reads", reads+1, "took", lines.Ms(time.Since(start)))
 			return true
 		}
-		back *= historyGrowth
+		if compacted {
+			err = errors.New("the store keeps no more")
+			break
+		}
+		back *= historyStep
 	}
 	f.historyAt = time.Now()
 	text := ""
--- a/internal/route/origin/group.go
+++ b/internal/route/origin/group.go
@@ -163,6 +163,17 @@
 	}
 }
 
+// Learn stores an origin that an engine's report shows, and sends it to the daemons that
+// are to hold it, in the background.
+func (g *Group) Learn(o Origin) {
+	g.mu.Lock()
+	o, ok := g.table.Put(time.Now(), o)
+	g.mu.Unlock()
+	if ok {
+		g.spread(o, holders)
+	}
+}
+
 // waiter is woken when there is news.
 type waiter chan struct{}
 
