--- a/internal/front/router/stop_test.go
+++ b/internal/front/router/stop_test.go
@@ -155,7 +155,7 @@
 }
 
 // startOne starts one daemon with a grace period of stopGrace.
-func startOne(t *testing.T, servers citronrock.Backends) *Router {
+func startOne(t *testing.T, store citronrock.Store, servers citronrock.Backends) *Router {
 	t.Helper()
 	addr := func() netip.AddrPort {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -171,7 +171,7 @@
 	}
 	r, err := Start(&site.Settings{Name: "d", Domain: "a", Front: addr(), Ready: addr(), Peer: addr(), CPUShare: 40,
 		Bounds: site.Bounds{TerminationGrace: stopGrace, RetryRatio: 0.1, RetryBurst: 50}},
-		Deps{Store: kindsStore{}, Backends: servers, Ingress: limitIngress{}, Log: lines.New(io.Discard, "d"), Meter: m})
+		Deps{Store: store, Backends: servers, Ingress: limitIngress{}, Log: lines.New(io.Discard, "d"), Meter: m})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +222,7 @@
 // what it has time for.
 func TestStopAnswersAll(t *testing.T) {
 	servers := &slowServers{sent: map[string]time.Duration{}}
-	r := startOne(t, servers)
+	r := startOne(t, kindsStore{}, servers)
 	var cases []stopCase
 	for i, route := range []string{"once", "again", "stream", "model"} {
 		for at := -500 * time.Millisecond; at < stopGrace; at += 160 * time.Millisecond {
