Answer requests whose handler panics before an answer has begun

The recovered panic closed the connection of the client, which got nothing, and the request had no end line. Such a request may have run: it now gets 502 and Connection: close, is logged with the reason panic and counted. A begun stream is broken off as before.

The tests with a router of their own run in parallel.

--- a/internal/front/router/change_test.go
+++ b/internal/front/router/change_test.go
@@ -52,6 +52,7 @@
 // Guards against requests of any kind, on new and kept connections, that are lost while
 // the limits and routes of the configuration and the seeds change.
 func TestChangesLoseNothing(t *testing.T) {
+	t.Parallel()
 	store := &changingStore{}
 	r := startOne(t, store, &slowServers{sent: map[string]time.Duration{}})
 	time.Sleep(2500 * time.Millisecond) // the ledger's owner is settled
--- a/internal/front/router/panic_test.go
+++ b/internal/front/router/panic_test.go
@@ -34,6 +34,7 @@
 // Guards against a request that gets no answer when its handler panics, although
 // nothing of an answer was sent.
 func TestPanicIsAnswered(t *testing.T) {
+	t.Parallel()
 	r := startOne(t, kindsStore{}, panickingServers{&slowServers{sent: map[string]time.Duration{}}})
 	defer r.Stop()
 	time.Sleep(2500 * time.Millisecond) // the ledger's owner is settled
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -218,28 +218,7 @@
 func (r *Router) handle(w http.ResponseWriter, httpReq *http.Request) {
 	<-r.started
 	received := time.Now()
-	req, err := r.ingress.Read(httpReq)
-	if req == nil {
-		req = &proxy.Request{}
-	}
-	req.Received = received
-	defer func() {
-		v := recover()
-		if v == nil {
-			return
-		}
-		if v != http.ErrAbortHandler { //nolint:errorlint // net/http compares it in the same way
-			panics.Record(r.log, "request "+req.ID, v)
-		}
-		panic(http.ErrAbortHandler) // closes the connection without a complete answer
-	}()
-	o := lines.Outcome{Request: req.ID}
-	if err != nil {
-		o.Status, o.Result, o.Reason = http.StatusBadRequest, "refused", string(citronrock.ReasonInvalid)
-		r.refuse(w, req, &o, err.Error())
-	} else {
-		o = r.route(w, httpReq, req)
-	}
+	o := r.answer(w, httpReq, received)
 	if o.Result == "gone" && r.server.Aborted() {
 		o.Result, o.Reason = "broken", "stop"
 	}
@@ -254,8 +233,39 @@
 		r.meter.FirstToken(o.Service, o.Route, o.TimeToFirst)
 	}
 	if o.Result == "broken" || o.Result == "gone" {
-		panic(http.ErrAbortHandler)
+		panic(http.ErrAbortHandler) // closes the connection without a complete answer
+	}
+}
+
+// answer reads a request and answers it, also if that panics: then it may have run. A
+// begun answer is broken off.
+func (r *Router) answer(w http.ResponseWriter, httpReq *http.Request, received time.Time) (o lines.Outcome) {
+	req := &proxy.Request{}
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		panics.Record(r.log, "request "+req.ID, v)
+		o = lines.Outcome{Request: req.ID, Result: "broken", Reason: "panic"}
+		if s, ok := w.(interface{ HeaderWritten() bool }); ok && !s.HeaderWritten() {
+			o.Status, o.Result = http.StatusBadGateway, "unknown"
+			clear(w.Header())
+			w.Header().Set("Connection", "close")
+			r.refuse(w, req, &o, "an unexpected error ended the request, which may have run")
+		}
+	}()
+	read, err := r.ingress.Read(httpReq)
+	if read != nil {
+		req = read
+	}
+	req.Received = received
+	if err != nil {
+		o = lines.Outcome{Request: req.ID, Status: http.StatusBadRequest, Result: "refused", Reason: string(citronrock.ReasonInvalid)}
+		r.refuse(w, req, &o, err.Error())
+		return o
 	}
+	return r.route(w, httpReq, req)
 }
 
 // route finds the service of a request and dispatches it.
--- a/internal/front/router/stop_test.go
+++ b/internal/front/router/stop_test.go
@@ -221,6 +221,7 @@
 // answer, as they came too late in the grace period, and against a stop that refuses
 // what it has time for.
 func TestStopAnswersAll(t *testing.T) {
+	t.Parallel()
 	servers := &slowServers{sent: map[string]time.Duration{}}
 	r := startOne(t, kindsStore{}, servers)
 	var cases []stopCase
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -189,6 +189,9 @@
 	headerWritten bool
 }
 
+// HeaderWritten returns whether the header of the answer was written.
+func (w *responseWriter) HeaderWritten() bool { return w.headerWritten }
+
 // Unwrap returns the underlying writer for http.ResponseController.
 func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
