--- a/internal/front/router/stop_test.go
+++ b/internal/front/router/stop_test.go
@@ -328,3 +328,25 @@
 		t.Errorf("%d of %d short requests of the first second were served, want all", served, early)
 	}
 }
+
+// Guards against a request whose body is still arriving when the others are answered in
+// a stop and that gets no answer, or is passed on.
+func TestStopReadsNoBody(t *testing.T) {
+	t.Parallel()
+	servers := &slowServers{sent: map[string]time.Duration{}}
+	r := startOne(t, kindsStore{}, servers)
+	time.Sleep(200 * time.Millisecond) // the configuration is in force
+	conn, err := net.Dial("tcp4", r.settings.Front.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, strings.Replace(stopCase{route: "once", limit: plainLimit}.text("c"), "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nhal", 1)) // an error shows in the answer
+	r.Stop()
+	if a := receive(bufio.NewReader(conn)); a.status != http.StatusServiceUnavailable || !a.complete || !a.last || a.after > 1 {
+		t.Errorf("got %+v, want 503", a)
+	}
+	if len(servers.sent) != 0 {
+		t.Errorf("passed on: %v", servers.sent)
+	}
+}
