--- a/internal/front/router/stop_test.go
+++ b/internal/front/router/stop_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,7 +140,7 @@
 
 // limitIngress reads the time limit of a request in milliseconds from the header
 // Limit.
-type limitIngress struct{ plainIngress }
+type limitIngress struct{}
 
 func (limitIngress) Read(r *http.Request) (*proxy.Request, error) {
 	ms, err := strconv.Atoi(r.Header.Get("Limit"))
@@ -154,11 +155,16 @@
 	w.WriteHeader(status)
 }
 
+// startedOnes counts the daemons of startOne. Each has a loopback address of its own, so
+// that no client has one of its ports.
+var startedOnes atomic.Int32
+
 // startOne starts one daemon with a grace period of stopGrace.
-func startOne(t *testing.T, servers citronrock.Backends) *Router {
+func startOne(t *testing.T, store citronrock.Store, servers citronrock.Backends) *Router {
 	t.Helper()
+	ip := netip.AddrFrom4([4]byte{127, 3, 1, byte(startedOnes.Add(1))})
 	addr := func() netip.AddrPort {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -171,7 +177,7 @@
 	}
 	r, err := Start(&site.Settings{Name: "d", Domain: "a", Front: addr(), Ready: addr(), Peer: addr(), CPUShare: 40,
 		Bounds: site.Bounds{TerminationGrace: stopGrace, RetryRatio: 0.1, RetryBurst: 50}},
-		Deps{Store: kindsStore{}, Backends: servers, Ingress: limitIngress{}, Log: lines.New(io.Discard, "d"), Meter: m})
+		Deps{Store: store, Backends: servers, Ingress: limitIngress{}, Log: lines.New(io.Discard, "d"), Meter: m})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -221,8 +227,9 @@
 // answer, as they came too late in the grace period, and against a stop that refuses
 // what it has time for.
 func TestStopAnswersAll(t *testing.T) {
+	t.Parallel()
 	servers := &slowServers{sent: map[string]time.Duration{}}
-	r := startOne(t, servers)
+	r := startOne(t, kindsStore{}, servers)
 	var cases []stopCase
 	for i, route := range []string{"once", "again", "stream", "model"} {
 		for at := -500 * time.Millisecond; at < stopGrace; at += 160 * time.Millisecond {
@@ -327,3 +334,25 @@
 		t.Errorf("%d of %d short requests of the first second were served, want all", served, early)
 	}
 }
+
+// Guards against a request whose body is still arriving when the others are answered in
+// a stop and that gets no answer, or is passed on.
+func TestStopReadsNoBody(t *testing.T) {
+	t.Parallel()
+	servers := &slowServers{sent: map[string]time.Duration{}}
+	r := startOne(t, kindsStore{}, servers)
+	time.Sleep(200 * time.Millisecond) // the configuration is in force
+	conn, err := net.Dial("tcp4", r.settings.Front.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, strings.Replace(stopCase{route: "once", limit: plainLimit}.text("c"), "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nhal", 1)) // an error shows in the answer
+	r.Stop()
+	if a := receive(bufio.NewReader(conn)); a.status != http.StatusServiceUnavailable || !a.complete || !a.last || a.after > 1 {
+		t.Errorf("got %+v, want 503", a)
+	}
+	if len(servers.sent) != 0 {
+		t.Errorf("passed on: %v", servers.sent)
+	}
+}
--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -9,6 +9,7 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/logs/panics"
@@ -198,7 +199,7 @@
 		return pool.OK
 	case a.resp != nil:
 		return pool.Failed
-	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
+	case ctx.Err() != nil && (errors.Is(context.Cause(ctx), context.Canceled) || grace.Ended(ctx)):
 		return pool.Unknown
 	}
 	switch a.fault {
