Add a failing test of a silent engine during a planned stop

In a planned stop, a run without a first event is given up for a lease, and then the request is refused as too late for the stop. go test -race -run 'TestSilence$' ./internal/front/stream fails: status 502, reason stop, after 1 run; want the whole stream of the engine, which goes on after 1.5 s, in time for the exit.

--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/stream"
@@ -70,6 +71,8 @@
 	budget int
 	// stays means that the route's streams may not go on elsewhere.
 	stays bool
+	// stopAt is when the daemon stops, zero for never, and grace the grace period.
+	stopAt, grace time.Duration
 }
 
 // silentEngines are engines and an owner that behave as planned.
@@ -191,7 +194,11 @@
 		for ; left > p.budget; left-- {
 			budget.Take("s")
 		}
-		h := stream.New(w.table, w, ingress{}, w, budget, lines.New(io.Discard, "test"))
+		stop := grace.New()
+		if p.stopAt > 0 {
+			time.AfterFunc(p.stopAt, func() { stop.Begin(p.grace/3, time.Now().Add(p.grace)) })
+		}
+		h := stream.New(w.table, w, ingress{}, w, budget, lines.New(io.Discard, "test"), stream.WithStop(stop))
 		route := &config.Route{Name: "r", Kind: config.Stream, Target: 900 * time.Millisecond,
 			Gap: 300 * time.Millisecond, Resume: !p.stays, Attempts: 3, Model: true}
 		service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
@@ -282,6 +289,8 @@
 		"silent, may not go on elsewhere":          {silence{pauses: []int64{100, 20_000, 100, 100}, dies: -1, budget: 3, stays: true}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
 		"silent, its entry is removed":             {silence{pauses: []int64{100, 20_000, 100, 100}, dies: -1, leaves: true}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
 		"dead and down, its entry is removed":      {silence{pauses: []int64{100}, dies: 2, down: true, leaves: true}, 200, 1, 2, "broken", 2 * seconds, 8 * seconds},
+		"no first event for a while, in a stop":    {silence{pauses: []int64{1500, 100, 100, 100}, dies: -1, budget: 3, stopAt: 100 * time.Millisecond, grace: 2400 * time.Millisecond}, 200, 1, 4, "ok", seconds, 2 * seconds},
+		"silent, in a stop":                        {silence{pauses: []int64{100}, dies: 1, budget: 3, stopAt: 100 * time.Millisecond, grace: 2400 * time.Millisecond}, 200, 2, 4, "ok", seconds, 2 * seconds},
 		"silent twice, no run is left for a third": {silence{pauses: []int64{100, 100, 100, 100, 100, 9000, 100, 100, 100, 100, 9000}, dies: 1, budget: 9}, 200, 3, 4, "ok", 11 * seconds, 13 * seconds},
 	}
 	for name, c := range cases {
