Keep a silent run open if a stop leaves no time for another

Cause: the search for a replacement didn't ask whether the stop admits one. A run without a first event was given up, and the request then refused. Change: there is no search, and no run is given up, while the stop leaves no time for the answer of another engine.

--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -206,7 +206,7 @@
 		w.giveUp(event.FaultBroken, errLost)
 		return nil, ledger.Request{}
 	}
-	if now.Before(w.searchAt) || !w.quota.Left(w.service.Name) {
+	if now.Before(w.searchAt) || !w.admitted() || !w.quota.Left(w.service.Name) {
 		w.arm(checkInterval)
 		return nil, ledger.Request{}
 	}
@@ -241,7 +241,7 @@
 	silent := search.Err() == nil
 	w.endSearch()
 	switch {
-	case silent && found != nil && w.usable(found) && w.quota.Take(w.service.Name):
+	case silent && found != nil && w.admitted() && w.usable(found) && w.quota.Take(w.service.Name):
 		w.replacement = found
 		w.giveUp(event.FaultStalled, errStall)
 		return
--- a/internal/front/stream/stop.go
+++ b/internal/front/stream/stop.go
@@ -19,7 +19,7 @@
 // refuseStop ends a request without an answer if this daemon exits too soon for it.
 // Another daemon has time for the complete answer.
 func (j *job) refuseStop(ctx context.Context) bool {
-	if j.streaming || j.stop.AdmitsStream(j.req.Received, j.deadline, j.recent.Longest(j.service.Name)) {
+	if j.admitted() {
 		return false
 	}
 	j.outcome.RetryAfter = grace.RetryAfter
@@ -27,6 +27,11 @@
 	return true
 }
 
+// admitted returns whether this daemon has time for the answer of another engine.
+func (j *job) admitted() bool {
+	return j.streaming || j.stop.AdmitsStream(j.req.Received, j.deadline, j.recent.Longest(j.service.Name))
+}
+
 // noteStop sets the outcome of a request that ended because of the stop.
 func (j *job) noteStop(ctx context.Context) {
 	if j.headerSent || !grace.Ended(ctx) || j.outcome.Result == "ok" {
