Add failing tests of replacements that fail

The replacement of a silent run may refuse, or its prefill fail, while the next lease or the retry budget is gone.

--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -71,6 +71,12 @@
 	budget int
 	// stays means that the route's streams may not go on elsewhere.
 	stays bool
+	// refusals is the number of runs after the first one that are refused, prefillFaults
+	// the results of the first prefills, and refillAt the time of other requests, which
+	// add one retry to the budget, zero for never.
+	refusals      int
+	prefillFaults []error
+	refillAt      time.Duration
 	// stopAt is when the daemon stops, zero for never, and grace the grace period.
 	stopAt, grace time.Duration
 }
@@ -129,7 +135,11 @@
 			w.overlaps++
 		}
 	}
-	w.open, w.sends = append(w.open, ctx), append(w.sends, o)
+	w.sends = append(w.sends, o)
+	if n := len(w.sends) - 1; n > 0 && n <= w.refusals {
+		return nil, &proxy.SendError{Fault: event.FaultRefused, Full: true, Err: errReset}
+	}
+	w.open = append(w.open, ctx)
 	time.Sleep(w.header)
 	body := &plannedBody{ctx: ctx, plan: w.silence, run: len(w.sends) - 1}
 	_, _ = fmt.Sscan(o.LastEventID, &body.sent)
@@ -177,7 +187,7 @@
 // play serves one stream as planned.
 func (p silence) play(t *testing.T) (out played) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &silentEngines{silence: p, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
+		w := &silentEngines{silence: p, fakeBackends: fakeBackends{freed: make(chan string, 64), prefills: p.prefillFaults}}
 		w.table = pool.New(pool.WithSuspect(func(s pool.Server) {
 			if p.down && (s.ID == "d1" || s.ID == "p1") {
 				w.table.SetDown(s, true)
@@ -189,11 +199,21 @@
 		for _, s := range table().All() {
 			w.table.Put(s)
 		}
-		budget := quota.New(0, 100, func() int { return 1 })
+		ratio := 0.0
+		if p.refillAt > 0 {
+			ratio = 0.625 // half a retry for each request
+		}
+		budget := quota.New(ratio, 100, func() int { return 1 })
 		left := 60 // the daemon's share of the 100
 		for ; left > p.budget; left-- {
 			budget.Take("s")
 		}
+		if p.refillAt > 0 {
+			time.AfterFunc(p.refillAt, func() {
+				budget.Sent("s")
+				budget.Sent("s")
+			})
+		}
 		stop := grace.New()
 		if p.stopAt > 0 {
 			time.AfterFunc(p.stopAt, func() { stop.Begin(p.grace/3, time.Now().Add(p.grace)) })
@@ -309,6 +329,39 @@
 	}
 }
 
+// Guards against streams that end, though their engine was sound, because the replacement
+// of a silent run fails or is not to be had again.
+func TestReplacementFails(t *testing.T) {
+	const seconds = time.Second
+	refused := &proxy.SendError{Fault: event.FaultRefused, Full: true, Err: errReset}
+	broken := &proxy.SendError{Fault: event.FaultBroken, Err: errReset}
+	cases := map[string]struct {
+		plan     silence
+		from, to time.Duration
+	}{
+		"run refused, then no lease":         {silence{dies: 1, budget: 5, refusals: 1, owner: []int{grants, refuses, refuses}}, 1 * seconds, 5 * seconds},
+		"run refused, then no budget":        {silence{dies: 1, budget: 1, refusals: 1, refillAt: 8 * seconds}, 8 * seconds, 11 * seconds},
+		"many runs refused":                  {silence{dies: 1, budget: 20, refusals: 6}, 1 * seconds, 9 * seconds},
+		"prefill refused, then no budget":    {silence{dies: 1, budget: 1, prefillFaults: []error{nil, refused}, refillAt: 8 * seconds}, 8 * seconds, 11 * seconds},
+		"prefill breaks, then no lease":      {silence{dies: 1, budget: 5, prefillFaults: []error{nil, broken}, owner: []int{grants, refuses, refuses, refuses}}, 1 * seconds, 9 * seconds},
+		"before an event, then no budget":    {silence{budget: 1, refusals: 1, refillAt: 8 * seconds}, 8 * seconds, 11 * seconds},
+		"no budget for the rest of its time": {silence{dies: 1, budget: 1, refusals: 1}, silentDeadline, silentDeadline + seconds},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.plan.pauses = []int64{100}
+			out := c.plan.play(t)
+			whole := out.body == events(streamLength) && out.outcome.Result == "ok"
+			if whole != (c.to < silentDeadline) || out.overlaps > 0 {
+				t.Errorf("%+v", out)
+			}
+			if out.took < c.from || out.took > c.to {
+				t.Errorf("took %v, want %v to %v", out.took, c.from, c.to)
+			}
+		})
+	}
+}
+
 // Guards against requests that are refused, or streams that break off, because a prefill
 // engine is silent for a while.
 func TestSilentPrefill(t *testing.T) {
