Hold a request whose silent run was given up for a failed one

Cause: the run is left before its replacement has taken the request. If that one refuses, or its prefill fails, and the retry budget or the owner gives nothing more, the stream ended, though the first engine was sound. Engines that refused it are asked again, and the silent one is not.

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -87,6 +87,7 @@
 	goneOn      bool
 	lastEventID string
 	excluded    []string
+	move        move
 }
 
 // step tells whether the request is finished or another lease is needed.
@@ -98,7 +99,7 @@
 )
 
 func (j *job) run(ctx context.Context) {
-	for ; j.leases < j.maxLeases(); j.leases++ {
+	for ; j.leases < j.maxLeases() || j.hold(ctx); j.leases++ {
 		if j.refuseStop(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
 			return
 		}
@@ -196,6 +197,9 @@
 	}
 	if j.service.Engine == nil {
 		s, ok := j.chooseServer(j.excluded)
+		for !ok && j.hold(ctx) {
+			s, ok = j.chooseServer(j.excluded)
+		}
 		if !ok {
 			j.fail(ctx, "server")
 			return false
@@ -204,6 +208,9 @@
 		return true
 	}
 	granted, err := j.requestLease(ctx, j.leaseRequest())
+	for err != nil && j.hold(ctx) {
+		granted, err = j.requestLease(ctx, j.leaseRequest())
+	}
 	var refused *lease.RefusedError
 	switch {
 	case err == nil:
@@ -301,7 +308,7 @@
 		return j.decodeFailed(ctx, s, sendErr)
 	}
 	defer resp.Close()
-	j.cache = nil // the engine has taken it over
+	j.cache, j.move = nil, move{} // the engine has taken the cache over
 	j.runs++
 	j.mayHaveRun = true
 	j.outcome.Server, j.outcome.Software = s.ID, s.Version
@@ -345,7 +352,7 @@
 	case sendErr.Fault == event.FaultRefused:
 		return j.retryElsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
 	}
-	j.cache = nil // the engine may have taken it over
+	j.cache, j.move = nil, move{} // the engine may have taken the cache over
 	j.runs++
 	j.mayHaveRun = true
 	return j.runFailed(ctx, s, sendErr)
@@ -366,6 +373,7 @@
 	default:
 		j.closeLease("")
 		j.exclude(s.ID)
+		j.move = move{silent: j.replacement != nil, excluded: len(j.excluded)}
 		return again
 	}
 	j.fail(ctx, sendErr.Fault.String())
--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -86,6 +86,9 @@
 // whether the retry budget permits it.
 func (j *job) retryElsewhere(ctx context.Context, id, full string, allowed bool) step {
 	j.closeLease(full)
+	for !allowed && j.hold(ctx) {
+		allowed = j.quota.Take(j.service.Name)
+	}
 	if !allowed {
 		j.fail(ctx, "budget")
 		return finish
--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -72,8 +72,8 @@
 	// stays means that the route's streams may not go on elsewhere.
 	stays bool
 	// refusals is the number of runs after the first one that are refused, prefillFaults
-	// the results of the first prefills, and refillAt the time of other requests, which
-	// add one retry to the budget, zero for never.
+	// the results of the first prefills, and refillAt the time between other requests,
+	// which add one retry to the budget, zero for none.
 	refusals      int
 	prefillFaults []error
 	refillAt      time.Duration
@@ -208,11 +208,14 @@
 		for ; left > p.budget; left-- {
 			budget.Take("s")
 		}
+		var refill func()
+		refill = func() {
+			budget.Sent("s")
+			budget.Sent("s")
+			time.AfterFunc(p.refillAt, refill)
+		}
 		if p.refillAt > 0 {
-			time.AfterFunc(p.refillAt, func() {
-				budget.Sent("s")
-				budget.Sent("s")
-			})
+			time.AfterFunc(p.refillAt, refill)
 		}
 		stop := grace.New()
 		if p.stopAt > 0 {
@@ -279,6 +282,20 @@
 			}
 			return ""
 		}, pauses, owner, gen.IntRange(1, 3), gen.IntRange(0, streamLength-1)))
+	ps.Property("the stream of a sound engine is whole, whatever its replacements do", prop.ForAll(
+		func(pauses []int64, owner []int, budget, refusals int) string {
+			for i := range owner {
+				if owner[i] == isSilent {
+					owner[i] = refuses
+				}
+			}
+			p := plan(pauses, owner, budget, 0, -1)
+			p.refusals, p.refillAt = refusals, 10*time.Second
+			if out := p.play(t); out.body != events(streamLength) || out.outcome.Result != "ok" || out.overlaps > 0 {
+				return fmt.Sprintf("%+v", out)
+			}
+			return ""
+		}, pauses, owner, budget, gen.IntRange(0, 5)))
 	ps.TestingRun(t)
 }
 
--- a/internal/front/stream/stop.go
+++ b/internal/front/stream/stop.go
@@ -19,7 +19,7 @@
 // refuseStop ends a request without an answer if this daemon exits too soon for it.
 // Another daemon has time for the complete answer.
 func (j *job) refuseStop(ctx context.Context) bool {
-	if j.admitted() {
+	if j.move.silent || j.admitted() { // a silent run has been given up for this
 		return false
 	}
 	j.outcome.RetryAfter = grace.RetryAfter
