--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -470,3 +470,43 @@
 		}
 	})
 }
+
+// slowWriter is a client that takes a while to read the second event.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	events int
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	if w.events++; w.events == 2 {
+		time.Sleep(3 * time.Second)
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against slots that stay taken while a slow client reads the event that ended a
+// search. It runs on real time: a goroutine that waits for a mutex stops that of synctest.
+func TestSlowClientHoldsNoGrant(t *testing.T) {
+	servers, self := table(), alone{netip.MustParseAddrPort("10.0.0.9:7000")}
+	m := lease.Start(gossip.Member{Addr: self.AddrPort, Incarnation: 1}, "", self, self, servers, self, hclog.NewNullLogger())
+	defer m.Close()
+	m.SetServices(map[string]lease.Capacity{"s": {Slots: 8, Tokens: 100_000}})
+	time.Sleep(time.Second)
+	late := &lateManager{Manager: m}
+	w := &silentEngines{silence: silence{pauses: []int64{100, 1500, 100, 100}, dies: -1}, table: servers, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
+	h := stream.New(servers, w, ingress{}, late, quota.New(0, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+	route := &config.Route{Name: "r", Kind: config.Stream, Gap: 300 * time.Millisecond, Resume: true, Attempts: 2, Model: true}
+	service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Serve(t.Context(), &slowWriter{ResponseRecorder: httptest.NewRecorder()},
+			&proxy.Request{ID: "c", Received: time.Now(), Prompt: 100, MaxOutput: 80}, route, service, time.Now().Add(time.Minute))
+	}()
+	time.Sleep(3 * time.Second) // the second event is being read
+	runs := m.Loads()["s"].Runs
+	<-done
+	if late.granted != 2 || runs != 1 {
+		t.Errorf("%d runs at the owner after %d grants, want one after 2", runs, late.granted)
+	}
+}
