Withdraw a search before the client reads the event that ends it

Cause: the search ended after the event was written, and the check released its lease only under the lock that the write holds. A slow client kept a slot at a second engine for as long as it took to read. Change: the search ends before the write, and a lease that came too late is released without the lock.

--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -113,8 +113,14 @@
 // next waits for the next event.
 func (w *watch) next(events *eventReader) (sseEvent, error) {
 	w.unlock()
-	defer w.lock()
-	return events.next()
+	e, err := func() (sseEvent, error) {
+		defer w.lock()
+		return events.next()
+	}()
+	if w != nil && w.givenUp == nil && !e.empty {
+		w.endSearch() // before the client reads the event, which may take long
+	}
+	return e, err
 }
 
 // verdict returns why the run was given up, nil while it was not. An event that was read
@@ -236,6 +242,10 @@
 // endCheck gives the run up in favour of the lease that was found, if it is still silent.
 // Otherwise it releases the lease.
 func (w *watch) endCheck(search context.Context, found *lease.Lease) {
+	if found != nil && search.Err() != nil {
+		found.Close("") // the lock may be held while a slow client reads
+		found = nil
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := search.Err() == nil
