--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/stream"
@@ -70,6 +71,14 @@
 	budget int
 	// stays means that the route's streams may not go on elsewhere.
 	stays bool
+	// refusals is the number of runs after the first one that are refused, prefillFaults
+	// the results of the first prefills, and refillAt the time between other requests,
+	// which add one retry to the budget, zero for none.
+	refusals      int
+	prefillFaults []error
+	refillAt      time.Duration
+	// stopAt is when the daemon stops, zero for never, and grace the grace period.
+	stopAt, grace time.Duration
 }
 
 // silentEngines are engines and an owner that behave as planned.
@@ -126,7 +135,11 @@
 			w.overlaps++
 		}
 	}
-	w.open, w.sends = append(w.open, ctx), append(w.sends, o)
+	w.sends = append(w.sends, o)
+	if n := len(w.sends) - 1; n > 0 && n <= w.refusals {
+		return nil, &proxy.SendError{Fault: event.FaultRefused, Full: true, Err: errReset}
+	}
+	w.open = append(w.open, ctx)
 	time.Sleep(w.header)
 	body := &plannedBody{ctx: ctx, plan: w.silence, run: len(w.sends) - 1}
 	_, _ = fmt.Sscan(o.LastEventID, &body.sent)
@@ -174,7 +187,7 @@
 // play serves one stream as planned.
 func (p silence) play(t *testing.T) (out played) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &silentEngines{silence: p, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
+		w := &silentEngines{silence: p, fakeBackends: fakeBackends{freed: make(chan string, 64), prefills: p.prefillFaults}}
 		w.table = pool.New(pool.WithSuspect(func(s pool.Server) {
 			if p.down && (s.ID == "d1" || s.ID == "p1") {
 				w.table.SetDown(s, true)
@@ -186,12 +199,29 @@
 		for _, s := range table().All() {
 			w.table.Put(s)
 		}
-		budget := quota.New(0, 100, func() int { return 1 })
+		ratio := 0.0
+		if p.refillAt > 0 {
+			ratio = 0.625 // half a retry for each request
+		}
+		budget := quota.New(ratio, 100, func() int { return 1 })
 		left := 60 // the daemon's share of the 100
 		for ; left > p.budget; left-- {
 			budget.Take("s")
 		}
-		h := stream.New(w.table, w, ingress{}, w, budget, lines.New(io.Discard, "test"))
+		var refill func()
+		refill = func() {
+			budget.Sent("s")
+			budget.Sent("s")
+			time.AfterFunc(p.refillAt, refill)
+		}
+		if p.refillAt > 0 {
+			time.AfterFunc(p.refillAt, refill)
+		}
+		stop := grace.New()
+		if p.stopAt > 0 {
+			time.AfterFunc(p.stopAt, func() { stop.Begin(p.grace/3, time.Now().Add(p.grace)) })
+		}
+		h := stream.New(w.table, w, ingress{}, w, budget, lines.New(io.Discard, "test"), stream.WithStop(stop))
 		route := &config.Route{Name: "r", Kind: config.Stream, Target: 900 * time.Millisecond,
 			Gap: 300 * time.Millisecond, Resume: !p.stays, Attempts: 3, Model: true}
 		service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
@@ -252,6 +282,20 @@
 			}
 			return ""
 		}, pauses, owner, gen.IntRange(1, 3), gen.IntRange(0, streamLength-1)))
+	ps.Property("the stream of a sound engine is whole, whatever its replacements do", prop.ForAll(
+		func(pauses []int64, owner []int, budget, refusals int) string {
+			for i := range owner {
+				if owner[i] == isSilent {
+					owner[i] = refuses
+				}
+			}
+			p := plan(pauses, owner, budget, 0, -1)
+			p.refusals, p.refillAt = refusals, 10*time.Second
+			if out := p.play(t); out.body != events(streamLength) || out.outcome.Result != "ok" || out.overlaps > 0 {
+				return fmt.Sprintf("%+v", out)
+			}
+			return ""
+		}, pauses, owner, budget, gen.IntRange(0, 5)))
 	ps.TestingRun(t)
 }
 
@@ -282,6 +326,8 @@
 		"silent, may not go on elsewhere":          {silence{pauses: []int64{100, 20_000, 100, 100}, dies: -1, budget: 3, stays: true}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
 		"silent, its entry is removed":             {silence{pauses: []int64{100, 20_000, 100, 100}, dies: -1, leaves: true}, 200, 1, 4, "ok", 20 * seconds, 21 * seconds},
 		"dead and down, its entry is removed":      {silence{pauses: []int64{100}, dies: 2, down: true, leaves: true}, 200, 1, 2, "broken", 2 * seconds, 8 * seconds},
+		"no first event for a while, in a stop":    {silence{pauses: []int64{1500, 100, 100, 100}, dies: -1, budget: 3, stopAt: 100 * time.Millisecond, grace: 2400 * time.Millisecond}, 200, 1, 4, "ok", seconds, 2 * seconds},
+		"silent, in a stop":                        {silence{pauses: []int64{100}, dies: 1, budget: 3, stopAt: 100 * time.Millisecond, grace: 2400 * time.Millisecond}, 200, 2, 4, "ok", seconds, 2 * seconds},
 		"silent twice, no run is left for a third": {silence{pauses: []int64{100, 100, 100, 100, 100, 9000, 100, 100, 100, 100, 9000}, dies: 1, budget: 9}, 200, 3, 4, "ok", 11 * seconds, 13 * seconds},
 	}
 	for name, c := range cases {
@@ -300,6 +346,39 @@
 	}
 }
 
+// Guards against streams that end, though their engine was sound, because the replacement
+// of a silent run fails or is not to be had again.
+func TestReplacementFails(t *testing.T) {
+	const seconds = time.Second
+	refused := &proxy.SendError{Fault: event.FaultRefused, Full: true, Err: errReset}
+	broken := &proxy.SendError{Fault: event.FaultBroken, Err: errReset}
+	cases := map[string]struct {
+		plan     silence
+		from, to time.Duration
+	}{
+		"run refused, then no lease":         {silence{dies: 1, budget: 5, refusals: 1, owner: []int{grants, refuses, refuses}}, 1 * seconds, 5 * seconds},
+		"run refused, then no budget":        {silence{dies: 1, budget: 1, refusals: 1, refillAt: 8 * seconds}, 8 * seconds, 11 * seconds},
+		"many runs refused":                  {silence{dies: 1, budget: 20, refusals: 6}, 1 * seconds, 9 * seconds},
+		"prefill refused, then no budget":    {silence{dies: 1, budget: 1, prefillFaults: []error{nil, refused}, refillAt: 8 * seconds}, 8 * seconds, 11 * seconds},
+		"prefill breaks, then no lease":      {silence{dies: 1, budget: 5, prefillFaults: []error{nil, broken}, owner: []int{grants, refuses, refuses, refuses}}, 1 * seconds, 9 * seconds},
+		"before an event, then no budget":    {silence{budget: 1, refusals: 1, refillAt: 8 * seconds}, 8 * seconds, 11 * seconds},
+		"no budget for the rest of its time": {silence{dies: 1, budget: 1, refusals: 1}, silentDeadline, silentDeadline + seconds},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.plan.pauses = []int64{100}
+			out := c.plan.play(t)
+			whole := out.body == events(streamLength) && out.outcome.Result == "ok"
+			if whole != (c.to < silentDeadline) || out.overlaps > 0 {
+				t.Errorf("%+v", out)
+			}
+			if out.took < c.from || out.took > c.to {
+				t.Errorf("took %v, want %v to %v", out.took, c.from, c.to)
+			}
+		})
+	}
+}
+
 // Guards against requests that are refused, or streams that break off, because a prefill
 // engine is silent for a while.
 func TestSilentPrefill(t *testing.T) {
@@ -391,3 +470,43 @@
 		}
 	})
 }
+
+// slowWriter is a client that takes a while to read the second event.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	events int
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	if w.events++; w.events == 2 {
+		time.Sleep(3 * time.Second)
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against slots that stay taken while a slow client reads the event that ended a
+// search. It runs on real time: a goroutine that waits for a mutex stops that of synctest.
+func TestSlowClientHoldsNoGrant(t *testing.T) {
+	servers, self := table(), alone{netip.MustParseAddrPort("10.0.0.9:7000")}
+	m := lease.Start(gossip.Member{Addr: self.AddrPort, Incarnation: 1}, "", self, self, servers, self, hclog.NewNullLogger())
+	defer m.Close()
+	m.SetServices(map[string]lease.Capacity{"s": {Slots: 8, Tokens: 100_000}})
+	time.Sleep(time.Second)
+	late := &lateManager{Manager: m}
+	w := &silentEngines{silence: silence{pauses: []int64{100, 1500, 100, 100}, dies: -1}, table: servers, fakeBackends: fakeBackends{freed: make(chan string, 8)}}
+	h := stream.New(servers, w, ingress{}, late, quota.New(0, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+	route := &config.Route{Name: "r", Kind: config.Stream, Gap: 300 * time.Millisecond, Resume: true, Attempts: 2, Model: true}
+	service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Serve(t.Context(), &slowWriter{ResponseRecorder: httptest.NewRecorder()},
+			&proxy.Request{ID: "c", Received: time.Now(), Prompt: 100, MaxOutput: 80}, route, service, time.Now().Add(time.Minute))
+	}()
+	time.Sleep(3 * time.Second) // the second event is being read
+	runs := m.Loads()["s"].Runs
+	<-done
+	if late.granted != 2 || runs != 1 {
+		t.Errorf("%d runs at the owner after %d grants, want one after 2", runs, late.granted)
+	}
+}
