--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -61,6 +61,8 @@
 	resp  *response
 	fault event.Fault
 	err   error
+	// panicked is the value of a panic during the attempt.
+	panicked any
 }
 
 // isLimited reports whether nothing was sent because of the server's limit.
@@ -76,9 +78,13 @@
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	j.open, j.excluded = append(j.open, a), append(j.excluded, s.ID)
 	send := func() {
-		defer func() { j.ended <- a }()
-		defer panics.Recover(j.log, "attempt at a server")
 		a.fault = event.FaultBroken // after a panic
+		defer func() {
+			if a.panicked = recover(); a.panicked != nil {
+				panics.Record(j.log, "attempt at a server", a.panicked) // with the stack of this goroutine
+			}
+			j.ended <- a
+		}()
 		a.resp, a.fault, a.err = j.exchange(ctx, s)
 	}
 	if j.route.Kind != config.Idempotent {
@@ -103,6 +109,9 @@
 		select {
 		case a := <-j.ended:
 			j.finish(ctx, a)
+			if a.panicked != nil {
+				panic(a.panicked) // the router answers the request
+			}
 			return a
 		case <-slow:
 			if !j.startAnother(ctx) {
