--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -108,8 +108,14 @@
 // next waits for the next event.
 func (w *watch) next(events *eventReader) (sseEvent, error) {
 	w.unlock()
-	defer w.lock()
-	return events.next()
+	e, err := func() (sseEvent, error) {
+		defer w.lock()
+		return events.next()
+	}()
+	if w != nil && w.givenUp == nil && !e.empty {
+		w.endSearch() // before the client reads the event, which may take long
+	}
+	return e, err
 }
 
 // verdict returns why the run was given up, nil while it was not. An event that was read
@@ -201,7 +207,7 @@
 		w.giveUp(event.FaultBroken, errLost)
 		return nil, ledger.Request{}
 	}
-	if now.Before(w.searchAt) || !w.quota.Left(w.service.Name) || !w.hasOther(w.server) {
+	if now.Before(w.searchAt) || !w.admitted() || !w.quota.Left(w.service.Name) || !w.hasOther(w.server) {
 		w.arm(checkInterval)
 		return nil, ledger.Request{}
 	}
@@ -231,12 +237,16 @@
 // endCheck gives the run up in favour of the lease that was found, if it is still silent.
 // Otherwise it releases the lease.
 func (w *watch) endCheck(search context.Context, found *lease.Lease) {
+	if found != nil && search.Err() != nil {
+		found.Close("") // the lock may be held while a slow client reads
+		found = nil
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := search.Err() == nil
 	w.endSearch()
 	switch {
-	case silent && found != nil && w.usable(found) && w.quota.Take(w.service.Name):
+	case silent && found != nil && w.admitted() && w.usable(found) && w.quota.Take(w.service.Name):
 		w.replacement = found
 		w.giveUp(event.FaultStalled, errStall)
 		return
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -100,10 +100,11 @@
 	return n > 1
 }
 
-// mayGoOn refuses a stream if no engine of its version is left. The version may come
+// mayGoOn refuses a stream if no engine of its version is left, unless it waits for one
+// since a silent run was given up. The version may come
 // back, so that the client is asked to try once more, late.
 func (j *job) mayGoOn(ctx context.Context) bool {
-	if !j.version.fixed || j.table.HasVersion(time.Now(), j.service.Name, j.version.name, j.excluded) {
+	if !j.version.fixed || j.move.silent || j.table.HasVersion(time.Now(), j.service.Name, j.version.name, j.excluded) {
 		return true
 	}
 	j.outcome.RetryAfter = j.maxRetryAfter()
--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -9,6 +9,7 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/core/retry"
+	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/logs/panics"
@@ -60,6 +61,8 @@
 	resp  *response
 	fault event.Fault
 	err   error
+	// panicked is the value of a panic during the attempt.
+	panicked any
 }
 
 // isLimited reports whether nothing was sent because of the server's limit.
@@ -75,9 +78,13 @@
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	j.open, j.excluded = append(j.open, a), append(j.excluded, s.ID)
 	send := func() {
-		defer func() { j.ended <- a }()
-		defer panics.Recover(j.log, "attempt at a server")
 		a.fault = event.FaultBroken // after a panic
+		defer func() {
+			if a.panicked = recover(); a.panicked != nil {
+				panics.Record(j.log, "attempt at a server", a.panicked) // with the stack of this goroutine
+			}
+			j.ended <- a
+		}()
 		a.resp, a.fault, a.err = j.exchange(ctx, s)
 	}
 	if j.route.Kind != config.Idempotent {
@@ -102,6 +109,9 @@
 		select {
 		case a := <-j.ended:
 			j.finish(ctx, a)
+			if a.panicked != nil {
+				panic(a.panicked) // the router answers the request
+			}
 			return a
 		case <-slow:
 			if !j.startAnother(ctx) {
@@ -198,7 +208,7 @@
 		return pool.OK
 	case a.resp != nil:
 		return pool.Failed
-	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
+	case ctx.Err() != nil && (errors.Is(context.Cause(ctx), context.Canceled) || grace.Ended(ctx)):
 		return pool.Unknown
 	}
 	switch a.fault {
