--- a/internal/front/stream/stall_test.go
+++ b/internal/front/stream/stall_test.go
@@ -417,6 +417,15 @@
 	}
 }
 
+// Guards against prefills beyond the first one that the retry budget is not charged for:
+// engines count them as arrivals, as they do the run that follows.
+func TestFurtherPrefillIsCharged(t *testing.T) {
+	out := silence{pauses: []int64{100}, dies: 1, budget: 5}.play(t)
+	if out.runs != 2 || out.prefills != 2 || out.charged != 2 {
+		t.Errorf("%d charged for %d runs and %d prefills, want 2 for 2 and 2", out.charged, out.runs, out.prefills)
+	}
+}
+
 // alone connects one daemon to no other.
 type alone struct{ netip.AddrPort }
 
