Add a failing test of a charge for a prevented attempt

go test -race -run TestChargeIsKept ./internal/front/unary fails: 502 after 2 attempts, want 200; the budget of one was charged for an attempt that the limit of its server prevented.

--- a/internal/front/unary/slow_test.go
+++ b/internal/front/unary/slow_test.go
@@ -82,6 +82,8 @@
 	kind            config.Kind
 	servers, budget int
 	steps           []slowStep
+	// unhealthy is the server that gets requests only if no other is left, "" for none.
+	unhealthy string
 
 	code, sent, charged, running int
 	memory                       int64
@@ -94,6 +96,9 @@
 		for i := range p.servers {
 			s.table.Put(pool.Server{ID: fmt.Sprint("s", i), Service: "s", Sequence: 1, Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(8000+i))})
 		}
+		if p.unhealthy != "" {
+			s.table.MarkUnhealthy(time.Now(), p.unhealthy, never)
+		}
 		budget, left := quota.New(0, 100, func() int { return 1 }), 60
 		for ; left > p.budget; left-- {
 			budget.Take("s")
@@ -159,6 +164,16 @@
 	}
 }
 
+// Guards against a request that fails for want of budget, though the budget was charged
+// for an attempt that the limit of a server prevented.
+func TestChargeIsKeptForNextAttempt(t *testing.T) {
+	steps := []slowStep{{time.Second, reset}, {0, limited}, {0, fine}}
+	out := slowPlay{kind: config.Idempotent, servers: 3, budget: 1, unhealthy: "s2", steps: steps}.serve(t)
+	if out.code != http.StatusOK || out.charged != 1 {
+		t.Errorf("status %d after %d attempts, %d charged; want 200 and one", out.code, out.sent, out.charged)
+	}
+}
+
 // Checks for random reactions and times that a request gets the answer of a sound server,
 // and that nothing outlives it.
 func TestSlowServerProperties(t *testing.T) {
