Use the charge for a prevented attempt for the next one

Cause: the charge for an attempt beside a slow one was kept only for another such attempt. When the slow one then broke, the retry was charged again, and failed without budget. Change: the retry uses the charge. Result: go test -race ./internal/front/unary passes; 200, 502 before.

--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -214,7 +214,11 @@
 	if f == event.FaultUnsent {
 		return func() bool { return true }
 	}
-	return func() bool { return j.quota.Take(j.service) }
+	return func() bool {
+		paid := j.paid || j.quota.Take(j.service)
+		j.paid = false
+		return paid
+	}
 }
 
 func (j *job) decide(f event.Fault, budget func() bool) retry.Decision {
