Let the hold end in the test of a prevented attempt

An unhealthy server gets no request while a healthy one is held, so that the test had no server left whatever was charged.

--- a/internal/front/unary/slow_test.go
+++ b/internal/front/unary/slow_test.go
@@ -1,6 +1,7 @@
 package unary_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -45,6 +46,8 @@
 type slowServers struct {
 	citronrock.Backends
 	table *pool.Table
+	// hold is how long a limit leaves no room.
+	hold time.Duration
 
 	mu            sync.Mutex
 	steps         []slowStep
@@ -69,7 +72,7 @@
 	}
 	switch {
 	case x.limited:
-		s.table.Hold(to.Process(), time.Now().Add(never), time.Now().Add(never))
+		s.table.Hold(to.Process(), time.Now().Add(s.hold), time.Now().Add(s.hold))
 		return nil, &proxy.SendError{Fault: x.fault, Limited: true, Err: errReset}
 	case x.status == 0:
 		return nil, &proxy.SendError{Fault: x.fault, Full: x.fault == event.FaultRefused, Err: errReset}
@@ -84,6 +87,8 @@
 	steps           []slowStep
 	// unhealthy is the server that gets requests only if no other is left, "" for none.
 	unhealthy string
+	// hold is how long a limit leaves no room, zero for longer than any request.
+	hold time.Duration
 
 	code, sent, charged, running int
 	memory                       int64
@@ -92,7 +97,7 @@
 
 func (p slowPlay) serve(t *testing.T) slowPlay {
 	synctest.Test(t, func(t *testing.T) {
-		s := &slowServers{table: pool.New(), steps: p.steps}
+		s := &slowServers{table: pool.New(), steps: p.steps, hold: cmp.Or(p.hold, never)}
 		for i := range p.servers {
 			s.table.Put(pool.Server{ID: fmt.Sprint("s", i), Service: "s", Sequence: 1, Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(8000+i))})
 		}
@@ -168,7 +173,7 @@
 // for an attempt that the limit of a server prevented.
 func TestChargeIsKeptForNextAttempt(t *testing.T) {
 	steps := []slowStep{{time.Second, reset}, {0, limited}, {0, fine}}
-	out := slowPlay{kind: config.Idempotent, servers: 3, budget: 1, unhealthy: "s2", steps: steps}.serve(t)
+	out := slowPlay{kind: config.Idempotent, servers: 3, budget: 1, unhealthy: "s2", hold: time.Second / 2, steps: steps}.serve(t)
 	if out.code != http.StatusOK || out.charged != 1 {
 		t.Errorf("status %d after %d attempts, %d charged; want 200 and one", out.code, out.sent, out.charged)
 	}
