--- a/internal/front/router/stop_test.go
+++ b/internal/front/router/stop_test.go
@@ -139,7 +139,7 @@
 
 // limitIngress reads the time limit of a request in milliseconds from the header
 // Limit.
-type limitIngress struct{ plainIngress }
+type limitIngress struct{}
 
 func (limitIngress) Read(r *http.Request) (*proxy.Request, error) {
 	ms, err := strconv.Atoi(r.Header.Get("Limit"))
--- a/internal/front/serve/conn.go
+++ b/internal/front/serve/conn.go
@@ -79,7 +79,7 @@
 	c.mu.Unlock()
 	if ok {
 		c.onClose(c)
-		c.TCPConn.Close()
+		_ = c.TCPConn.Close() // the client has to go elsewhere in any case
 	}
 }
 
--- a/internal/front/serve/stop_test.go
+++ b/internal/front/serve/stop_test.go
@@ -161,12 +161,15 @@
 			in := bufio.NewReader(conn)
 			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 			if kept {
-				if resp, err := http.ReadResponse(in, nil); err != nil {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
 					t.Errorf("before the stop: %v", err)
 					return
-				} else if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 					t.Errorf("before the stop: %v", err)
 				}
+				resp.Body.Close()
 			}
 			at := notice + drainTime + time.Duration(i-conns/2)*20*time.Microsecond
 			time.Sleep(time.Until(begin.Add(at)))
