--- a/internal/front/serve/conn.go
+++ b/internal/front/serve/conn.go
@@ -79,7 +79,7 @@
 	c.mu.Unlock()
 	if ok {
 		c.onClose(c)
-		_ = c.TCPConn.Close() // an error means that it was closed meanwhile
+		_ = c.TCPConn.Close() // the client has to go elsewhere in any case
 	}
 }
 
--- a/internal/front/serve/stop_test.go
+++ b/internal/front/serve/stop_test.go
@@ -162,14 +162,14 @@
 			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 			if kept {
 				resp, err := http.ReadResponse(in, nil)
-				if err == nil {
-					_, err = io.Copy(io.Discard, resp.Body)
-					resp.Body.Close()
-				}
 				if err != nil {
 					t.Errorf("before the stop: %v", err)
 					return
 				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+					t.Errorf("before the stop: %v", err)
+				}
+				resp.Body.Close()
 			}
 			at := notice + drainTime + time.Duration(i-conns/2)*20*time.Microsecond
 			time.Sleep(time.Until(begin.Add(at)))
