--- /dev/null
+++ b/internal/front/router/origin.go
@@ -0,0 +1,23 @@
+package router
+
+import "context"
+
+// versions returns the software versions of a service that can have begun a stream, at
+// once if ctx is done.
+func (r *Router) versions(ctx context.Context, service string) ([]string, bool) {
+	f := r.builds.Load()
+	switch {
+	case f == nil:
+		return nil, false
+	case ctx.Err() != nil:
+		return f.Recent(service)
+	}
+	return f.Versions(ctx, service)
+}
+
+// handOver hands the origins of streams over to other routers.
+func (r *Router) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	r.origins.Leave(ctx)
+}
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -203,19 +203,6 @@
 	return r.listenReady()
 }
 
-// versions returns the software versions of a service that can have begun a stream, at
-// once if ctx is done.
-func (r *Router) versions(ctx context.Context, service string) ([]string, bool) {
-	f := r.builds.Load()
-	switch {
-	case f == nil:
-		return nil, false
-	case ctx.Err() != nil:
-		return f.Recent(service)
-	}
-	return f.Versions(ctx, service)
-}
-
 // sameServer returns whether the server at an address is still the one of its entry.
 func (r *Router) sameServer(ctx context.Context, s pool.Server) (bool, error) {
 	path := ""
@@ -402,13 +389,6 @@
 	r.log.Info("stopped", "open", r.server.InFlight(), "took", lines.Ms(time.Since(r.startedAt)))
 }
 
-// handOver hands the origins of streams over to other routers.
-func (r *Router) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
-	defer cancel()
-	r.origins.Leave(ctx)
-}
-
 func (r *Router) closePeers() {
 	r.prober.Close()
 	r.guard.Close()
