Ask the engine of a stream that goes on whether it is still its entry's process

An engine checks the ID, not the process. Before a stream goes on, the engine's usage report is read, which names the start of the process; another one, or no answer in 0.3 s, sends the stream elsewhere. It costs one report for each stream that goes on. TestMovedStreamAvoidsReplacedProcess fails without the check (sent to d1, d2).

--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -60,6 +60,11 @@
 	starts     time.Time
 }
 
+// Usage confirms each engine: what an entry doesn't show yet is left to the cases.
+func (*versionedFleet) Usage(context.Context, pool.Server) (ledger.Usage, error) {
+	return ledger.Usage{}, nil
+}
+
 func newVersionedFleet(versions ...string) *versionedFleet {
 	f := &versionedFleet{table: pool.New(), origins: map[string]origin.Origin{}, starts: time.Now(),
 		sending: func(string) {}, answered: func(string) {}, lost: func() bool { return false }}
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -267,6 +267,9 @@
 	if j.refusePart(ctx) {
 		return finish
 	}
+	if !j.isProcess(ctx, s) {
+		return j.retryElsewhere(ctx, s.ID, "", true)
+	}
 	start := time.Now()
 	j.server, j.runEvents, j.goneOn = s, 0, false
 	report := j.table.Begin(s.ID)
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -54,6 +54,8 @@
 	// sending is called before each attempt, nil for nothing.
 	sending func(to string)
 	freed   chan string
+	// replaced are engines that started again, without a new entry yet.
+	replaced []string
 }
 
 func (w *fakeBackends) Acquire(_ context.Context, a ledger.Request) (*lease.Lease, error) {
@@ -108,6 +110,14 @@
 		Body: io.MultiReader(&body, end), Close: func() {}}, nil
 }
 
+// Usage fails for engines whose process is another one than that of their entry.
+func (w *fakeBackends) Usage(_ context.Context, s pool.Server) (ledger.Usage, error) {
+	if slices.Contains(w.replaced, s.ID) {
+		return ledger.Usage{}, &proxy.SendError{Fault: event.FaultRefused, Misdirected: true, Err: errors.New("another process")}
+	}
+	return ledger.Usage{}, nil
+}
+
 func (w *fakeBackends) Free(_ context.Context, c *proxy.Cache) error {
 	w.freed <- c.Handle
 	return nil
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -20,6 +20,8 @@
 	// originRetryAfter is the Retry-After delay for a stream whose version is not known
 	// here. Another daemon may know it, and a daemon that just started may learn it.
 	originRetryAfter = 500 * time.Millisecond
+	// checkTimeout bounds the question which process an engine is.
+	checkTimeout = 300 * time.Millisecond
 	// minLeftShare is the least part of the expected output that a stream which goes on
 	// is assumed to have left.
 	minLeftShare = 0.2
@@ -173,6 +175,26 @@
 	return finish
 }
 
+// isProcess asks the engine of a stream that goes on whether it is still the process of its
+// entry. An engine may start again under its ID with another version, and this daemon may
+// not have the new entry yet; the engine itself does not check versions.
+func (j *job) isProcess(ctx context.Context, s pool.Server) bool {
+	if !j.version.begun || j.service.Engine == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	_, err := j.backends.Usage(ctx, s)
+	if err == nil {
+		return true
+	}
+	j.log.Info("engine of a stream that goes on not confirmed", "request", j.req.ID, "server", s.ID, "error", err.Error())
+	if asSendError(err).Misdirected {
+		j.table.MarkMisdirected(time.Now(), s)
+	}
+	return false
+}
+
 // strayed prepares another lease without the engines of other versions.
 func (j *job) strayed(ctx context.Context, s pool.Server) step {
 	j.strays++
--- a/internal/front/stream/version_test.go
+++ b/internal/front/stream/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +55,18 @@
 	}
 }
 
+// Guards against a stream that goes on at an engine which started again under its ID with
+// another version, while this daemon has its old entry.
+func TestMovedStreamAvoidsReplacedProcess(t *testing.T) {
+	var sent []string
+	w := &fakeBackends{runs: []run{{status: 200, from: 1, to: 2, breaks: true}, {status: 200, from: 3, to: 4}}, freed: make(chan string, 8), replaced: []string{"d1", "d2"}}
+	w.sending = func(to string) { sent = append(sent, to) }
+	rec, o := handle(t, newHandler(table(), w), true, 3*time.Second)
+	if rec.Body.String() != events(4) || o.Result != "ok" || !slices.Equal(sent, []string{"d1", "d3"}) {
+		t.Errorf("sent to %v, body %q, result %q (%s); want d1, then d3", sent, rec.Body, o.Result, o.Reason)
+	}
+}
+
 // Guards against a stream that a client takes up and that goes on at any version, when
 // nothing is known of the attempt that began it.
 func TestUnknownStreamIsNotGuessed(t *testing.T) {
