--- /dev/null
+++ b/review/lab/stream.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// NewID returns the ID of a client attempt.
+func NewID() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:]) // never fails
+	return hex.EncodeToString(raw[:])
+}
+
+// Stream is one generation as a client gets it, over its tries.
+type Stream struct {
+	Tries  []string
+	Events []Event
+	// Status is the last status, 0 for none.
+	Status int
+	Whole  bool
+}
+
+// Generate asks a router for a stream of n events. If that breaks, it takes the stream up at
+// another one, once.
+func Generate(rec *Record, at []*Router, host, path string, n int, limit time.Duration) *Stream {
+	end := time.Now().Add(limit)
+	s := &Stream{}
+	prompt := NewID()[:8]
+	for try := range 2 {
+		id := NewID()
+		s.Tries = append(s.Tries, id)
+		left := time.Until(end)
+		head := []string{"POST " + path + " HTTP/1.1", "Host: " + host, "Attempt-Id: " + id, "Model: m", fmt.Sprintf("Token-Usage: 5200,%d", n),
+			fmt.Sprintf("Prompt-Prefix: 5c1e07a2:200,%s:5000", prompt), fmt.Sprint("Deadline-Milliseconds: ", left.Milliseconds())}
+		if len(s.Events) > 0 {
+			head = append(head, "Last-Event-Id: "+s.Events[len(s.Events)-1].ID, "Resumes: "+s.Tries[0])
+		}
+		rec.Add("client sends %s to %s, events so far %d", id, at[try].Name, len(s.Events))
+		a := Call(at[try].Front, head, fmt.Sprintf("prompt %s", prompt), left)
+		s.Status, s.Whole = a.Status, a.Whole
+		s.Events = append(s.Events, a.Events...)
+		rec.Add("client got %s: status %d, %d events, whole %v, error %v", id, a.Status, len(a.Events), a.Whole, a.Err)
+		if a.Whole && a.Status == 200 {
+			return s
+		}
+		if time.Until(end) < time.Second {
+			break
+		}
+		if after := a.Header.Get("Retry-After"); after != "" {
+			if wait, err := time.ParseDuration(after + "s"); err == nil {
+				time.Sleep(min(wait, time.Until(end)/3))
+			}
+		}
+	}
+	return s
+}
+
+// Versions returns the software versions whose engines made the events.
+func (s *Stream) Versions() map[string]int {
+	out := map[string]int{}
+	for _, e := range s.Events {
+		out[e.Version]++
+	}
+	return out
+}
