--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -20,6 +20,8 @@
 	handleTTL = 500 * time.Millisecond
 	// lapse is the silence after which the store removes an entry.
 	lapse = 3 * heartbeat
+	// roleSwitch is how long a change of the stage takes.
+	roleSwitch = 6 * time.Second
 )
 
 // Life describes one process of a backend server.
@@ -40,6 +42,14 @@
 	LastEvent                 int
 }
 
+// Order is an order that an engine got.
+type Order struct {
+	At             time.Time
+	Engine, Holder string
+	Fence          int64
+	Status         int
+}
+
 // Site holds the backend servers and what they ran.
 type Site struct {
 	Store *Store
@@ -47,6 +57,7 @@
 
 	mu      sync.Mutex
 	runs    []Run
+	orders  []Order
 	engines map[string]*Engine // by address
 	beats   sync.Map           // the time of the last one, by ID
 }
@@ -63,6 +74,13 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Orders returns the orders that engines got.
+func (s *Site) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Order(nil), s.orders...)
+}
+
 func (s *Site) addRun(r Run) {
 	s.mu.Lock()
 	s.runs = append(s.runs, r)
@@ -86,7 +104,9 @@
 	running  map[string]int
 	handles  map[string]time.Time
 	seals    int
-	conns    map[net.Conn]bool
+	// busyUntil is the end of the change of the stage.
+	busyUntil time.Time
+	conns     map[net.Conn]bool
 }
 
 // Start starts a server process at an address, a new one if it is empty.
@@ -200,7 +220,7 @@
 	switch {
 	case r.URL.Path == "/health":
 	case r.URL.Path == "/order":
-		w.WriteHeader(http.StatusConflict) // no case has orders carried out
+		e.order(w, r)
 	case strings.HasPrefix(r.URL.Path, "/kv-handle/"):
 		e.take(strings.TrimPrefix(r.URL.Path, "/kv-handle/"))
 	default:
@@ -217,10 +237,53 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"stage": e.Stage, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
-		"busy": false, "sequence": e.accepted, "waiting_requests": 0, "running_requests": len(e.running), "kv_used": 5250 * len(e.running),
+		"busy": time.Now().Before(e.busyUntil), "sequence": e.accepted, "waiting_requests": 0, "running_requests": len(e.running), "kv_used": 5250 * len(e.running),
 		"kv_total": 100125, "kv_handles": len(e.handles), "runs": runs, "born": e.born}) // the caller may have left
 }
 
+// order handles an order to change the stage. Fences are not checked.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Operation    string `json:"operation"`
+		Stage        string `json:"stage"`
+		Holder       string `json:"holder"`
+		Fence        int64  `json:"fencing_token"`
+		Precondition *int   `json:"precondition"`
+	}
+	err := json.NewDecoder(r.Body).Decode(&in)
+	e.mu.Lock()
+	status := http.StatusAccepted
+	switch {
+	case err != nil || in.Operation != "stage" || in.Holder == "" || in.Fence == 0:
+		status = http.StatusBadRequest
+	case time.Now().Before(e.busyUntil) || in.Precondition != nil && *in.Precondition != e.accepted:
+		status = http.StatusConflict
+	case in.Stage == e.Stage:
+		status = http.StatusOK
+	default:
+		e.accepted++
+		e.busyUntil = time.Now().Add(roleSwitch)
+		time.AfterFunc(roleSwitch, func() {
+			e.mu.Lock()
+			e.Stage = in.Stage
+			e.mu.Unlock()
+			e.beat()
+		})
+	}
+	e.mu.Unlock()
+	e.site.mu.Lock()
+	e.site.orders = append(e.site.orders, Order{time.Now(), e.ID, in.Holder, in.Fence, status})
+	e.site.mu.Unlock()
+	e.site.Rec.Add("order to %s: stage %s, holder %s, epoch %d, answer %d", e.ID, in.Stage, in.Holder, in.Fence, status)
+	w.WriteHeader(status)
+}
+
+func (e *Engine) stage() (stage string, busy bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Stage, time.Now().Before(e.busyUntil)
+}
+
 // take takes a handle, which works once.
 func (e *Engine) take(handle string) bool {
 	e.mu.Lock()
@@ -251,8 +314,12 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 	defer cancel()
 	prefill := r.Header.Get("Stage") == "prefill"
+	stage, busy := e.stage()
 	switch {
-	case prefill != (e.Stage == "prefill"):
+	case busy:
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	case prefill != (stage == "prefill"):
 		refuse(w, http.StatusMisdirectedRequest)
 		return
 	case prefill:
@@ -293,7 +360,7 @@
 	e.site.addRun(Run{At: time.Now(), Attempt: id, Engine: e.ID, Version: e.Version, Method: r.Method, Target: r.RequestURI,
 		Body: string(body), Hop: r.RemoteAddr, LastEvent: last})
 	w.Header().Set("Response-Seal", e.seal())
-	if e.Stage == "" {
+	if stage == "" {
 		e.plain(ctx, w, id)
 		return
 	}
--- a/review/lab/router.go
+++ b/review/lab/router.go
@@ -36,8 +36,8 @@
 type Fleet []*Router
 
 // NewFleet prepares n routers and writes their settings to a folder. root is the root of
-// the repository.
-func NewFleet(rec *Record, root, dir, store string, n int) (Fleet, error) {
+// the repository, settings are lines that replace the usual ones.
+func NewFleet(rec *Record, root, dir, store string, n int, settings ...string) (Fleet, error) {
 	net := byte(1 + os.Getpid()%250)
 	ip := func(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 90, net, byte(i + 1)}) }
 	var ports [4]uint16
@@ -72,6 +72,7 @@
 			"bounds.recovery_s=12", "bounds.transit_ms=120", "bounds.reuse_window_s=3", "bounds.require_fencing=true",
 			"bounds.lease_duration_ms=3000", "bounds.thaw_slack_ms=300", "platform.address=" + store, "platform.form=read",
 			"platform.reads_per_s=2000", "platform.history_retention_s=20", "platform.value_bytes=1048576"}
+		lines = append(lines, settings...)
 		if err := os.WriteFile(r.file, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 			return nil, err
 		}
--- a/review/lab/stream.go
+++ b/review/lab/stream.go
@@ -66,3 +66,15 @@
 	}
 	return out
 }
+
+// ModelConfig is a configuration with one service of model engines and one route to it, whose
+// streams may be resumed.
+func ModelConfig(host, service string) map[string]any {
+	return map[string]any{"version": 7,
+		"routes": []any{map[string]any{"name": "r-1", "host": host, "path_prefix": "/pufi791/", "kind": "streaming", "timeout_ms": 14000,
+			"target_latency_ms": 900, "priority": 1, "service": service, "max_attempts": 2, "session_affinity": true, "allow_resume": true, "target_gap_ms": 300}},
+		"services": []any{map[string]any{"name": service, "health_check_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 64, "kv_capacity_tokens": 100125, "kv_token_bytes": 18432, "link_mbps": 2900000.0, "moves": true, "backups": true,
+				"stride": 1, "most": 12, "handle_retention_s": 0.5, "role_switch_s": 6.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": []any{map[string]any{"name": "m"}}}}},
+		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+}
