--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -54,6 +54,8 @@
 type Site struct {
 	Store *Store
 	Rec   *Record
+	// Fencing makes engines refuse orders with a lower epoch number than an earlier one's.
+	Fencing bool
 
 	mu      sync.Mutex
 	runs    []Run
@@ -101,6 +103,7 @@
 	mu       sync.Mutex
 	sequence int
 	accepted int
+	fence    int64
 	running  map[string]int
 	handles  map[string]time.Time
 	seals    int
@@ -241,7 +244,7 @@
 		"kv_total": 100125, "kv_handles": len(e.handles), "runs": runs, "born": e.born}) // the caller may have left
 }
 
-// order handles an order to change the stage. Fences are not checked.
+// order handles an order to change the stage.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Operation    string `json:"operation"`
@@ -256,6 +259,8 @@
 	switch {
 	case err != nil || in.Operation != "stage" || in.Holder == "" || in.Fence == 0:
 		status = http.StatusBadRequest
+	case e.site.Fencing && in.Fence < e.fence:
+		status = http.StatusPreconditionFailed
 	case time.Now().Before(e.busyUntil) || in.Precondition != nil && *in.Precondition != e.accepted:
 		status = http.StatusConflict
 	case in.Stage == e.Stage:
@@ -270,6 +275,7 @@
 			e.beat()
 		})
 	}
+	e.fence = max(e.fence, in.Fence)
 	e.mu.Unlock()
 	e.site.mu.Lock()
 	e.site.orders = append(e.site.orders, Order{time.Now(), e.ID, in.Holder, in.Fence, status})
--- a/review/lab/router.go
+++ b/review/lab/router.go
@@ -21,11 +21,13 @@
 type Router struct {
 	Name  string
 	Front string
-	ready string
-	root  string
-	file  string
-	logs  string
-	rec   *Record
+	// Holder is the address that stands in its orders.
+	Holder string
+	ready  string
+	root   string
+	file   string
+	logs   string
+	rec    *Record
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -56,7 +58,7 @@
 	var out Fleet
 	for i := range n {
 		at := func(k int) string { return netip.AddrPortFrom(ip(i), ports[k]).String() }
-		r := &Router{Name: fmt.Sprint("frontend-", i+1), Front: at(0), ready: at(1), root: root, rec: rec,
+		r := &Router{Name: fmt.Sprint("frontend-", i+1), Front: at(0), Holder: at(3), ready: at(1), root: root, rec: rec,
 			file: filepath.Join(dir, fmt.Sprint("node", i+1, ".conf")), logs: filepath.Join(dir, fmt.Sprint("node", i+1, ".log"))}
 		lines := []string{"node_name=" + r.Name, "role=router", "machine_class=frontend", "serves=frontend,control_plane",
 			"ip=" + ip(i).String(), "zone=" + zones[i%3], "region=vlaanderen",
@@ -178,3 +180,14 @@
 	_ = resp.Body.Close() // only the status matters
 	return resp.StatusCode == http.StatusOK
 }
+
+// Set adds lines to the settings. They replace earlier ones.
+func (r *Router) Set(lines ...string) error {
+	f, err := os.OpenFile(r.file, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.WriteString(strings.Join(lines, "\n") + "\n")
+	return err
+}
