Review case 5: streams of a dark engine are lost (LOST)

An engine that goes dark and is back under its ID with another software version makes routers record the version of its streams as unknown, so that none of those that break goes on, although engines of their version serve.

--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -99,6 +99,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	server  *http.Server
+	// dark is closed at a loss of power.
+	dark     chan struct{}
+	listener net.Listener
 
 	mu       sync.Mutex
 	sequence int
@@ -128,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{Life: l, Address: listener.Addr().String(), site: s, born: time.Now().UnixMilli(),
+	e := &Engine{Life: l, Address: listener.Addr().String(), site: s, born: time.Now().UnixMilli(), dark: make(chan struct{}), listener: listener,
 		running: map[string]int{}, handles: map[string]time.Time{}, conns: map[net.Conn]bool{}}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.server = &http.Server{Handler: e, ConnState: e.track, BaseContext: func(net.Listener) context.Context { return e.ctx }}
@@ -145,6 +148,8 @@
 			select {
 			case <-e.ctx.Done():
 				return
+			case <-e.dark:
+				return
 			case <-tick.C:
 				e.beat()
 			}
@@ -181,6 +186,14 @@
 	})
 }
 
+// Dark ends the process as a loss of power does: its connections fall silent, and its address
+// has no listener.
+func (e *Engine) Dark() {
+	e.site.Rec.Add("server %s at %s goes dark with %d runs", e.ID, e.Address, e.Running())
+	close(e.dark)
+	_ = e.listener.Close() // the connections stay
+}
+
 // Running returns the number of requests that run.
 func (e *Engine) Running() int {
 	e.mu.Lock()
@@ -373,6 +386,15 @@
 	e.stream(ctx, w, r, id, last)
 }
 
+// halt doesn't return after a loss of power.
+func (e *Engine) halt() {
+	select {
+	case <-e.dark:
+		select {}
+	default:
+	}
+}
+
 func (e *Engine) handle(w http.ResponseWriter) {
 	var raw [6]byte
 	_, _ = rand.Read(raw[:]) // never fails
@@ -403,8 +425,10 @@
 	flush := http.NewResponseController(w)
 	for n := last + 1; n <= events; n++ {
 		if !wait(ctx, e.Step) {
+			e.halt()
 			panic(http.ErrAbortHandler) // an answer that is cut off must not look complete
 		}
+		e.halt()
 		end := ""
 		if n == events {
 			end = " end"
--- a/review/lab/stream.go
+++ b/review/lab/stream.go
@@ -18,11 +18,16 @@
 type Stream struct {
 	Tries  []string
 	Events []Event
+	// FirstTry is the number of events of the first try.
+	FirstTry int
 	// Status is the last status, 0 for none.
 	Status int
 	Whole  bool
 }
 
+// Tokens is the length of the prompts of streams.
+var Tokens = 5200
+
 // Generate asks a router for a stream of n events. If that breaks, it takes the stream up at
 // another one, once.
 func Generate(rec *Record, at []*Router, host, path string, n int, limit time.Duration) *Stream {
@@ -33,8 +38,8 @@
 		id := NewID()
 		s.Tries = append(s.Tries, id)
 		left := time.Until(end)
-		head := []string{"POST " + path + " HTTP/1.1", "Host: " + host, "Attempt-Id: " + id, "Model: m", fmt.Sprintf("Token-Usage: 5200,%d", n),
-			fmt.Sprintf("Prompt-Prefix: 5c1e07a2:200,%s:5000", prompt), fmt.Sprint("Deadline-Milliseconds: ", left.Milliseconds())}
+		head := []string{"POST " + path + " HTTP/1.1", "Host: " + host, "Attempt-Id: " + id, "Model: m", fmt.Sprintf("Token-Usage: %d,%d", Tokens, n),
+			fmt.Sprintf("Prompt-Prefix: 5c1e07a2:200,%s:%d", prompt, Tokens-200), fmt.Sprint("Deadline-Milliseconds: ", left.Milliseconds())}
 		if len(s.Events) > 0 {
 			head = append(head, "Last-Event-Id: "+s.Events[len(s.Events)-1].ID, "Resumes: "+s.Tries[0])
 		}
@@ -42,6 +47,9 @@
 		a := Call(at[try].Front, head, fmt.Sprintf("prompt %s", prompt), left)
 		s.Status, s.Whole = a.Status, a.Whole
 		s.Events = append(s.Events, a.Events...)
+		if try == 0 {
+			s.FirstTry = len(a.Events)
+		}
 		rec.Add("client got %s: status %d, %d events, whole %v, error %v", id, a.Status, len(a.Events), a.Whole, a.Err)
 		if a.Whole && a.Status == 200 {
 			return s
