--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 )
@@ -76,3 +77,40 @@
 	}
 	_ = c.Close()
 }
+
+// Case is one play of a case.
+type Case struct {
+	Rec *Record
+	// Root is the root of the repository, Dir a temporary folder.
+	Root, Dir string
+	// Trouble is unset if the disruption is left out.
+	Trouble bool
+}
+
+// Main plays a case with the arguments of the command, which are the folder of the case and
+// the root of the repository, and exits with the code that play returns.
+func Main(play func(*Case) (int, error)) {
+	code, err := run(play)
+	if err != nil {
+		fmt.Println("the case could not run:", err)
+		code = NotRun
+	}
+	os.Exit(code)
+}
+
+func run(play func(*Case) (int, error)) (code int, err error) {
+	if len(os.Args) != 3 {
+		return NotRun, fmt.Errorf("want the folder of the case and the root of the repository")
+	}
+	rec, err := NewRecord(filepath.Join(os.Args[1], "record.txt"))
+	if err != nil {
+		return NotRun, err
+	}
+	defer rec.Close()
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return NotRun, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	return play(&Case{Rec: rec, Root: os.Args[2], Dir: dir, Trouble: os.Getenv("TROUBLE") != "0"})
+}
--- a/review/lab/orders.go
+++ b/review/lab/orders.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -15,7 +13,6 @@
 
 // OrdersCase is a case in which routers are stopped while model engines serve streams.
 type OrdersCase struct {
-	Name string
 	// Fencing is require_fencing. With it only holders in touch count.
 	Fencing bool
 	// Own are settings of each router.
@@ -33,28 +30,15 @@
 	firstStop     = 8 * time.Second
 )
 
-// Run plays the case in a folder and returns its exit code.
-func (c *OrdersCase) Run(folder, root string) int {
-	trouble := os.Getenv("TROUBLE") != "0"
-	rec, err := NewRecord(filepath.Join(folder, "record.txt"))
-	if err != nil {
-		fmt.Println(err)
-		return NotRun
-	}
-	defer rec.Close()
-	dir, err := os.MkdirTemp("", c.Name)
-	if err != nil {
-		fmt.Println(err)
-		return NotRun
-	}
-	defer os.RemoveAll(dir)
-	orders, disturbed, served, err := c.play(rec, root, dir, trouble)
+// Run plays the case and returns its exit code.
+func (c *OrdersCase) Run(x *Case) (int, error) {
+	rec := x.Rec
+	orders, disturbed, served, err := c.play(rec, x.Root, x.Dir, x.Trouble)
 	if err == nil && served == 0 {
 		err = fmt.Errorf("no stream was served")
 	}
 	if err != nil {
-		rec.Say("the case could not run: %v", err)
-		return NotRun
+		return NotRun, err
 	}
 	if c.Fencing {
 		orders = slices.DeleteFunc(orders, func(o Order) bool { return disturbed[o.Holder] })
@@ -71,9 +55,9 @@
 	}
 	rec.Say("%d orders that count, %d pairs of two holders at one engine within %v, %d streams served", len(orders), turns, LeaseTime, served)
 	if turns > 0 {
-		return Broken
+		return Broken, nil
 	}
-	return Held
+	return Held, nil
 }
 
 // play returns the orders that engines got, the holders that were stopped, and the number of
--- a/review/lab/router.go
+++ b/review/lab/router.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -187,7 +188,6 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
 	_, err = f.WriteString(strings.Join(lines, "\n") + "\n")
-	return err
+	return errors.Join(err, f.Close())
 }
