--- a/internal/room/lease/balance.go
+++ b/internal/room/lease/balance.go
@@ -44,23 +44,6 @@
 	Accepted int
 }
 
-// mayOrder returns whether this daemon may give orders for a service: it has been
-// the owner for a while and sees a majority of the daemons, so that in a network
-// partition at most one owner may give orders.
-func (m *Manager) mayOrder(now time.Time, service string) bool {
-	owners, _ := m.owners(now, service)
-	if len(owners) == 0 || owners[0] != m.self || now.Sub(m.balancedAt) > maxPause || 2*m.peers <= m.members.Known() {
-		delete(m.ownerSince, service)
-		return false
-	}
-	since, ok := m.ownerSince[service]
-	if !ok {
-		m.ownerSince[service] = now
-		return false
-	}
-	return now.Sub(since) > minOwnerTime && now.Sub(m.startedAt) > minUptime
-}
-
 // balance orders the next engine of each service to switch its stage, where needed.
 func (m *Manager) balance(now time.Time) {
 	if now.Sub(m.balancedAt) < balanceInterval {
--- a/internal/room/lease/manager.go
+++ b/internal/room/lease/manager.go
@@ -9,12 +9,10 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"citronrock.example/citronrock/internal/core/owner"
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/dgram"
 	"citronrock.example/citronrock/internal/peer/gossip"
@@ -287,53 +285,6 @@
 	return l
 }
 
-// owners returns the daemons to ask for leases of a service, the owner first and
-// this daemon as the last resort, and the daemons to report to. Daemons with less
-// than half the CPU share of the strongest are not chosen. Reports also go to daemons
-// that are about to become owners.
-func (m *Manager) owners(now time.Time, service string) (owners, reportTo []netip.AddrPort) {
-	all := m.members.Alive()
-	m.peers = len(all)
-	strongest := uint32(0)
-	for _, member := range all {
-		strongest = max(strongest, member.CPUShare)
-	}
-	names := make([]string, 0, len(all))
-	mature := make([]string, 0, len(all))
-	for _, member := range all {
-		if member.Leaving || member.Addr != m.self && now.Before(m.skipUntil[member.Addr]) {
-			continue
-		}
-		if 2*member.CPUShare >= strongest {
-			names = append(names, member.Addr.String())
-		}
-		if member.Mature && 2*member.CPUShare >= strongest {
-			mature = append(mature, member.Addr.String())
-		}
-	}
-	if len(mature) == 0 {
-		mature = names
-	}
-	parse := func(list []string) []netip.AddrPort {
-		out := make([]netip.AddrPort, 0, len(list))
-		for _, s := range list {
-			out = append(out, netip.MustParseAddrPort(s))
-		}
-		return out
-	}
-	owners = parse(owner.Top(service, mature, 2))
-	reportTo = slices.Clone(owners)
-	for _, a := range parse(owner.Top(service, names, 2)) {
-		if !slices.Contains(reportTo, a) {
-			reportTo = append(reportTo, a)
-		}
-	}
-	if !slices.Contains(owners, m.self) {
-		owners = append(owners, m.self)
-	}
-	return owners, reportTo
-}
-
 // tick serves the queues and does periodic work that is due.
 func (m *Manager) tick(now time.Time) {
 	for service, l := range m.ledgers {
