Send the target of a request as it was received

Paths of the absolute form were encoded anew, an empty path became "/", and the target of CONNECT became "/".

back/http1 now writes the request head itself, with the target byte by byte, and sends nothing if the method, target or host is empty or has a space or control character.

--- a/internal/back/http1/http1.go
+++ b/internal/back/http1/http1.go
@@ -6,7 +6,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -75,9 +74,13 @@
 func (r *Response) Close() { r.closeConn() }
 
 // Do sends a request to a server and returns when the header of the response has
-// arrived. The end of ctx closes the connection, also while the body is read.
+// arrived. The end of ctx closes the connection, also while the body is read. The
+// target is req.RequestURI byte by byte, or that of req.URL if it is empty.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, to netip.AddrPort, req *http.Request, body []byte) (*Response, error) {
+	if err := checkRequestLine(req); err != nil {
+		return nil, &Error{Err: err}
+	}
 	conn, err := c.dialer.DialContext(ctx, "tcp4", to.String())
 	if err != nil {
 		return nil, &Error{Err: eris.Wrap(err, "can't connect to the server")}
@@ -107,17 +110,7 @@
 // than maxInlineBody is written meanwhile, since a server may respond before it has
 // read it.
 func roundTrip(conn net.Conn, req *http.Request, body []byte) (*http.Response, error) {
-	req.Close = true
-	if len(body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
-	}
-	write := func() error {
-		w := bufio.NewWriterSize(conn, bufferSize)
-		if err := req.Write(w); err != nil {
-			return err
-		}
-		return w.Flush()
-	}
+	write := func() error { return writeRequest(bufio.NewWriterSize(conn, bufferSize), req, body) }
 	var writeErr error
 	if len(body) <= maxInlineBody {
 		writeErr = write()
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -158,7 +158,8 @@
 	q := &connQueue{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.listener.Addr()}
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: l.Header,
 		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleMargin, WriteTimeout: writeTimeout,
-		ConnState: onState, ConnContext: withConn, ErrorLog: s.log.StandardLogger(nil)}
+		ConnState: onState, ConnContext: withConn, ErrorLog: s.log.StandardLogger(nil),
+		DisableGeneralOptionsHandler: true} // "OPTIONS *" is for the handler to answer
 	if s.queue != nil {
 		s.queue.close()
 	}
