Log the engines of a version when a lease at it is refused

The refusal of a request that needs a version showed neither the version nor what the owner knew of its engines, so that an owner without an engine and one with engines that would be back soon looked alike. The owner now logs the version and its engines by state: usable, unhealthy, switching, prefill.

--- a/internal/room/lease/serve.go
+++ b/internal/room/lease/serve.go
@@ -93,6 +93,11 @@
 // sendReplies sends replies to the edge daemons.
 func (m *Manager) sendReplies(replies []ledger.Reply) {
 	for _, reply := range replies {
+		if reply.Version != "" {
+			m.log.Info("lease at a version refused", "service", reply.Service, "edge", reply.To.String(), "ask", reply.ID, "software", reply.Version,
+				"reason", reply.Reason, "usable", reply.Census.Usable, "unhealthy", reply.Census.Unhealthy,
+				"switching", reply.Census.Switching, "prefill", reply.Census.Prefill)
+		}
 		if reply.To == m.self {
 			m.deliver(reply)
 			continue
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -202,6 +202,9 @@
 	reply := Reply{To: q.edge, Service: l.service, Incarnation: q.Incarnation, ID: q.ID, Status: Refused,
 		RetryAfter: at.Sub(now), Reason: reason, Wait: wait, Ahead: len(l.queue), Load: float32(l.load())}
 	l.replies[q.key()] = sentReply{reply, now}
+	if q.Version != "" {
+		reply.Version, reply.Census = q.Version, l.census(now, q.Version)
+	}
 	return reply
 }
 
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -188,4 +188,8 @@
 	Wait  time.Duration `cbor:"9,keyasint,omitempty"`
 	Ahead int           `cbor:"10,keyasint,omitempty"`
 	Load  float32       `cbor:"11,keyasint,omitempty"`
+	// Version is the version that a refused request asked for, Census the engines of it.
+	// They are for the log of the owner and are not repeated with a reply.
+	Version string `cbor:"-"`
+	Census  Census `cbor:"-"`
 }
