Lease no prefill engine that is known to fail to a stream

A client that took up a stream was refused within 20 ms with the reason "attempts" and seconds left: all prefill engines had crashed, and each of the four leases paired a sound decode engine with one of them, whose connection was refused after 1 to 2.5 ms.

The ledger fell back to unhealthy prefill engines, and to those that had failed the request, whenever no other was left. If none is sound, a request now gets a decode engine that prefills the prompt itself, within the limits that hold for it. A stream for which there is none waits in the queue. An engine that failed it is used again once a report of its daemon that came 300 ms after the request or later, longer than daemons take to notice that no connection can be opened, doesn't list it. Such waiting streams keep no decode engine from new requests. New requests keep the old choice as the last one.

--- /dev/null
+++ b/internal/room/ledger/doubt.go
@@ -0,0 +1,45 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+// confirmDelay is how much later than a request a report of its edge daemon must come to
+// be newer than the failures that the request names. Daemons notice within that time that
+// no connection can be opened.
+const confirmDelay = 300 * time.Millisecond
+
+// confirm takes over the last report of the request's edge daemon, nil for none: a daemon
+// without runs and without unhealthy engines sends none.
+func (q *queuedRequest) confirm(now time.Time, last *reporter) {
+	at := now
+	q.down = nil
+	if last != nil {
+		at, q.down = last.at, last.unhealthy
+	}
+	q.confirmed = at.Sub(q.queuedAt) > confirmDelay
+}
+
+// seenSound reports whether the edge daemon of a waiting request has found an engine sound
+// since the request failed there, or since another daemon did not.
+func (r *Request) seenSound(id string) bool { return r.confirmed && !slices.Contains(r.down, id) }
+
+// lacksPrefill reports whether a lease would only be used up at a prefill engine: all are
+// unhealthy or, for a stream that goes on, have failed it and were not seen sound since.
+func (l *Ledger) lacksPrefill(now time.Time, req *Request) bool {
+	unhealthy, lacks := l.unhealthy(), false
+	for _, id := range l.idsByStage(pool.Prefill) {
+		failed := unhealthy[id] || req.Resumed && slices.Contains(req.Excluded, id)
+		if l.isSwitching(now, id) || slices.Contains(req.Held, id) {
+			continue
+		}
+		if !failed || req.Resumed && req.seenSound(id) {
+			return false
+		}
+		lacks = true
+	}
+	return lacks
+}
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -39,6 +39,8 @@
 	placed placement = iota
 	noDecodeRoom
 	noPrefillRoom
+	// noPrefillEngine is the lack of a prefill engine that is not known to fail.
+	noPrefillEngine
 )
 
 // misfit remembers the smallest request that found no capacity since memory was last
@@ -76,9 +78,9 @@
 }
 
 // record remembers a request without capacity. One that may not use some engines says
-// nothing about others.
+// nothing about others, nor does one that waits for a prefill engine to come back.
 func (m *misfits) record(req *Request, v placement) {
-	if len(req.Excluded)+len(req.Held) > 0 {
+	if len(req.Excluded)+len(req.Held) > 0 || v == noPrefillEngine {
 		return
 	}
 	if m.by == nil {
@@ -109,11 +111,12 @@
 }
 
 // candidates returns the engines of a stage that a request may use, in order of
-// their IDs: decode engines of its version only. Unhealthy engines are left out unless no other is usable. In a large
+// their IDs: decode engines of its version only. Unhealthy engines are left out unless no
+// other is usable; streams that go on wait until one was seen sound instead. In a large
 // fleet only a sample is returned, unless all is set. Its starting point depends on
 // the request.
 func (l *Ledger) candidates(now time.Time, req *Request, stage pool.Stage, all bool) []string {
-	unhealthy := l.unhealthy()
+	unhealthy, waits := l.unhealthy(), req.Resumed && stage == pool.Prefill
 	ids := l.engineIDs(stage, req)
 	want := len(ids)
 	if want > fullSearchLimit && !all {
@@ -127,7 +130,11 @@
 		}
 		id := ids[index]
 		switch {
-		case l.isSwitching(now, id) || slices.Contains(req.Excluded, id) || slices.Contains(req.Held, id):
+		case l.isSwitching(now, id) || slices.Contains(req.Held, id):
+		case slices.Contains(req.Excluded, id) || waits && unhealthy[id]:
+			if waits && req.seenSound(id) {
+				fallback = append(fallback, id)
+			}
 		case unhealthy[id]:
 			fallback = append(fallback, id)
 		default:
@@ -137,7 +144,7 @@
 	if len(healthy) == 0 {
 		healthy = fallback
 	}
-	if len(healthy) == 0 && stage == pool.Prefill && len(req.Excluded) > 0 {
+	if len(healthy) == 0 && stage == pool.Prefill && len(req.Excluded) > 0 && !req.Resumed {
 		// Using an excluded prefill engine is better than a prefill on a decode
 		// engine, which stalls the other runs there.
 		return l.candidates(now, &Request{ID: req.ID, Held: req.Held}, stage, all)
@@ -159,6 +166,14 @@
 	if req.Prefilled {
 		return best.ID, "", placed
 	}
+	if l.lacksPrefill(now, req) {
+		if best, ok := l.bestDecode(now, req, l.selfPrefillers(now, req)); ok {
+			return best.ID, "", placed
+		}
+		if req.Resumed {
+			return "", "", noPrefillEngine
+		}
+	}
 	limit := math.Inf(1)
 	if rate := l.prefillRate(); rate > 0 {
 		limit = rate * maxPrefillWait.Seconds()
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -92,8 +92,13 @@
 	clear(l.reserved)
 	clear(l.allReserved)
 	for _, q := range l.queue {
+		if q.Resumed {
+			q.confirm(now, l.reporters[q.edge])
+		}
+		v := noDecodeRoom
 		if !l.misfits.excludes(&q.Request) {
-			d, p, v := l.place(now, &q.Request)
+			var d, p string
+			d, p, v = l.place(now, &q.Request)
 			if v == placed {
 				out = append(out, l.grant(now, q, d, p))
 				continue
@@ -111,7 +116,7 @@
 			continue
 		}
 		earlier.add(&q.Request)
-		if q.Resumed {
+		if q.Resumed && v != noPrefillEngine {
 			l.reserve(now, q)
 		}
 		kept = append(kept, q)
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -114,6 +114,10 @@
 	// Version is the version of the decode engines that may be chosen, because they have
 	// to go on with what one of it began. Empty allows all.
 	Version string `cbor:"18,keyasint,omitempty"`
+
+	// confirmed and down are what the ledger learns while the request waits: see confirm.
+	confirmed bool
+	down      []string
 }
 
 // Bounds of the numbers in peer messages: far above what engines can hold, and small
