Queue streams that go on while their version may come back

Streams that clients took up were refused at once with the reason "engine" while engines of their version had crashed a moment before, changed their stage or were in the prefill stage, and again half a second later, until the tries of the client were used up.

The ledger refused a request that no decode engine could serve at that moment, and granted leases on decode engines known to be unhealthy, or on none that had failed the request before. A stream that goes on now waits, ahead of new requests, until its time is up or the last entry of its version is removed; one in the prefill stage counts if it is not the last one there. It gets an unhealthy engine, or one that failed it, once its daemon has seen it sound. If its version has engines in the prefill stage only, one is switched back. Versions without an entry, limits and prompts that are too large are refused at once as before. When a stream's time is up and its version has no decode engine, the reason is "engine".

--- a/internal/room/ledger/balance.go
+++ b/internal/room/ledger/balance.go
@@ -72,6 +72,9 @@
 	if id := l.firstDecode(now, prefill, decode, rank); id != "" && changing == 0 {
 		return l.switchStage(now, id, pool.Decode, switchTime), true
 	}
+	if ids := l.missedDecode(now, prefill); len(ids) > 0 && changing == 0 {
+		return l.switchStage(now, rank(ids), pool.Decode, switchTime), true
+	}
 	want, ok := l.wantedPrefill(len(prefill) + len(decode))
 	unhealthy := l.unhealthy()
 	if !ok || changing > 0 && float64(changing+1) > maxSwitchShare*float64(len(prefill)) {
--- a/internal/room/ledger/doubt.go
+++ b/internal/room/ledger/doubt.go
@@ -27,6 +27,21 @@
 // since the request failed there, or since another daemon did not.
 func (r *Request) seenSound(id string) bool { return r.confirmed && !slices.Contains(r.down, id) }
 
+// mayReturn reports whether an engine for a stream that goes on may become usable: one of
+// its version is listed, whatever its health, and its limit has room. One in the prefill
+// stage counts if it is not the last one there.
+func (l *Ledger) mayReturn(req *Request) bool {
+	free := func(id string) bool { return !slices.Contains(req.Held, id) }
+	return req.Resumed && (slices.ContainsFunc(l.groups()[group{pool.Decode, req.Version}], free) ||
+		len(l.idsByStage(pool.Prefill)) > 1 && slices.ContainsFunc(l.groups()[group{pool.Prefill, req.Version}], free))
+}
+
+// waitsForReturn reports whether a stream has no engine now and may get one. It waits until
+// its time is up or the last entry of its version is removed.
+func (l *Ledger) waitsForReturn(now time.Time, req *Request) bool {
+	return l.mayReturn(req) && len(l.candidates(now, req, pool.Decode, false)) == 0
+}
+
 // lacksPrefill reports whether a lease would only be used up at a prefill engine: all are
 // unhealthy or, for a stream that goes on, have failed it and were not seen sound since.
 func (l *Ledger) lacksPrefill(now time.Time, req *Request) bool {
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -116,7 +116,7 @@
 // fleet only a sample is returned, unless all is set. Its starting point depends on
 // the request.
 func (l *Ledger) candidates(now time.Time, req *Request, stage pool.Stage, all bool) []string {
-	unhealthy, waits := l.unhealthy(), req.Resumed && stage == pool.Prefill
+	unhealthy := l.unhealthy()
 	ids := l.engineIDs(stage, req)
 	want := len(ids)
 	if want > fullSearchLimit && !all {
@@ -131,8 +131,8 @@
 		id := ids[index]
 		switch {
 		case l.isSwitching(now, id) || slices.Contains(req.Held, id):
-		case slices.Contains(req.Excluded, id) || waits && unhealthy[id]:
-			if waits && req.seenSound(id) {
+		case slices.Contains(req.Excluded, id) || req.Resumed && unhealthy[id]:
+			if req.Resumed && req.seenSound(id) {
 				fallback = append(fallback, id)
 			}
 		case unhealthy[id]:
@@ -270,6 +270,10 @@
 // returns a reason when the request can't be served at all.
 func (l *Ledger) predictWait(now time.Time, q *queuedRequest, ahead int) (time.Duration, string) {
 	engines := l.candidates(now, &q.Request, pool.Decode, false)
+	waits := len(engines) == 0 && l.mayReturn(&q.Request)
+	if waits {
+		engines = slices.Concat(l.engineIDs(pool.Decode, &q.Request), l.groups()[group{pool.Prefill, q.Version}])
+	}
 	if len(engines) == 0 {
 		return maxRetryAfter, ReasonNoEngine
 	}
@@ -280,6 +284,9 @@
 	if q.Prompt > large {
 		return maxRetryAfter, ReasonTooLarge
 	}
+	if waits {
+		return 0, "" // not known, the caller's time decides
+	}
 	rates := l.rates()
 	if rates.of(q.Version) <= 0 {
 		return maxRetryAfter, ReasonNoEngine
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -106,10 +106,14 @@
 			l.misfits.record(&q.Request, v)
 		}
 		rate := rates.of(q.Version)
-		if now.After(q.refuseAt) || rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt) {
+		late := rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt)
+		if now.After(q.refuseAt) || late && !l.waitsForReturn(now, &q.Request) {
 			wait, reason := l.predictWait(now, q, len(kept))
 			fallback := ReasonMaxWait
-			if now.Before(q.refuseAt) {
+			switch {
+			case rate <= 0 && q.Version != "":
+				fallback = ReasonNoEngine
+			case now.Before(q.refuseAt):
 				fallback = ReasonLate
 			}
 			out = append(out, l.refuse(now, q, wait, cmp.Or(reason, fallback)))
--- a/internal/room/ledger/version.go
+++ b/internal/room/ledger/version.go
@@ -206,3 +206,24 @@
 	}
 	return slices.Clone(ids)
 }
+
+// missedDecode returns the prefill engines that may be switched for a waiting stream whose
+// version has no decode engine. The last prefill engine of the service stays one.
+func (l *Ledger) missedDecode(now time.Time, prefill []string) []string {
+	if len(prefill) < 2 {
+		return nil
+	}
+	unhealthy := l.unhealthy()
+	for _, q := range l.queue {
+		if !q.Resumed || q.Version == "" || len(l.groups()[group{pool.Decode, q.Version}]) > 0 {
+			continue
+		}
+		ids := slices.DeleteFunc(slices.Clone(l.groups()[group{pool.Prefill, q.Version}]), func(id string) bool {
+			return unhealthy[id] || l.prefillQueue(now, id) > 0 || now.Sub(l.orderedAt[id]) < orderCooldown
+		})
+		if len(ids) > 0 {
+			return ids
+		}
+	}
+	return nil
+}
