Keep queued streams until their time is up

A stream of a version was refused with the reason "wait" after 1.0 to 1.3 s in the queue, although its engine was free again a moment later: the ledger also refuses a queued request once the wait predicted from the throughput exceeds what is left of its time. A new request may find room elsewhere then; a stream that goes on can't. Once queued it now stays until its time is up or its version is gone; whether it joins the queue still depends on the prediction.

TestQueuedStreamIsNotRefusedByPrediction failed before.

--- a/internal/room/ledger/doubt.go
+++ b/internal/room/ledger/doubt.go
@@ -36,12 +36,6 @@
 		len(l.idsByStage(pool.Prefill)) > 1 && slices.ContainsFunc(l.groups()[group{pool.Prefill, req.Version}], free))
 }
 
-// waitsForReturn reports whether a stream has no engine now and may get one. It waits until
-// its time is up or the last entry of its version is removed.
-func (l *Ledger) waitsForReturn(now time.Time, req *Request) bool {
-	return l.mayReturn(req) && len(l.candidates(now, req, pool.Decode, false)) == 0
-}
-
 // lacksPrefill reports whether a lease would only be used up at a prefill engine: all are
 // unhealthy or, for a stream that goes on, have failed it and were not seen sound since.
 func (l *Ledger) lacksPrefill(now time.Time, req *Request) bool {
--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -74,7 +74,8 @@
 }
 
 // Tick grants queued requests for which there is capacity, refuses those whose
-// longest queueing time has passed or is predicted to pass, and expires old state.
+// longest queueing time has passed or is predicted to pass, and expires old state. A
+// queued stream that goes on is not refused by a prediction, as it has no other place.
 // It returns the replies to the requests that leave the queue.
 func (l *Ledger) Tick(now time.Time) []Reply {
 	l.expire(now)
@@ -106,8 +107,9 @@
 			l.misfits.record(&q.Request, v)
 		}
 		rate := rates.of(q.Version)
-		late := rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt)
-		if now.After(q.refuseAt) || late && !l.waitsForReturn(now, &q.Request) {
+		gone := rate <= 0 && q.Version != "" && !l.mayReturn(&q.Request)
+		late := !q.Resumed && rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt)
+		if now.After(q.refuseAt) || gone || late {
 			wait, reason := l.predictWait(now, q, len(kept))
 			fallback := ReasonMaxWait
 			switch {
--- a/internal/room/ledger/return_test.go
+++ b/internal/room/ledger/return_test.go
@@ -326,3 +326,34 @@
 	}, gen.UInt64(), gen.IntRange(2, 3)))
 	ps.TestingRun(t)
 }
+
+// Guards against queued streams that are refused because a longer wait than their time is
+// predicted, while an engine of their version is about to be free.
+func TestQueuedStreamIsNotRefusedByPrediction(t *testing.T) {
+	for name, resumed := range map[string]bool{"stream that goes on": true, "new request": false} {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(1, 1, 40_000))
+			replyTo(t, l.Submit(t0, edge1, request(1)), 1)
+			req := request(2)
+			req.Slack, req.MaxWait, req.Resumed = 2*time.Second, 2*time.Second, resumed
+			if got := replyTo(t, l.Submit(t0, edge1, req), 2); got.Status != ledger.Queued {
+				t.Fatalf("reply %+v, want the request queued", got)
+			}
+			var refused bool
+			for at := t0; at.Before(t0.Add(1900 * time.Millisecond)); at = at.Add(100 * time.Millisecond) {
+				refused = refused || len(l.Tick(at)) > 0
+			}
+			if refused == resumed {
+				t.Fatalf("refused before its time is up: %v", refused)
+			}
+			if !resumed {
+				return
+			}
+			l.Cancel(t0, edge1, 1, 1)
+			if got := replyTo(t, l.Tick(t0.Add(1950*time.Millisecond)), 2); got.Decode != "d1" {
+				t.Errorf("reply %+v, want the stream on d1", got)
+			}
+		})
+	}
+}
