--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -74,7 +74,8 @@
 }
 
 // Tick grants queued requests for which there is capacity, refuses those whose
-// longest queueing time has passed or is predicted to pass, and expires old state.
+// longest queueing time has passed or is predicted to pass, and expires old state. A
+// queued stream that goes on is not refused by a prediction, as it has no other place.
 // It returns the replies to the requests that leave the queue.
 func (l *Ledger) Tick(now time.Time) []Reply {
 	l.expire(now)
@@ -92,8 +93,13 @@
 	clear(l.reserved)
 	clear(l.allReserved)
 	for _, q := range l.queue {
+		if q.Resumed {
+			q.confirm(now, l.reporters[q.edge])
+		}
+		v := noDecodeRoom
 		if !l.misfits.excludes(&q.Request) {
-			d, p, v := l.place(now, &q.Request)
+			var d, p string
+			d, p, v = l.place(now, &q.Request)
 			if v == placed {
 				out = append(out, l.grant(now, q, d, p))
 				continue
@@ -101,17 +107,22 @@
 			l.misfits.record(&q.Request, v)
 		}
 		rate := rates.of(q.Version)
-		if now.After(q.refuseAt) || rate <= 0 && q.Version != "" || rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt) {
+		gone := rate <= 0 && q.Version != "" && !l.mayReturn(&q.Request)
+		late := !q.Resumed && rate > 0 && now.Add(earlier.wait(rates, &q.Request)).After(q.refuseAt)
+		if now.After(q.refuseAt) || gone || late {
 			wait, reason := l.predictWait(now, q, len(kept))
 			fallback := ReasonMaxWait
-			if now.Before(q.refuseAt) {
+			switch {
+			case rate <= 0 && q.Version != "":
+				fallback = ReasonNoEngine
+			case now.Before(q.refuseAt):
 				fallback = ReasonLate
 			}
 			out = append(out, l.refuse(now, q, wait, cmp.Or(reason, fallback)))
 			continue
 		}
 		earlier.add(&q.Request)
-		if q.Resumed {
+		if q.Resumed && v != noPrefillEngine {
 			l.reserve(now, q)
 		}
 		kept = append(kept, q)
@@ -202,6 +213,9 @@
 	reply := Reply{To: q.edge, Service: l.service, Incarnation: q.Incarnation, ID: q.ID, Status: Refused,
 		RetryAfter: at.Sub(now), Reason: reason, Wait: wait, Ahead: len(l.queue), Load: float32(l.load())}
 	l.replies[q.key()] = sentReply{reply, now}
+	if q.Version != "" {
+		reply.Version, reply.Census = q.Version, l.census(now, q.Version)
+	}
 	return reply
 }
 
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -114,6 +114,10 @@
 	// Version is the version of the decode engines that may be chosen, because they have
 	// to go on with what one of it began. Empty allows all.
 	Version string `cbor:"18,keyasint,omitempty"`
+
+	// confirmed and down are what the ledger learns while the request waits: see confirm.
+	confirmed bool
+	down      []string
 }
 
 // Bounds of the numbers in peer messages: far above what engines can hold, and small
@@ -188,4 +192,8 @@
 	Wait  time.Duration `cbor:"9,keyasint,omitempty"`
 	Ahead int           `cbor:"10,keyasint,omitempty"`
 	Load  float32       `cbor:"11,keyasint,omitempty"`
+	// Version is the version that a refused request asked for, Census the engines of it.
+	// They are for the log of the owner and are not repeated with a reply.
+	Version string `cbor:"-"`
+	Census  Census `cbor:"-"`
 }
