Hold streams that have begun until their time is up

Callers saw streams broken off, or refused when they took them up again, with up to 11 s left and engines of their version back a second later: the four leases of a request were used up within 15 to 20 ms on engines that refuse connections, the owner had no engine at that moment, no usable engine of the version was listed, or the retry budget was empty.

Only a request whose silent run was given up was held. Now each stream of which the client has a part is held, with pauses that grow from 0.1 to 1 s, until its client abandons it (2 s, four targets or eight gaps after the last event) or its deadline, less the time to a first event. Engines that failed it may be asked again after a pause, as they may have started again. A lease request of such a stream may queue for the same time. A refusal by the owner for lack of room still goes to a client that takes a stream up, since it names when there is room. A stream whose version no listed engine has, leaving ones aside, ends at once as before. max_attempts stays a hard end.

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -89,6 +89,8 @@
 	// first one.
 	runEvents    int
 	firstEventAt time.Time
+	// lastEventAt is when the client got the last event, of any run.
+	lastEventAt time.Time
 	// goneOn is set once the run has got beyond the point at which engines crash.
 	goneOn      bool
 	lastEventID string
@@ -109,7 +111,7 @@
 		return
 	}
 	for ; j.leases < j.maxLeases() || j.hold(ctx); j.leases++ {
-		if j.refuseStop(ctx) || !j.mayGoOn(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
+		if j.refuseStop(ctx) || !j.payRetry(ctx) || !j.mayGoOn(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
 			return
 		}
 		next := j.checkGrant(ctx)
@@ -195,7 +197,7 @@
 			o.Reason, o.RetryAfter = string(citronrock.ReasonLimit), max(o.RetryAfter, j.table.RetryAfter(time.Now(), j.service.Name))
 		}
 		if o.RetryAfter == 0 {
-			o.RetryAfter = time.Second
+			o.RetryAfter = min(time.Second, j.maxRetryAfter())
 		}
 	}
 }
@@ -220,7 +222,10 @@
 		return true
 	}
 	granted, err := j.requestLease(ctx, j.leaseRequest())
-	for err != nil && j.hold(ctx) {
+	for err != nil && j.mayAsk(ctx, err) {
+		if j.refuseStop(ctx) || !j.mayGoOn(ctx) {
+			return false
+		}
 		granted, err = j.requestLease(ctx, j.leaseRequest())
 	}
 	var refused *lease.RefusedError
@@ -350,12 +355,21 @@
 		j.outcome.NotMoved = "deadline"
 	case !j.mayMove(ctx, s):
 		j.outcome.NotMoved = "version"
-	case j.replacement == nil && !j.quota.Take(j.service.Name):
-		j.outcome.NotMoved = "budget"
 	default:
+		paid := j.replacement != nil || j.quota.Take(j.service.Name)
+		if !paid && !j.begun() {
+			j.outcome.NotMoved = "budget"
+			break
+		}
 		j.closeLease("")
 		j.exclude(s.ID)
-		j.move = move{silent: j.replacement != nil, excluded: len(j.excluded)}
+		j.move = move{silent: j.replacement != nil}
+		if j.move.silent {
+			j.move.excluded = len(j.excluded)
+		}
+		if !paid {
+			j.move.unpaid = sendErr.Fault.String()
+		}
 		return again
 	}
 	j.fail(ctx, sendErr.Fault.String())
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -56,6 +56,7 @@
 			j.lastEventID = e.id
 		}
 		j.events++
+		j.lastEventAt = time.Now()
 		if j.runEvents++; j.runEvents == 1 {
 			j.firstEventAt = time.Now()
 		}
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -102,11 +102,13 @@
 	return n > 1
 }
 
-// mayGoOn refuses a stream if no engine of its version is left, unless it waits for one
-// since a silent run was given up. The version may come
-// back, so that the client is asked to try once more, late.
+// mayGoOn refuses a stream if no engine of its version is left, unless it waits for one. The
+// version may come back later, so that the client is asked to try once more, late.
 func (j *job) mayGoOn(ctx context.Context) bool {
-	if !j.version.fixed || j.move.silent || j.table.HasVersion(time.Now(), j.service.Name, j.version.name, j.excluded) {
+	switch {
+	case !j.version.fixed, j.move.silent, j.begun() && j.mayReturn():
+		return true
+	case j.table.HasVersion(time.Now(), j.service.Name, j.version.name, j.excluded):
 		return true
 	}
 	j.outcome.RetryAfter = j.maxRetryAfter()
@@ -275,7 +277,18 @@
 		v.name = ""
 		j.record(ctx)
 	}
-	return j.hasOther(s)
+	return j.hasOther(s) || j.begun() && j.mayReturn()
+}
+
+// mayReturn reports whether an engine of the stream's version is there or may be again: one
+// that is listed and doesn't leave, whatever its stage and health.
+func (j *job) mayReturn() bool {
+	if j.table.HasVersion(time.Now(), j.service.Name, j.version.name, nil) {
+		return true
+	}
+	return slices.ContainsFunc(j.table.All(), func(s pool.Server) bool {
+		return s.Service == j.service.Name && s.IsVersion(j.version.name) && !s.Draining
+	})
 }
 
 // hasOther reports whether an engine other than s has the version of the stream.
