Keep a stream's version when its engine starts again

Cause: the record of a stream was taken back as soon as the entry of its engine had another version, although the earlier process had brought the events.

Change: the table keeps what this daemon has observed of each process on its monotonic clock: when the process itself last reported its start, and when connections to it failed, while its entry was the newest. A response that began before either was that process's, as a process that has ended never returns with the same start; then the record stays. Starts are compared with each other only, never with this daemon's clock.

Failed before: TestStreamOverItsAttempts, "the same, and its end was seen before" and "it was heard of after its answer" (broken off after 2 of 6 events at v1).

--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -55,6 +55,8 @@
 	lost func() bool
 	// late is the version whose entry under the same ID comes when the next run breaks off.
 	late string
+	// noted is called before that, nil for nothing.
+	noted func(pool.Server)
 	// unrecorded is set when an event came before its record.
 	unrecorded bool
 	starts     time.Time
@@ -127,7 +129,13 @@
 	if n := len(f.sent) - 1; n < len(f.breaks) {
 		last, end = min(first+f.breaks[n], streamEvents), broken{}
 		if version := f.late; version != "" {
-			f.late, end = "", lateEntry{func() { f.start(s.ID, int(s.Addr.Port())-8000, version) }}
+			f.late, end = "", lateEntry{func() {
+				if f.noted != nil {
+					time.Sleep(10 * time.Millisecond)
+					f.noted(s)
+				}
+				f.start(s.ID, int(s.Addr.Port())-8000, version)
+			}}
 		}
 	}
 	var body strings.Builder
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -85,6 +85,8 @@
 	events int
 	// server is the entry of the engine as of the last send.
 	server pool.Server
+	// answeredAt is when the header of its response came.
+	answeredAt time.Time
 	// runEvents counts the events of the current run, firstEventAt is when it sent the
 	// first one.
 	runEvents    int
@@ -290,6 +292,7 @@
 		return j.decodeFailed(ctx, s, sendErr)
 	}
 	defer resp.Close()
+	j.answeredAt = time.Now()
 	j.cache, j.move = nil, move{} // the engine has taken the cache over
 	j.noteRun(s)
 	j.outcome.Server, j.outcome.Software = s.ID, s.Version
--- a/internal/front/stream/origin_test.go
+++ b/internal/front/stream/origin_test.go
@@ -19,6 +19,7 @@
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/origin"
+	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -66,6 +67,16 @@
 		"the same, seen when the run has broken off": {[]string{v1, v1, v2}, []int{2},
 			func(f *versionedFleet) { f.late = v2 },
 			[]try{{nil, "", "broken", "broken"}, {nil, "", "refused", "origin"}}, "v1 v1"},
+		"the same, and its end was seen before": {[]string{v1, v1, v2}, []int{2},
+			func(f *versionedFleet) {
+				f.late, f.noted = v2, func(s pool.Server) { f.table.SetDown(s, true) }
+			},
+			[]try{{nil, "", "ok", ""}}, "v1 v1 v1 v1 v1 v1"},
+		"the same, and it was heard of after its answer": {[]string{v1, v1, v2}, []int{2},
+			func(f *versionedFleet) {
+				f.late, f.noted = v2, func(s pool.Server) { f.table.ConfirmProcess(time.Now(), s) }
+			},
+			[]try{{nil, "", "ok", ""}}, "v1 v1 v1 v1 v1 v1"},
 		"the engine starts again while the prompt is prefilled": {[]string{v1, v2, v1}, []int{2},
 			func(f *versionedFleet) {
 				f.prefilling = func(decode string) {
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -237,11 +237,14 @@
 	}
 }
 
-// isSame reports whether the entry of an engine is still the one to which the request was
-// sent, as far as its process and version are concerned.
+// isSame reports whether the process that answered is the one of the entry to which the
+// request was sent, at the version of that entry.
 func (j *job) isSame(s pool.Server) bool {
 	now, ok := j.table.Entry(s.ID)
-	return !ok || now.Process() == s.Process() && now.Version == s.Version
+	if !ok || now.Process() == s.Process() {
+		return !ok || now.Version == s.Version
+	}
+	return j.table.HasServed(s, j.answeredAt)
 }
 
 // record records the version for the attempt that brought the first event.
@@ -263,15 +266,15 @@
 }
 
 // mayMove reports whether a run that broke off may go on at another engine than s: the
-// version of the stream is known, and another engine has it. If the entry of the engine
-// that brought the first event has another version by now, the process may have changed
-// before that event, unseen, so that the version is not known.
+// version of the stream is known, and another engine has it. If another process has the ID
+// of the engine that brought the first event by now, it may have brought that event, unseen,
+// unless the earlier one was heard of, or ended, after the run had begun.
 func (j *job) mayMove(ctx context.Context, s pool.Server) bool {
 	v := &j.version
 	if !v.fixed {
 		return true
 	}
-	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" {
+	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" && !j.isSame(s) {
 		v.name = ""
 		j.record(ctx)
 	}
--- a/internal/route/follow/follow.go
+++ b/internal/route/follow/follow.go
@@ -374,4 +374,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.currentAt, f.revision = time.Now(), revision
+	f.table.MarkCurrent(f.currentAt)
 }
--- a/internal/route/pool/health.go
+++ b/internal/route/pool/health.go
@@ -95,6 +95,9 @@
 		wasUnhealthy := r.health.unhealthy(now)
 		r.health.observe(now, o, took)
 		healthChanged, s := wasUnhealthy != r.health.unhealthy(now), r.Server
+		if o == Broken || o == Unreachable || o == TimedOut {
+			t.doubt(now, s, o != TimedOut)
+		}
 		t.mu.Unlock()
 		if o == Broken || o == Unreachable || o == TimedOut {
 			t.onSuspect(s)
@@ -114,6 +117,9 @@
 		t.mu.Unlock()
 		return false
 	}
+	if down {
+		t.doubt(time.Now(), s, true)
+	}
 	changed := r.health.down != down
 	r.health.down = down
 	t.mu.Unlock()
@@ -168,6 +174,7 @@
 	}
 	wasUnhealthy := r.health.unhealthy(now)
 	r.health.observe(now, o, 0)
+	t.doubt(now, s, false)
 	changed := wasUnhealthy != r.health.unhealthy(now)
 	t.mu.Unlock()
 	t.onSuspect(s)
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -108,6 +108,10 @@
 	// observedSince since when no change of the entries was missed.
 	versionSeen   map[versionKey]time.Time
 	observedSince time.Time
+	// evidence has what was observed of processes, currentAt is when the entries were last
+	// the newest ones, unsettled ends the time in which servers write theirs again.
+	evidence             map[Process]evidence
+	currentAt, unsettled time.Time
 	// outageEnd is when the last store outage ended.
 	outageEnd  time.Time
 	outage     bool
@@ -130,7 +134,7 @@
 // New returns an empty table.
 func New(opts ...Option) *Table {
 	t := &Table{servers: map[string]*record{}, misdirected: map[Process]time.Time{}, tombstones: map[Process]uint64{},
-		draining: map[Process]time.Time{}, backoff: map[Process]time.Time{}, holds: map[Process]hold{}, versionSeen: map[versionKey]time.Time{},
+		draining: map[Process]time.Time{}, backoff: map[Process]time.Time{}, holds: map[Process]hold{}, versionSeen: map[versionKey]time.Time{}, evidence: map[Process]evidence{},
 		onChange: func() {}, onSuspect: func(Server) {}, onDraining: func(Server) {}}
 	for _, o := range opts {
 		o(t)
