Confirm an engine's process before streams begin there

Cause: a server was taken for the process of its entry as long as it answered under its ID.

Change: a new stream begins at an engine without a question only if nothing has shown since its last confirmation that the process may have ended, and if this daemon's entries, or the confirmation, are 1.2 s old at most. Else the engine is asked for the start of its process; streams that ask at the same time share the question, and it counts until the next doubt. It is asked again before the first event if a doubt came up since the request was sent. Engines that can be reached again are asked for their start, too, not for their ID alone, and the owner's polls of usage count as confirmations.

Mutations, each found by a test: no question before a new stream; none before the first event; confirmations that aren't kept.

--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -209,7 +210,21 @@
 	if d := r.follower.Document(); d != nil {
 		path = d.Services[s.Service].Health
 	}
-	return r.backends.CheckIdentity(ctx, s, path)
+	same, err := r.backends.CheckIdentity(ctx, s, path)
+	if err != nil || !same || s.Stage == pool.Plain {
+		return same, err
+	}
+	// An engine that started again has the same ID.
+	asked := time.Now()
+	_, err = r.backends.Usage(ctx, s)
+	var sendErr *proxy.SendError
+	switch {
+	case err == nil:
+		r.table.ConfirmProcess(asked, s)
+	case errors.As(err, &sendErr) && sendErr.Misdirected:
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // apply applies a configuration before it comes into force.
--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -57,13 +57,18 @@
 	late string
 	// noted is called before that, nil for nothing.
 	noted func(pool.Server)
+	// replaced is the engine that started again without a new entry yet.
+	replaced string
 	// unrecorded is set when an event came before its record.
 	unrecorded bool
 	starts     time.Time
 }
 
-// Usage confirms each engine: what an entry doesn't show yet is left to the cases.
-func (*versionedFleet) Usage(context.Context, pool.Server) (ledger.Usage, error) {
+// Usage confirms each engine but a replaced one.
+func (f *versionedFleet) Usage(_ context.Context, s pool.Server) (ledger.Usage, error) {
+	if s.ID == f.replaced {
+		return ledger.Usage{}, &proxy.SendError{Fault: event.FaultRefused, Misdirected: true, Err: errReset}
+	}
 	return ledger.Usage{}, nil
 }
 
--- a/internal/front/stream/origin_test.go
+++ b/internal/front/stream/origin_test.go
@@ -77,6 +77,17 @@
 				f.late, f.noted = v2, func(s pool.Server) { f.table.ConfirmProcess(time.Now(), s) }
 			},
 			[]try{{nil, "", "ok", ""}}, "v1 v1 v1 v1 v1 v1"},
+		"the engine seems to end before it answers, and has": {[]string{v1, v1}, []int{2},
+			func(f *versionedFleet) {
+				f.replaced = "d1"
+				f.sending = func(string) { f.table.Begin("d1")(time.Now(), pool.Broken, 0); f.sending = func(string) {} }
+			},
+			[]try{{nil, "", "broken", "broken"}, {nil, "", "refused", "origin"}}, "v1 v1"},
+		"the engine seems to end before it answers, and has not": {[]string{v1, v1}, []int{2},
+			func(f *versionedFleet) {
+				f.sending = func(string) { f.table.Begin("d1")(time.Now(), pool.Broken, 0); f.sending = func(string) {} }
+			},
+			[]try{{nil, "", "ok", ""}}, "v1 v1 v1 v1 v1 v1"},
 		"the engine starts again while the prompt is prefilled": {[]string{v1, v2, v1}, []int{2},
 			func(f *versionedFleet) {
 				f.prefilling = func(decode string) {
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -22,6 +22,7 @@
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/crash"
 	"citronrock.example/citronrock/internal/route/pool"
+	"golang.org/x/sync/singleflight"
 )
 
 // Acquirer grants leases on engines.
@@ -44,6 +45,8 @@
 	verify   func(pool.Server)
 	origins  citronrock.Origins
 	stop     *grace.Period
+	// checks are the questions to engines which process they are.
+	checks singleflight.Group
 	// recent are the times from the grant to the end of the answer.
 	recent grace.Recent
 
--- a/internal/front/stream/stream_test.go
+++ b/internal/front/stream/stream_test.go
@@ -56,6 +56,9 @@
 	freed   chan string
 	// replaced are engines that started again, without a new entry yet.
 	replaced []string
+	// asked are the engines that were asked which process they are; each answer takes delay.
+	asked []string
+	delay time.Duration
 }
 
 func (w *fakeBackends) Acquire(_ context.Context, a ledger.Request) (*lease.Lease, error) {
@@ -112,6 +115,8 @@
 
 // Usage fails for engines whose process is another one than that of their entry.
 func (w *fakeBackends) Usage(_ context.Context, s pool.Server) (ledger.Usage, error) {
+	w.asked = append(w.asked, s.ID)
+	time.Sleep(w.delay)
 	if slices.Contains(w.replaced, s.ID) {
 		return ledger.Usage{}, &proxy.SendError{Fault: event.FaultRefused, Misdirected: true, Err: errors.New("another process")}
 	}
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -175,24 +176,44 @@
 	return finish
 }
 
-// isProcess asks the engine of a stream that goes on whether it is still the process of its
-// entry. An engine may start again under its ID with another version, and this daemon may
-// not have the new entry yet; the engine itself does not check versions.
+// isProcess reports whether an engine is still the process of its entry. It may start again
+// under its ID with another version, this daemon may not have the new entry yet, and the
+// engine itself does not check versions. It is asked before a stream goes on there, and
+// before one begins if this daemon has a reason to doubt.
 func (j *job) isProcess(ctx context.Context, s pool.Server) bool {
-	if !j.version.begun || j.service.Engine == nil {
+	if j.service.Engine == nil || !j.version.begun && j.table.IsConfirmed(time.Now(), s) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	_, err := j.backends.Usage(ctx, s)
-	if err == nil {
-		return true
-	}
-	j.log.Info("engine of a stream that goes on not confirmed", "request", j.req.ID, "server", s.ID, "error", err.Error())
-	if asSendError(err).Misdirected {
-		j.table.MarkMisdirected(time.Now(), s)
+	return j.confirm(ctx, s)
+}
+
+// confirm asks an engine which process it is. Streams that ask at the same time share the
+// question.
+func (j *job) confirm(ctx context.Context, s pool.Server) bool {
+	p := s.Process()
+	answer := j.checks.DoChan(fmt.Sprint(p.StartedAt, " ", p.ID), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+		defer cancel()
+		asked := time.Now()
+		_, err := j.backends.Usage(ctx, s)
+		if err == nil {
+			j.table.ConfirmProcess(asked, s)
+		}
+		return nil, err
+	})
+	select {
+	case <-ctx.Done():
+		return false
+	case a := <-answer:
+		if a.Err == nil {
+			return true
+		}
+		j.log.Info("process of an engine not confirmed", "request", j.req.ID, "server", s.ID, "error", a.Err.Error())
+		if asSendError(a.Err).Misdirected {
+			j.table.MarkMisdirected(time.Now(), s)
+		}
+		return false
 	}
-	return false
 }
 
 // strayed prepares another lease without the engines of other versions.
@@ -212,7 +233,7 @@
 // the client, and records it for its next attempts. It returns false if the run must not
 // go on: the stream has a version, and the engine may have got another one.
 func (j *job) fixVersion(ctx context.Context) bool {
-	same := j.isSame(j.server)
+	same := j.isSame(j.server) && j.hasAnswered(ctx, j.server)
 	if j.version.begun && !same {
 		return false
 	}
@@ -247,6 +268,13 @@
 	return j.table.HasServed(s, j.answeredAt)
 }
 
+// hasAnswered reports whether the process of an entry that was not replaced has answered. It
+// is asked if its end seemed possible since the request was sent.
+func (j *job) hasAnswered(ctx context.Context, s pool.Server) bool {
+	now := time.Now()
+	return j.service.Engine == nil || j.table.IsConfirmed(now, s) || j.table.HasServed(s, j.answeredAt) || j.confirm(ctx, s)
+}
+
 // record records the version for the attempt that brought the first event.
 func (j *job) record(ctx context.Context) {
 	if !j.route.Resume {
--- a/internal/front/stream/version_test.go
+++ b/internal/front/stream/version_test.go
@@ -67,6 +67,53 @@
 	}
 }
 
+// Guards against a stream that begins, and is recorded, at the version of an entry whose
+// engine started again under its ID (review/1), and against a question to the engine for
+// each new stream.
+func TestNewStreamAvoidsReplacedProcess(t *testing.T) {
+	cases := map[string]struct {
+		doubt       func(*pool.Table, pool.Server)
+		replaced    []string
+		sent, asked []string
+	}{
+		"no reason to doubt": {func(*pool.Table, pool.Server) {}, nil, []string{"d1"}, nil},
+		"its connections failed, it was replaced": {func(t *pool.Table, s pool.Server) { t.SetDown(s, true); t.SetDown(s, false) },
+			[]string{"d1"}, []string{"d2"}, []string{"d1"}},
+		"its connections failed, it is the same": {func(t *pool.Table, s pool.Server) { t.SetDown(s, true); t.SetDown(s, false) },
+			nil, []string{"d1"}, []string{"d1"}},
+		"a run broke off, it was replaced": {func(t *pool.Table, s pool.Server) { t.Begin(s.ID)(time.Now(), pool.Broken, 0) },
+			[]string{"d1"}, []string{"d2"}, []string{"d1"}},
+		"it was silent, it was replaced": {func(t *pool.Table, s pool.Server) { t.RecordSilence(time.Now(), s, pool.TimedOut) },
+			[]string{"d1"}, []string{"d2"}, []string{"d1"}},
+		"no news of the store, it was replaced": {func(t *pool.Table, _ pool.Server) { t.MarkCurrent(time.Now().Add(-2 * time.Second)) },
+			[]string{"d1"}, []string{"d2"}, []string{"d1", "d2"}},
+		"the store is back, it was replaced": {func(t *pool.Table, _ pool.Server) {
+			t.MarkCurrent(time.Now().Add(-2 * time.Second))
+			t.MarkCurrent(time.Now())
+		}, []string{"d1"}, []string{"d2"}, []string{"d1", "d2"}},
+		"confirmed since": {func(t *pool.Table, s pool.Server) {
+			t.SetDown(s, true)
+			t.SetDown(s, false)
+			time.Sleep(time.Millisecond)
+			t.ConfirmProcess(time.Now(), s)
+		}, nil, []string{"d1"}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var sent []string
+			w := &fakeBackends{runs: []run{{status: 200, from: 1, to: 4}}, freed: make(chan string, 8), replaced: c.replaced}
+			w.sending = func(to string) { sent = append(sent, to) }
+			servers := table()
+			s, _ := servers.Entry("d1")
+			c.doubt(servers, s)
+			rec, o := handle(t, newHandler(servers, w), true, 3*time.Second)
+			if rec.Body.String() != events(4) || !slices.Equal(sent, c.sent) || !slices.Equal(w.asked, c.asked) {
+				t.Errorf("sent to %v, asked %v, result %q; want %v, %v", sent, w.asked, o.Result, c.sent, c.asked)
+			}
+		})
+	}
+}
+
 // Guards against a stream that a client takes up and that goes on at any version, when
 // nothing is known of the attempt that began it.
 func TestUnknownStreamIsNotGuessed(t *testing.T) {
--- a/internal/room/lease/serve.go
+++ b/internal/room/lease/serve.go
@@ -36,6 +36,7 @@
 	defer panics.Recover(m.log, "usage of an engine")
 	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
 	defer cancel()
+	asked := time.Now()
 	u, err := m.engines.Usage(ctx, s)
 	if err != nil {
 		m.log.Info("engine usage could not be read", "server", s.ID, "error", err.Error())
@@ -45,6 +46,7 @@
 		}
 		return
 	}
+	m.table.ConfirmProcess(asked, s)
 	m.offer(func(now time.Time) {
 		if l := m.ledgers[service]; l != nil {
 			l.SetUsage(now, s.ID, u)
