Know the only version from a read after the question

Cause: another daemon's list decided without this daemon's own read of the store, though it was up to 1.2 s old, or older at a daemon that has just thawed itself; and the first response to a read counted as all changes, even if more were to come.

Change: without a record only this daemon's own read of the store decides that there is one version. It begins after the question, and so after the first event, and goes on until a response has fewer changes than the one before, 8 reads at most. The list of another daemon only stands for the time before this daemon's entries begin, and only if it reaches that revision; its age plays no part any more. Pauses between questions grow with the reads, so that the store gets no more of them.

Tests: "others know, the store does not answer" expected the guess, and now a refusal; on unchanged code that fails (goes on at v1 after 500 ms). "another version that is not known here yet" takes two reads instead of one, as the end of the changes is looked for. TestRandomMix gives each daemon a list of any age, with or without an own read.

Mutations, each found by a test: no own read needed; an own read alone; errors of readChanges ignored. Not found by a test yet: lists that end before this daemon's entries begin.

--- a/internal/front/router/origin.go
+++ b/internal/front/router/origin.go
@@ -1,14 +1,18 @@
 package router
 
-import "context"
+import (
+	"context"
+
+	"citronrock.example/citronrock/internal/route/origin"
+)
 
 // versions returns the software versions of a service that can have begun a stream, at
 // once if ctx is done.
-func (r *Router) versions(ctx context.Context, service string) ([]string, bool) {
+func (r *Router) versions(ctx context.Context, service string) origin.List {
 	f := r.builds.Load()
 	switch {
 	case f == nil:
-		return nil, false
+		return origin.List{}
 	case ctx.Err() != nil:
 		return f.Recent(service)
 	}
--- a/internal/route/builds/builds.go
+++ b/internal/route/builds/builds.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/route/config"
+	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/hashicorp/go-hclog"
 )
@@ -21,9 +23,6 @@
 	// first attempt came a little earlier.
 	minStreamTime = 15 * time.Second
 	streamMargin  = time.Second
-	// maxAge is the age up to which a state counts as current without a read: updates
-	// come at least twice in that time.
-	maxAge = 1200 * time.Millisecond
 	// readInterval is the shortest time between two reads, for each readPeers of the other
 	// daemons: the store limits the reads of the whole fleet.
 	readInterval = 50 * time.Millisecond
@@ -31,6 +30,8 @@
 	// queueSize is the number of questions that wait for a read. Others are answered
 	// with an incomplete list.
 	queueSize = 256
+	// maxPages bounds the reads for one answer.
+	maxPages = 8
 )
 
 // State is what the daemon knows of the store.
@@ -45,12 +46,7 @@
 // question is a call of Versions that waits for a read of the store.
 type question struct {
 	service string
-	answer  chan answer
-}
-
-type answer struct {
-	versions []string
-	complete bool
+	answer  chan origin.List
 }
 
 // Finder answers which versions can have begun a stream.
@@ -102,31 +98,34 @@
 }
 
 // Recent returns the versions that can have begun a stream of a service, by what this
-// daemon knows without asking anyone. complete is false if there may have been others.
-func (f *Finder) Recent(service string) (versions []string, complete bool) {
-	versions, complete = f.table.Versions(time.Now(), service, f.streamTime(service))
-	age, revision := f.state.Age()
-	return versions, complete && !revision.IsZero() && age <= maxAge
+// daemon knows without asking anyone. It is not confirmed.
+func (f *Finder) Recent(service string) origin.List {
+	return f.list(service, f.streamTime(service))
+}
+
+// list returns the versions that were listed within a time, as far as this daemon knows.
+func (f *Finder) list(service string, within time.Duration) origin.List {
+	_, revision := f.state.Age()
+	versions, complete := f.table.Versions(time.Now(), service, within)
+	return origin.List{Versions: versions, From: f.table.ObservedFrom(), To: revision, Complete: complete && !revision.IsZero()}
 }
 
 // Versions is Recent, confirmed by a read of the store that begins after the call. After
-// a start it reads the history of the store. The list is incomplete if ctx ends before.
-func (f *Finder) Versions(ctx context.Context, service string) (versions []string, complete bool) {
-	q := question{service: service, answer: make(chan answer, 1)}
+// a start it reads the history of the store. The list is not confirmed if ctx ends before.
+func (f *Finder) Versions(ctx context.Context, service string) origin.List {
+	q := question{service: service, answer: make(chan origin.List, 1)}
 	select {
 	case f.questions <- q:
 	default:
-		versions, _ = f.Recent(service)
-		return versions, false
+		return f.Recent(service)
 	}
 	select {
 	case a := <-q.answer:
-		return a.versions, a.complete
+		return a
 	case <-ctx.Done():
 	case <-f.done:
 	}
-	versions, _ = f.Recent(service)
-	return versions, false
+	return f.Recent(service)
 }
 
 // streamTime returns the longest time from a client's first attempt at a stream of a
@@ -159,38 +158,66 @@
 		for len(f.questions) > 0 {
 			batch = append(batch, <-f.questions)
 		}
-		f.answer(ctx, batch)
+		reads := f.answer(ctx, batch)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(readInterval * time.Duration(1+f.peers()/readPeers)):
+		case <-time.After(readInterval * time.Duration(reads*(1+f.peers()/readPeers))):
 		}
 	}
 }
 
-// answer reads the changes that this daemon does not have yet and answers questions.
-func (f *Finder) answer(ctx context.Context, batch []question) {
+// answer reads the changes that this daemon does not have yet, answers questions and returns
+// the number of reads.
+func (f *Finder) answer(ctx context.Context, batch []question) int {
 	_, revision := f.state.Age()
-	changes, err := f.store.Watch(ctx, revision, 0)
+	changes, reads, err := f.readChanges(ctx, revision)
 	if err != nil {
-		f.log.Info("list of software versions not confirmed by the store", "revision", revision.String(), "error", err.Error())
-		for _, q := range batch {
-			versions, _ := f.Recent(q.service)
-			q.answer <- answer{versions, false}
-		}
-		return
+		f.log.Info("list of software versions not confirmed by the store", "revision", revision.String(), "reads", reads, "error", err.Error())
 	}
 	for _, q := range batch {
 		within := f.streamTime(q.service)
-		versions, complete := f.table.Versions(time.Now(), q.service, within)
-		if !complete && f.readHistory(ctx, changes.Revision, within) {
-			versions, complete = f.table.Versions(time.Now(), q.service, within)
+		list := f.list(q.service, within)
+		if err != nil {
+			q.answer <- list
+			continue
+		}
+		if !list.Complete && f.readHistory(ctx, changes.Revision, within) {
+			list = f.list(q.service, within)
 		}
 		for _, s := range changes.Servers {
-			if s.Service == q.service && !slices.Contains(versions, s.Version) {
-				versions = append(versions, s.Version)
+			if s.Service == q.service && !slices.Contains(list.Versions, s.Version) {
+				list.Versions = append(list.Versions, s.Version)
 			}
 		}
-		q.answer <- answer{versions, complete}
+		list.Confirmed, list.To = !revision.IsZero(), changes.Revision
+		q.answer <- list
+	}
+	return reads
+}
+
+// errPages means that the changes had no end within maxPages reads.
+var errPages = errors.New("the store has more changes than can be read")
+
+// readChanges returns the servers that were written after a revision and the number of
+// reads. A response need not have all changes, so that reads go on until one has fewer than
+// the one before: what is written meanwhile is newer than the question.
+func (f *Finder) readChanges(ctx context.Context, after pool.Revision) (all *citronrock.Changes, reads int, err error) {
+	all = &citronrock.Changes{Revision: after}
+	for last := 0; reads < maxPages; reads++ {
+		c, err := f.store.Watch(ctx, all.Revision, 0)
+		if err != nil {
+			return nil, reads + 1, err
+		}
+		all.Servers, all.Revision = append(all.Servers, c.Servers...), c.Revision
+		n := len(c.Servers) + len(c.Removed)
+		if c.Document != nil {
+			n++
+		}
+		if n == 0 || n < last {
+			return all, reads + 1, nil
+		}
+		last = n
 	}
+	return nil, reads, errPages
 }
--- a/internal/route/builds/builds_test.go
+++ b/internal/route/builds/builds_test.go
@@ -30,6 +30,8 @@
 	servers      []pool.Server
 	removed      []citronrock.Removal
 	down         bool
+	// page is the most changes in a response, 0 for all.
+	page         int
 	delay, reads atomic.Int64
 }
 
@@ -66,6 +68,10 @@
 			out.Removed = append(out.Removed, r)
 		}
 	}
+	if s.page > 0 && len(out.Servers) > s.page {
+		out.Servers = out.Servers[:s.page]
+		out.Revision = out.Servers[s.page-1].Revision
+	}
 	return out, nil
 }
 
@@ -99,7 +105,13 @@
 		"up for long, one version": {write: func(s *store) { s.beats(20, 1, "v1", "v1") }, up: time.Minute,
 			versions: []string{"v1"}, complete: true, reads: 1},
 		"another version that is not known here yet": {write: func(s *store) { s.beats(20, 1, "v1", "v1") }, up: time.Minute,
-			later: func(s *store) { s.beats(1, 1, "v2") }, versions: []string{"v1", "v2"}, complete: true, reads: 1},
+			later: func(s *store) { s.beats(1, 1, "v2") }, versions: []string{"v1", "v2"}, complete: true, reads: 2},
+		"another version in the last of three responses": {write: func(s *store) { s.beats(20, 1, "v1", "v1") }, up: time.Minute,
+			later: func(s *store) { s.beats(2, 21, "v1", "v1"); s.beats(1, 1, "v2"); s.page = 2 }, versions: []string{"v1", "v2"}, complete: true, reads: 3},
+		"one change in each response": {write: func(s *store) { s.beats(20, 1, "v1", "v1") }, up: time.Minute,
+			later: func(s *store) { s.beats(1, 21, "v1", "v1"); s.beats(1, 1, "v2"); s.page = 1 }, versions: []string{"v1", "v2"}, complete: true, reads: 4},
+		"more responses than can be read": {write: func(s *store) { s.beats(20, 1, "v1", "v1") }, up: time.Minute,
+			later: func(s *store) { s.beats(8, 21, "v1"); s.beats(1, 1, "v2"); s.page = 1 }, versions: []string{"v1"}, reads: 8},
 		"store is down": {write: func(s *store) { s.beats(20, 1, "v1", "v1") }, up: time.Minute,
 			later: func(s *store) { s.down = true }, versions: []string{"v1"}, reads: 1},
 		"just started, all of the history": {write: func(s *store) { s.beats(2, 1, "v1", "v1") },
@@ -149,7 +161,8 @@
 				if c.later != nil {
 					c.later(s)
 				}
-				versions, complete := f.Versions(t.Context(), "llm")
+				list := f.Versions(t.Context(), "llm")
+				versions, complete := list.Versions, list.Complete && list.Confirmed
 				if !slices.Equal(versions, c.versions) || complete != c.complete || int(s.reads.Load()) != c.reads {
 					t.Errorf("versions %v, complete %v after %d reads; want %v, %v, %d", versions, complete, s.reads.Load(), c.versions, c.complete, c.reads)
 				}
@@ -170,12 +183,12 @@
 		time.Sleep(time.Minute)
 		table.Remove(time.Now(), "old", pool.Revision{Number: s.head + 1}, false)
 		time.Sleep(14 * time.Second)
-		if v, complete := f.Versions(t.Context(), "llm"); len(v) != 2 || !complete {
-			t.Errorf("versions %v, complete %v after 14 s; want two", v, complete)
+		if l := f.Versions(t.Context(), "llm"); len(l.Versions) != 2 || !l.Complete || !l.Confirmed {
+			t.Errorf("%+v after 14 s; want two versions, complete", l)
 		}
 		time.Sleep(4 * time.Second)
-		if v, complete := f.Versions(t.Context(), "llm"); !slices.Equal(v, []string{"v2"}) || !complete {
-			t.Errorf("versions %v, complete %v after 18 s; want v2", v, complete)
+		if l := f.Versions(t.Context(), "llm"); !slices.Equal(l.Versions, []string{"v2"}) || !l.Complete || !l.Confirmed {
+			t.Errorf("%+v after 18 s; want v2, complete", l)
 		}
 	})
 }
@@ -199,8 +212,8 @@
 		s.delay.Store(int64(time.Hour))
 		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
 		defer cancel()
-		if v, complete := f.Versions(ctx, "llm"); complete || len(v) != 1 {
-			t.Errorf("versions %v, complete %v of a store that does not answer", v, complete)
+		if l := f.Versions(ctx, "llm"); l.Confirmed || len(l.Versions) != 1 {
+			t.Errorf("%+v of a store that does not answer", l)
 		}
 		time.Sleep(2 * time.Hour)
 	})
--- a/internal/route/origin/find.go
+++ b/internal/route/origin/find.go
@@ -11,6 +11,7 @@
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/peer/dgram"
+	"citronrock.example/citronrock/internal/route/pool"
 )
 
 const (
@@ -68,7 +69,7 @@
 	}
 	if result != Own {
 		g.log.Info("origin of a stream searched", "resumes", attempt, "service", service, "software", version, "result", ResultNames[result],
-			"asked", len(s.asked), "answered", s.answered, "complete", s.complete, "took", lines.Ms(time.Since(started)))
+			"asked", len(s.asked), "answered", s.answered, "complete", s.complete(), "took", lines.Ms(time.Since(started)))
 	}
 	return version, result < Unknown
 }
@@ -99,9 +100,11 @@
 	origin Origin
 	known  bool
 	// versions are those of all complete lists and of this daemon's own, without
-	// repetitions. complete is set if one of the lists is.
+	// repetitions. own is this daemon's list, reaches the latest revision of the store up
+	// to which the list of another daemon is complete.
 	versions []string
-	complete bool
+	own      List
+	reaches  pool.Revision
 	// reading is set while this daemon's own history is not confirmed.
 	reading bool
 }
@@ -115,10 +118,18 @@
 	s.origin, s.known = o, true
 }
 
-// addHistory takes a list. An incomplete one of this daemon's own counts for what it has:
-// others may not know of the newest engines yet.
-func (s *search) addHistory(versions []string, complete bool) {
-	s.versions, s.complete = distinct(slices.Concat(s.versions, versions)), s.complete || complete
+// addHistory adds the versions of a list. An incomplete one of this daemon's own counts for
+// what it has.
+func (s *search) addHistory(versions []string) {
+	s.versions = distinct(slices.Concat(s.versions, versions))
+}
+
+// complete reports whether no other version can have begun the stream. Only a read of the
+// store by this daemon that began after the question shows the newest versions, as any other
+// knowledge may be older than the stream, however new it is; the lists of others count for
+// the time before this daemon's own one begins.
+func (s *search) complete() bool {
+	return s.own.Confirmed && (s.own.Complete || !s.reaches.Before(s.own.From) && !s.reaches.IsZero())
 }
 
 // judge returns how a search ends that found a record.
@@ -224,14 +235,13 @@
 		return s.judge(Peer), true
 	case !over && s.answered < len(s.asked), s.reading:
 		return Unknown, false
-	case s.complete && len(s.versions) == 1 && s.versions[0] != "":
+	case s.complete() && len(s.versions) == 1 && s.versions[0] != "":
 		return Only, true
 	}
 	return Unknown, true
 }
 
-// lastResult returns the result of a search that can wait no longer: the lists of others
-// count although this daemon could not confirm its own.
+// lastResult returns the result of a search that can wait no longer.
 func (g *Group) lastResult(s *search) Result {
 	g.mu.Lock()
 	s.reading = false
@@ -246,24 +256,24 @@
 	if g.history == nil {
 		return
 	}
-	versions, _ := g.history(g.done, s.service)
+	known := g.history(g.done, s.service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.addHistory(versions, false)
+	s.addHistory(known.Versions)
 	if g.closed {
 		return
 	}
 	s.reading = true
 	g.running.Go(func() {
 		defer panics.Recover(g.log, "origins of streams")
-		versions, complete := g.history(ctx, s.service)
+		list := g.history(ctx, s.service)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.searches[number] != s {
 			return
 		}
-		s.reading = false
-		s.addHistory(versions, complete)
+		s.reading, s.own = false, list
+		s.addHistory(list.Versions)
 		s.poke()
 	})
 }
--- a/internal/route/origin/fleet_test.go
+++ b/internal/route/origin/fleet_test.go
@@ -44,7 +44,7 @@
 	sent, bytes map[dgram.Kind]int
 	// got has the daemons that got the record of an attempt.
 	got     map[string]map[*daemon]bool
-	history func(ctx context.Context, d *daemon) ([]string, bool)
+	history func(ctx context.Context, d *daemon) origin.List
 	stop    chan struct{}
 	stopped sync.WaitGroup
 	// detect is how long a dead daemon is listed.
@@ -81,7 +81,7 @@
 	if n > 8 {
 		f.detect = 2250 * time.Millisecond
 	}
-	f.history = func(context.Context, *daemon) ([]string, bool) { return nil, false }
+	f.history = func(context.Context, *daemon) origin.List { return origin.List{} }
 	for i := range n {
 		d := &daemon{fleet: f, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i%200 + 1)}), 7000)}
 		f.daemons = append(f.daemons, d)
@@ -121,7 +121,7 @@
 	if was != nil {
 		was.Close()
 	}
-	history := origin.WithHistory(func(ctx context.Context, _ string) ([]string, bool) { return d.history(ctx, d) })
+	history := origin.WithHistory(func(ctx context.Context, _ string) origin.List { return d.history(ctx, d) })
 	group := origin.New(d.addr, d, d, hclog.NewNullLogger(), history)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/route/origin/group.go
+++ b/internal/route/origin/group.go
@@ -35,12 +35,11 @@
 	warnInterval = time.Second
 )
 
-// History returns the versions of all engines of a service that may have begun a stream
-// which is still going on, an empty one for an engine whose version is not known, and
-// whether this list is certainly complete. It may wait, until ctx is done; if ctx is done
-// already, it returns at once what it knows. It is called by many goroutines at the same
-// time.
-type History func(ctx context.Context, service string) (versions []string, complete bool)
+// History returns the versions of the engines of a service that may have begun a stream
+// which is still going on. It may wait for a read of the store, until ctx is done; if ctx is
+// done already, it returns at once what it knows, not confirmed. It is called by many
+// goroutines at the same time.
+type History func(ctx context.Context, service string) List
 
 // Group holds the records of this daemon and exchanges them with the others. It implements
 // citronrock.Origins.
--- a/internal/route/origin/history_test.go
+++ b/internal/route/origin/history_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"citronrock.example/citronrock/internal/route/origin"
+	"citronrock.example/citronrock/internal/route/pool"
 )
 
 // Guards against a guess from a history that is not complete, has an engine of unknown
@@ -14,10 +17,11 @@
 	type list struct {
 		versions []string
 		complete bool
-		// slow is how long it takes to be complete.
+		// slow is how long the store takes to confirm it, negative if it can't.
 		slow time.Duration
 	}
 	one, two, unknown := list{[]string{"v1"}, true, 0}, list{[]string{"v1", "v2", "v3"}, true, 0}, list{[]string{"v1"}, false, 0}
+	cut, unknownAndCut := list{[]string{"v1"}, true, -1}, list{[]string{"v1"}, false, -1}
 	cases := map[string]struct {
 		own, others list
 		ok          bool
@@ -30,7 +34,10 @@
 		"the store does not answer":              {list{[]string{"v1"}, true, time.Hour}, unknown, false, 510 * time.Millisecond},
 		"others know before the store":           {list{[]string{"v1"}, true, 350 * time.Millisecond}, one, true, 360 * time.Millisecond},
 		"others lack what the store has":         {list{[]string{"v2"}, true, 350 * time.Millisecond}, one, false, 360 * time.Millisecond},
-		"others know, the store does not answer": {list{[]string{"v1"}, true, time.Hour}, one, true, 510 * time.Millisecond},
+		"others know, the store does not answer": {list{[]string{"v1"}, true, time.Hour}, one, false, 510 * time.Millisecond},
+		"cut off from the store":                 {cut, one, false, 10 * time.Millisecond},
+		"just started, cut off from the store":   {unknownAndCut, one, false, 10 * time.Millisecond},
+		"only the others are cut off":            {unknown, cut, true, 10 * time.Millisecond},
 		"known to nobody":                        {unknown, unknown, false, 10 * time.Millisecond},
 		"several versions":                       {two, two, false, 10 * time.Millisecond},
 		"others know of more":                    {one, two, false, 10 * time.Millisecond},
@@ -49,22 +56,28 @@
 					f := newFleet(7, 0, 6)
 					defer f.close()
 					d := f.daemons[0]
-					f.history = func(ctx context.Context, at *daemon) ([]string, bool) {
+					f.history = func(ctx context.Context, at *daemon) origin.List {
 						l := c.others
 						if at == d {
 							l = c.own
 						}
-						if l.slow > 0 && ctx.Err() == nil {
+						revision := pool.Revision{Number: 5}
+						known := origin.List{Versions: l.versions, From: revision, To: revision, Complete: l.complete}
+						if ctx.Err() != nil || l.slow < 0 {
+							return known
+						}
+						if l.slow > 0 {
 							ready := make(chan struct{})
 							timer := time.AfterFunc(l.slow, func() { close(ready) })
 							defer timer.Stop()
 							select {
 							case <-ready:
-								return l.versions, true
 							case <-ctx.Done():
+								return known
 							}
 						}
-						return l.versions, l.complete && l.slow == 0
+						known.Confirmed = true
+						return known
 					}
 					started := time.Now()
 					version, ok := d.group.Find(t.Context(), "llm", attempt)
--- a/internal/route/origin/mix_test.go
+++ b/internal/route/origin/mix_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/route/origin"
+	"citronrock.example/citronrock/internal/route/pool"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -49,6 +50,26 @@
 	}
 }
 
+// list is what any daemon, in step or not, may know: revision i of the store has the i-th
+// version, and the versions before may have left.
+func (m *mix) list(ctx context.Context, _ *daemon) origin.List {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := len(m.serving)
+	known := 1 + m.noise.IntN(newest)
+	l := origin.List{To: pool.Revision{Number: uint64(known)}, Complete: m.noise.IntN(2) == 0}
+	from := 1
+	if !l.Complete {
+		from += m.noise.IntN(known)
+	}
+	l.From = pool.Revision{Number: uint64(from)}
+	if l.Confirmed = ctx.Err() == nil && m.noise.IntN(3) > 0; l.Confirmed {
+		known = newest
+	}
+	l.Versions = slices.Clone(m.serving[from-1 : known])
+	return l
+}
+
 // step plays one random event.
 func (m *mix) step() {
 	r := m.random
@@ -115,14 +136,7 @@
 			for _, d := range m.some(random.IntN(1 + len(m.daemons)/3)) {
 				d.startOld()
 			}
-			m.history = func(context.Context, *daemon) ([]string, bool) {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				if m.noise.IntN(3) > 0 {
-					return m.serving[:1], false
-				}
-				return m.serving, true
-			}
+			m.history = m.list
 			for range 150 {
 				m.step()
 			}
--- a/internal/route/origin/origin.go
+++ b/internal/route/origin/origin.go
@@ -10,7 +10,25 @@
 // is known only where a list that is certainly complete names one version.
 package origin
 
-import "time"
+import (
+	"time"
+
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+// List is what a daemon knows of the versions at which engines of a service were listed in
+// the store, an empty one for an engine whose version is not known.
+type List struct {
+	Versions []string
+	// From and To are the revisions of the store between which the list has all versions.
+	From, To pool.Revision
+	// Complete is set if it has all versions up to To that can have begun a stream which is
+	// still going on.
+	Complete bool
+	// Confirmed is set if a read of the store that began after the question found all
+	// changes since, so that the list has all versions from From until the question.
+	Confirmed bool
+}
 
 // Origin tells at which version a client's attempt began its stream. It never changes:
 // an attempt that brought the first event at one version can't bring it at another.
--- a/internal/route/origin/wire.go
+++ b/internal/route/origin/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/peer/dgram"
+	"citronrock.example/citronrock/internal/route/pool"
 )
 
 // maxVersions is the number of versions in a reply: two are enough to show that there is
@@ -50,6 +51,9 @@
 	Left     uint32   `cbor:"5,keyasint,omitempty"`
 	Versions [][]byte `cbor:"6,keyasint,omitempty"`
 	Complete bool     `cbor:"7,keyasint,omitempty"`
+	// Era and Revision are the store's revision up to which the history is complete.
+	Era      uint64 `cbor:"8,keyasint,omitempty"`
+	Revision uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 func left(now, until time.Time) uint32 {
@@ -125,9 +129,9 @@
 	if ok {
 		answer.Known, answer.Service, answer.Version, answer.Left = true, []byte(o.Service), []byte(o.Version), left(now, o.Until)
 	} else if g.history != nil {
-		var versions []string
-		if versions, answer.Complete = g.history(g.done, string(m.Service)); answer.Complete {
-			for _, v := range distinct(versions) {
+		if list := g.history(g.done, string(m.Service)); list.Complete {
+			answer.Complete, answer.Era, answer.Revision = true, list.To.Era, list.To.Number
+			for _, v := range distinct(list.Versions) {
 				if answer.Versions = append(answer.Versions, []byte(v)); len(answer.Versions) == maxVersions {
 					break
 				}
@@ -157,7 +161,10 @@
 		for _, v := range m.Versions[:min(len(m.Versions), maxVersions)] {
 			versions = append(versions, string(v))
 		}
-		s.addHistory(versions, true)
+		s.addHistory(versions)
+		if to := (pool.Revision{Era: m.Era, Number: m.Revision}); s.reaches.Before(to) {
+			s.reaches = to
+		}
 	}
 	s.poke()
 }
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -108,6 +108,8 @@
 	// observedSince since when no change of the entries was missed.
 	versionSeen   map[versionKey]time.Time
 	observedSince time.Time
+	// observedFrom is the revision of the store at observedSince, as of the last full read.
+	observedFrom Revision
 	// evidence has what was observed of processes, currentAt is when the entries were last
 	// the newest ones, unsettled ends the time in which servers write theirs again.
 	evidence             map[Process]evidence
@@ -239,7 +241,7 @@
 		}
 	}
 	t.mu.Lock()
-	t.observedSince = now // entries may have come and gone before
+	t.observedSince, t.observedFrom = now, revision // entries may have come and gone before
 	var missing []string
 	for id, r := range t.servers {
 		if !seen[id] && r.Revision.Compare(revision) <= 0 {
--- a/internal/route/pool/version.go
+++ b/internal/route/pool/version.go
@@ -34,6 +34,14 @@
 	return slices.Sorted(maps.Keys(found)), complete
 }
 
+// ObservedFrom returns the revision of the store from which on no change of the entries was
+// missed, zero before the first full read.
+func (t *Table) ObservedFrom() Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.observedFrom
+}
+
 // AddHistory adds servers that were listed at some time after since, and records that no
 // other ones were listed from then on until this daemon began to see all changes.
 func (t *Table) AddHistory(now, since time.Time, listed []Server) {
