--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -55,13 +55,20 @@
 	lost func() bool
 	// late is the version whose entry under the same ID comes when the next run breaks off.
 	late string
+	// noted is called before that, nil for nothing.
+	noted func(pool.Server)
+	// replaced is the engine that started again without a new entry yet.
+	replaced string
 	// unrecorded is set when an event came before its record.
 	unrecorded bool
 	starts     time.Time
 }
 
-// Usage confirms each engine: what an entry doesn't show yet is left to the cases.
-func (*versionedFleet) Usage(context.Context, pool.Server) (ledger.Usage, error) {
+// Usage confirms each engine but a replaced one.
+func (f *versionedFleet) Usage(_ context.Context, s pool.Server) (ledger.Usage, error) {
+	if s.ID == f.replaced {
+		return ledger.Usage{}, &proxy.SendError{Fault: event.FaultRefused, Misdirected: true, Err: errReset}
+	}
 	return ledger.Usage{}, nil
 }
 
@@ -127,7 +134,13 @@
 	if n := len(f.sent) - 1; n < len(f.breaks) {
 		last, end = min(first+f.breaks[n], streamEvents), broken{}
 		if version := f.late; version != "" {
-			f.late, end = "", lateEntry{func() { f.start(s.ID, int(s.Addr.Port())-8000, version) }}
+			f.late, end = "", lateEntry{func() {
+				if f.noted != nil {
+					time.Sleep(10 * time.Millisecond)
+					f.noted(s)
+				}
+				f.start(s.ID, int(s.Addr.Port())-8000, version)
+			}}
 		}
 	}
 	var body strings.Builder
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -177,24 +178,44 @@
 	return finish
 }
 
-// isProcess asks the engine of a stream that goes on whether it is still the process of its
-// entry. An engine may start again under its ID with another version, and this daemon may
-// not have the new entry yet; the engine itself does not check versions.
+// isProcess reports whether an engine is still the process of its entry. It may start again
+// under its ID with another version, this daemon may not have the new entry yet, and the
+// engine itself does not check versions. It is asked before a stream goes on there, and
+// before one begins if this daemon has a reason to doubt.
 func (j *job) isProcess(ctx context.Context, s pool.Server) bool {
-	if !j.version.begun || j.service.Engine == nil {
+	if j.service.Engine == nil || !j.version.begun && j.table.IsConfirmed(time.Now(), s) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	_, err := j.backends.Usage(ctx, s)
-	if err == nil {
-		return true
-	}
-	j.log.Info("engine of a stream that goes on not confirmed", "request", j.req.ID, "server", s.ID, "error", err.Error())
-	if asSendError(err).Misdirected {
-		j.table.MarkMisdirected(time.Now(), s)
+	return j.confirm(ctx, s)
+}
+
+// confirm asks an engine which process it is. Streams that ask at the same time share the
+// question.
+func (j *job) confirm(ctx context.Context, s pool.Server) bool {
+	p := s.Process()
+	answer := j.checks.DoChan(fmt.Sprint(p.StartedAt, " ", p.ID), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+		defer cancel()
+		asked := time.Now()
+		_, err := j.backends.Usage(ctx, s)
+		if err == nil {
+			j.table.ConfirmProcess(asked, s)
+		}
+		return nil, err
+	})
+	select {
+	case <-ctx.Done():
+		return false
+	case a := <-answer:
+		if a.Err == nil {
+			return true
+		}
+		j.log.Info("process of an engine not confirmed", "request", j.req.ID, "server", s.ID, "error", a.Err.Error())
+		if asSendError(a.Err).Misdirected {
+			j.table.MarkMisdirected(time.Now(), s)
+		}
+		return false
 	}
-	return false
 }
 
 // strayed prepares another lease without the engines of other versions.
@@ -214,7 +235,7 @@
 // the client, and records it for its next attempts. It returns false if the run must not
 // go on: the stream has a version, and the engine may have got another one.
 func (j *job) fixVersion(ctx context.Context) bool {
-	same := j.isSame(j.server)
+	same := j.isSame(j.server) && j.hasAnswered(ctx, j.server)
 	if j.version.begun && !same {
 		return false
 	}
@@ -239,11 +260,21 @@
 	}
 }
 
-// isSame reports whether the entry of an engine is still the one to which the request was
-// sent, as far as its process and version are concerned.
+// isSame reports whether the process that answered is the one of the entry to which the
+// request was sent, at the version of that entry.
 func (j *job) isSame(s pool.Server) bool {
 	now, ok := j.table.Entry(s.ID)
-	return !ok || now.Process() == s.Process() && now.Version == s.Version
+	if !ok || now.Process() == s.Process() {
+		return !ok || now.Version == s.Version
+	}
+	return j.table.HasServed(s, j.answeredAt)
+}
+
+// hasAnswered reports whether the process of an entry that was not replaced has answered. It
+// is asked if its end seemed possible since the request was sent.
+func (j *job) hasAnswered(ctx context.Context, s pool.Server) bool {
+	now := time.Now()
+	return j.service.Engine == nil || j.table.IsConfirmed(now, s) || j.table.HasServed(s, j.answeredAt) || j.confirm(ctx, s)
 }
 
 // record records the version for the attempt that brought the first event.
@@ -265,15 +296,15 @@
 }
 
 // mayMove reports whether a run that broke off may go on at another engine than s: the
-// version of the stream is known, and another engine has it. If the entry of the engine
-// that brought the first event has another version by now, the process may have changed
-// before that event, unseen, so that the version is not known.
+// version of the stream is known, and another engine has it. If another process has the ID
+// of the engine that brought the first event by now, it may have brought that event, unseen,
+// unless the earlier one was heard of, or ended, after the run had begun.
 func (j *job) mayMove(ctx context.Context, s pool.Server) bool {
 	v := &j.version
 	if !v.fixed {
 		return true
 	}
-	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" {
+	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" && !j.isSame(s) {
 		v.name = ""
 		j.record(ctx)
 	}
