Let a stop end without resets of new connections

Callers that opened a connection for each request lost some in a planned stop: the listener was closed 100 ms after the notice, which resets what waits in its accept queue or is in a handshake, and a connection without a whole request was cut at the end of the grace period.

A stopping server now accepts until no client opens connections, or shortly before the grace period ends. A socket filter then drops the first segment of new handshakes, so that those under way complete and are accepted before the listener closes. What is still without a whole request at the end is answered with 503 and read until the client closes. A kept connection on which bytes have arrived is not closed. The listener no longer uses multipath TCP, which takes no socket filter.

Left are a request that crosses the close of a kept connection, within one trip to its client, and a handshake that takes more than 100 ms; without a socket filter also the handshakes of the moment in which the listener closes.

--- a/internal/front/serve/conn.go
+++ b/internal/front/serve/conn.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"citronrock.example/citronrock/internal/front/grace"
 )
 
 // newConnTime is how long a stopping server keeps a connection that has not carried
@@ -15,78 +19,144 @@
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
+// refusal answers a request that has not been read completely when the server stops. It
+// is written without knowing the request.
+var refusal = fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: %g\r\n\r\n",
+	http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), grace.RetryAfter.Seconds())
+
+// phase is what a connection carries.
+type phase int
+
+const (
+	unused  phase = iota // nothing yet
+	idle                 // nothing since the last answer
+	reading              // a part of a request
+	serving              // a request that is being served
+)
+
 // conn is a connection of a client. It is closed for want of a request only while no
-// part of one has been read: http.Server.Shutdown may close a connection, or drop a
+// part of one has arrived: http.Server.Shutdown may close a connection, or drop a
 // request, between the arrival of the request and the call of its handler.
 type conn struct {
 	*net.TCPConn
 	opened  time.Time
 	onClose func(*conn)
 
-	mu sync.Mutex
-	// waiting is set while no part of the next request has been read, unused before the
-	// first one.
-	waiting, unused, closed bool
+	mu    sync.Mutex
+	phase phase
+	// closed is set when no more requests are served, refused when they are answered
+	// beforehand.
+	closed, refused bool
 }
 
 func newConn(c *net.TCPConn, onClose func(*conn)) *conn {
-	return &conn{TCPConn: c, opened: time.Now(), onClose: onClose, waiting: true, unused: true}
+	return &conn{TCPConn: c, opened: time.Now(), onClose: onClose}
 }
 
 // Read reads a part of a request. What is read after the connection was closed is
-// dropped.
+// dropped. The rest of a refused request is read, as unread bytes would reset the
+// connection before the client has read the answer.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.claim() {
-		return 0, net.ErrClosed
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n == 0 || c.claim() {
+			return n, err
+		}
+		if !c.isRefused() {
+			return 0, net.ErrClosed
+		}
 	}
-	return n, err
 }
 
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	was := c.closed
 	c.closed = true
 	c.mu.Unlock()
-	if !was {
-		c.onClose(c)
-	}
+	c.onClose(c)
 	return c.TCPConn.Close()
 }
 
-// claim notes that a request arrives, and returns false if the connection is closed.
+// claim notes that a part of a request was read, and returns false if the connection is
+// closed.
 func (c *conn) claim() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.unused = false, false
+	if c.phase < reading {
+		c.phase = reading
+	}
 	return !c.closed
 }
 
-// setWaiting notes that the next request is waited for.
-func (c *conn) setWaiting() {
+// serve notes that a request is served, and returns false if the connection is closed.
+func (c *conn) serve() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.phase = serving
+	return !c.closed
 }
 
-// closeWaiting closes the connection if no part of a request has been read, and, unless
-// all is set, only if it has carried one before or is newConnTime old.
-func (c *conn) closeWaiting(all bool) {
+func (c *conn) isRefused() bool {
 	c.mu.Lock()
-	ok := c.waiting && (all || !c.unused || time.Since(c.opened) > newConnTime)
-	c.closed = c.closed || ok
-	c.mu.Unlock()
-	if ok {
+	defer c.mu.Unlock()
+	return c.refused
+}
+
+// setIdle notes that the next request is waited for.
+func (c *conn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = idle
+}
+
+// closeWaiting closes the connection if it waits for another request, and refuses the
+// first one if it does not come in newConnTime.
+func (c *conn) closeWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed || c.hasUnread():
+	case c.phase == idle:
+		c.closed = true
 		c.onClose(c)
 		_ = c.TCPConn.Close() // the client has to go elsewhere in any case
+	case c.phase == unused && time.Since(c.opened) > newConnTime:
+		c.refuse()
+	}
+}
+
+// hasUnread returns whether a part of the request that is waited for has arrived.
+func (c *conn) hasUnread() bool {
+	if c.phase >= reading {
+		return false
+	}
+	arrived, err := unread(c.TCPConn)
+	return arrived && err == nil // after an error nothing can be read
+}
+
+// refuseWaiting refuses the request that is waited for, or being read.
+func (c *conn) refuseWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && c.phase != serving {
+		c.refuse()
+	}
+}
+
+// refuse answers the next request and closes the connection for writing. It is closed
+// when the client has closed it, too.
+func (c *conn) refuse() {
+	c.closed, c.refused = true, true
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // an error shows in the write
+	if _, err := io.WriteString(c.TCPConn, refusal); err != nil || c.CloseWrite() != nil {
+		_ = c.TCPConn.Close() // the client has left
 	}
 }
 
 // onState follows the state of a connection in an http.Server.
 func onState(c net.Conn, state http.ConnState) {
 	if own, ok := c.(*conn); ok && state == http.StateIdle {
-		own.setWaiting()
+		own.setIdle()
 	}
 }
 
@@ -94,7 +164,7 @@
 // request may be served.
 func claimed(r *http.Request) bool {
 	c, ok := r.Context().Value(connKey{}).(*conn)
-	return !ok || c.claim()
+	return !ok || c.serve()
 }
 
 // withConn adds a connection to the contexts of its requests.
@@ -102,22 +172,6 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// closeWaiting closes connections without a request, and returns how many are left.
-func (s *Server) closeWaiting(all bool) int {
-	s.mu.Lock()
-	open := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		open = append(open, c)
-	}
-	s.mu.Unlock()
-	for _, c := range open {
-		c.closeWaiting(all)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
-
 // track adds a connection to those that a stop closes.
 func (s *Server) track(tcp *net.TCPConn) *conn {
 	c := newConn(tcp, func(c *conn) {
@@ -128,5 +182,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	s.accepted = c.opened
 	return c
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -29,13 +29,18 @@
 	// writeTimeout bounds the time that a client takes to read an answer, unless the
 	// handler sets another limit.
 	writeTimeout = 40 * time.Second
-	// drainTime is how long a stopping server still accepts connections that clients
-	// have already opened.
-	drainTime = 100 * time.Millisecond
+	// quietTime is how long no client has opened a connection when a stopping server
+	// closes its listener before the grace period ends.
+	quietTime = 100 * time.Millisecond
+	// handshakeTime is the time in which handshakes that have begun complete: a round
+	// trip to any client.
+	handshakeTime = 100 * time.Millisecond
 	// lastAnswers is the time for answers to requests that have just been read when the
 	// grace period ends, closeInterval that between looks for connections to close.
 	lastAnswers   = 100 * time.Millisecond
 	closeInterval = 20 * time.Millisecond
+	// lingerTime is the time for clients to read the answers that end connections.
+	lingerTime = 2 * closeInterval
 	// acceptRetryDelay is the pause after a failed accept.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -46,12 +51,17 @@
 	listener *net.TCPListener
 	handler  http.Handler
 	log      hclog.Logger
+	// handshake is how long handshakes that have begun may take in a stop.
+	handshake time.Duration
 
 	mu      sync.Mutex
 	limits  config.Limits
 	queue   *connQueue
 	servers []*http.Server
 	conns   map[*conn]struct{}
+	// accepted is when the last connection was accepted, closed is set after a stop.
+	accepted time.Time
+	closed   bool
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -91,11 +101,11 @@
 // Listen starts to serve clients at addr. The error tells that the address can't be
 // used.
 func Listen(addr netip.AddrPort, handler http.Handler, log hclog.Logger) (*Server, error) {
-	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
+	l, err := listen(addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "can't listen for clients at %s; check that the port is free", addr)
 	}
-	s := &Server{listener: l, handler: handler, log: log, conns: map[*conn]struct{}{}, done: make(chan struct{})}
+	s := &Server{listener: l, handler: handler, log: log, handshake: handshakeTime, conns: map[*conn]struct{}{}, done: make(chan struct{})}
 	s.SetLimits(config.Limits{Header: defaultHeader, HeaderWait: defaultHeaderWait, Idle: defaultIdle})
 	go func() {
 		defer close(s.done)
@@ -104,6 +114,17 @@
 	return s, nil
 }
 
+// listen opens a listener. Those of multipath TCP, the default, take no socket filter.
+func listen(addr netip.AddrPort) (*net.TCPListener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	l, err := c.Listen(context.Background(), "tcp4", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.AcceptTCP()
@@ -135,23 +156,11 @@
 	}
 }
 
-// drainListener accepts the connections that clients have already opened and closes
-// the listener. Closing it alone would reset connections in the accept queue, with
-// their requests.
-func (s *Server) drainListener() {
-	if err := s.listener.SetDeadline(time.Now().Add(drainTime)); err != nil {
-		s.log.Warn("connections in the accept queue may be reset", "error", err.Error())
-		_ = s.listener.Close() // the failure is logged above
-	}
-	<-s.done
-	_ = s.listener.Close() // it accepts no more connections
-}
-
 // SetLimits applies limits to new connections.
 func (s *Server) SetLimits(l config.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l == s.limits {
+	if l == s.limits || s.closed {
 		return
 	}
 	s.limits = l
@@ -219,35 +228,3 @@
 
 // Aborted returns whether requests were aborted at the end of the grace period.
 func (s *Server) Aborted() bool { return s.aborted.Load() }
-
-// Stop keeps serving for the notice period, so that the load balancer can move new
-// connections elsewhere. It then closes the listener and idle connections, and
-// returns when all requests are answered or ctx ends. Remaining requests are
-// aborted.
-func (s *Server) Stop(ctx context.Context, notice time.Duration) {
-	s.stopping.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(notice):
-	}
-	s.drainListener()
-	tick := time.NewTicker(closeInterval)
-	defer tick.Stop()
-	for ctx.Err() == nil && s.closeWaiting(false) > 0 {
-		<-tick.C
-	}
-	for end := time.Now().Add(lastAnswers); s.closeWaiting(true) > 0 && time.Now().Before(end); {
-		<-tick.C
-	}
-	if open := s.InFlight(); open > 0 {
-		s.log.Warn("requests aborted at the end of the grace period", "open", open)
-		s.aborted.Store(true)
-	}
-	s.mu.Lock()
-	servers := s.servers
-	s.queue.close()
-	s.mu.Unlock()
-	for _, server := range servers {
-		server.Close()
-	}
-}
--- a/internal/front/serve/stop_test.go
+++ b/internal/front/serve/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"testing"
@@ -13,12 +14,13 @@
 
 	"citronrock.example/citronrock/internal/route/config"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sys/unix"
 )
 
 // newIdleServer returns a server that does not accept connections yet.
 func newIdleServer(t *testing.T) *Server {
 	t.Helper()
-	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	l, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,6 +84,91 @@
 	}
 }
 
+// Guards against a stop that resets what its accept loop has left in the queue, which is all
+// that answers it where the kernel takes no socket filter.
+func TestStopDrainsAcceptQueue(t *testing.T) {
+	s := newIdleServer(t)
+	s.SetLimits(config.Limits{HeaderWait: time.Second, Idle: time.Second})
+	close(s.done) // it accepts no connections itself
+	var conns []net.Conn
+	for range 20 {
+		conns = append(conns, sendRequest(t, s))
+	}
+	stop(t, s)
+	for _, c := range conns {
+		expectFinalResponse(t, c)
+	}
+}
+
+// Guards against a stop that resets a connection which the client has opened, as the
+// handshake isn't complete here.
+func TestStopCompletesHandshakes(t *testing.T) {
+	s := newIdleServer(t)
+	s.handshake = 2 * time.Second
+	s.SetLimits(config.Limits{HeaderWait: time.Second, Idle: time.Second})
+	go func() {
+		defer close(s.done)
+		s.accept()
+	}()
+	const flags, ack = 13, 0x10
+	filter := []unix.SockFilter{ // drops segments with nothing but an acknowledgement
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: ack, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 1 << 18},
+	}
+	if err := control(s.listener, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+	}); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp4", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var client sync.WaitGroup
+	client.Go(func() {
+		time.Sleep(s.handshake / 10)                                     // the stop has begun
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") // an error shows in the answer
+		expectFinalResponse(t, conn)
+	})
+	stop(t, s)
+	client.Wait()
+}
+
+// Guards against a stop that closes a kept connection whose next request has arrived and
+// is not read yet.
+func TestStopKeepsUnreadRequests(t *testing.T) {
+	s := newIdleServer(t)
+	defer stop(t, s)
+	s.SetLimits(config.Limits{HeaderWait: time.Second, Idle: time.Second})
+	defer close(s.done)
+	client, err := net.Dial("tcp4", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	tcp, err := s.listener.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.track(tcp)
+	t.Cleanup(func() { _ = c.Close() }) // the stop closes it
+	c.setIdle()
+	if _, err := io.WriteString(client, "G"); err != nil {
+		t.Fatal(err)
+	}
+	for arrived := false; !arrived; {
+		if arrived, err = unread(tcp); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.closeWaiting() != 1 || !c.serve() {
+		t.Error("the connection is closed")
+	}
+}
+
 // Guards against a change of the limits that closes a connection with a request on
 // it.
 func TestSetLimitsKeepsAcceptedConnections(t *testing.T) {
@@ -171,7 +258,7 @@
 				}
 				resp.Body.Close()
 			}
-			at := notice + drainTime + time.Duration(i-conns/2)*20*time.Microsecond
+			at := notice + handshakeTime + time.Duration(i-conns/2)*20*time.Microsecond
 			time.Sleep(time.Until(begin.Add(at)))
 			path := "/" + strconv.Itoa(i)
 			_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n") // an error shows in the answer
