Choose among doubted prefill engines by the reports on them

The engines that the fewest daemons report are tried now.

TestPrefillAtLeastDoubtedEngine failed before in two cases.

--- a/internal/room/ledger/doubt.go
+++ b/internal/room/ledger/doubt.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -36,6 +37,28 @@
 		len(l.idsByStage(pool.Prefill)) > 1 && slices.ContainsFunc(l.groups()[group{pool.Prefill, req.Version}], free))
 }
 
+// leastDoubted returns the engines that the fewest edge daemons report as unhealthy: one
+// that all report is dead, one that a single daemon reports may only be out of its reach.
+func (l *Ledger) leastDoubted(ids []string) []string {
+	var out []string
+	fewest := math.MaxInt
+	for _, id := range ids {
+		count := 0
+		for _, s := range l.reporters {
+			if slices.Contains(s.unhealthy, id) {
+				count++
+			}
+		}
+		if count < fewest {
+			out, fewest = nil, count
+		}
+		if count == fewest {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // lacksPrefill reports whether a lease would only be used up at a prefill engine: all are
 // unhealthy or, for a stream that goes on, have failed it and were not seen sound since.
 func (l *Ledger) lacksPrefill(now time.Time, req *Request) bool {
--- a/internal/room/ledger/doubt_test.go
+++ b/internal/room/ledger/doubt_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/pool"
 )
 
 // Guards against leases that are used up within milliseconds on prefill engines that are
@@ -74,6 +75,33 @@
 	}
 }
 
+// Guards against leases that are used up on a dead prefill engine, while one that a single
+// daemon could not use for a moment serves.
+func TestPrefillAtLeastDoubtedEngine(t *testing.T) {
+	list := append(engines(1, 8, 60_000), ledger.Engine{ID: "p2", Domain: "b", Stage: pool.Prefill, Slots: 8, Tokens: 60_000})
+	cases := map[string]struct {
+		edge1, edge2 []string
+		prefill      string
+	}{
+		"both daemons report one": {[]string{"p1", "p2"}, []string{"p1"}, "p2"},
+		"the other":               {[]string{"p1"}, []string{"p2", "p1"}, "p2"},
+		"each reports one":        {[]string{"p1"}, []string{"p2"}, "p1"},
+		"one is sound":            {[]string{"p1"}, []string{"p1"}, "p2"},
+		"both report both":        {[]string{"p1", "p2"}, []string{"p1", "p2"}, "p1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, list)
+			l.ApplyReport(t0, edge1, ledger.Report{Service: "s", Incarnation: 1, Sequence: 1, PrefillRate: 50_000, Unhealthy: c.edge1})
+			l.ApplyReport(t0, edge2, ledger.Report{Service: "s", Incarnation: 1, Sequence: 1, PrefillRate: 50_000, Unhealthy: c.edge2})
+			if got := replyTo(t, l.Submit(t0, edge1, sized(1, 9000, 1000)), 1); got.Prefill != c.prefill {
+				t.Errorf("reply %+v, want a prefill at %s", got, c.prefill)
+			}
+		})
+	}
+}
+
 // Guards against new requests that find no room because of streams that wait for a prefill
 // engine only.
 func TestWaitForPrefillKeepsNoRoom(t *testing.T) {
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -143,6 +143,9 @@
 	}
 	if len(healthy) == 0 {
 		healthy = fallback
+		if stage == pool.Prefill {
+			healthy = l.leastDoubted(fallback)
+		}
 	}
 	if len(healthy) == 0 && stage == pool.Prefill && len(req.Excluded) > 0 && !req.Resumed {
 		// Using an excluded prefill engine is better than a prefill on a decode
