--- a/internal/room/ledger/doubt.go
+++ b/internal/room/ledger/doubt.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,12 +29,33 @@
 func (r *Request) seenSound(id string) bool { return r.confirmed && !slices.Contains(r.down, id) }
 
 // mayReturn reports whether an engine for a stream that goes on may become usable: one of
-// its version is listed, whatever its health, and its limit has room. One in the prefill
-// stage counts if it is not the last one there.
+// its version is listed, whatever its stage and health, and its limit has room.
 func (l *Ledger) mayReturn(req *Request) bool {
 	free := func(id string) bool { return !slices.Contains(req.Held, id) }
 	return req.Resumed && (slices.ContainsFunc(l.groups()[group{pool.Decode, req.Version}], free) ||
-		len(l.idsByStage(pool.Prefill)) > 1 && slices.ContainsFunc(l.groups()[group{pool.Prefill, req.Version}], free))
+		slices.ContainsFunc(l.groups()[group{pool.Prefill, req.Version}], free))
+}
+
+// leastDoubted returns the engines that the fewest edge daemons report as unhealthy: one
+// that all report is dead, one that a single daemon reports may only be out of its reach.
+func (l *Ledger) leastDoubted(ids []string) []string {
+	var out []string
+	fewest := math.MaxInt
+	for _, id := range ids {
+		count := 0
+		for _, s := range l.reporters {
+			if slices.Contains(s.unhealthy, id) {
+				count++
+			}
+		}
+		if count < fewest {
+			out, fewest = nil, count
+		}
+		if count == fewest {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // lacksPrefill reports whether a lease would only be used up at a prefill engine: all are
