Queue a begun stream no longer than its client waits

The last request, sent when the time is up, could queue for two targets as before. Now a lease request of a begun stream may queue until holdEnd and no longer; then only what is free at once is granted.

--- a/internal/front/stream/ask.go
+++ b/internal/front/stream/ask.go
@@ -21,8 +21,8 @@
 		MaxRetryAfter: time.Duration(maxRetryAfterShare * float64(time.Until(j.deadline))),
 		Fingerprint:   fingerprint(j.req), Prefilled: j.cache != nil, Resumed: j.streaming, Excluded: j.excludedEngines(), Held: j.table.Held(time.Now(), j.service.Name), Rank: j.route.Rank, Gap: j.route.Gap}
 	j.goOn(&req)
-	if left := time.Until(j.holdEnd()); left > 0 && j.begun() {
-		req.RetryMaxWait = left
+	if j.begun() && !j.move.silent {
+		req.RetryMaxWait = max(time.Until(j.holdEnd()), 0)
 	}
 	return req
 }
--- a/internal/front/stream/move_test.go
+++ b/internal/front/stream/move_test.go
@@ -36,6 +36,8 @@
 	decodeFull
 	prefillUnsent
 	engineLeft
+	// queued is an owner that queues requests for as long as they may wait.
+	queued
 	faults
 )
 
@@ -45,7 +47,8 @@
 	rng     *rand.Rand
 	faults  []int
 	soundAt time.Time
-	leases  int
+	// asked are the lease requests.
+	asked []ledger.Request
 }
 
 // fault returns what fails now, faults for nothing.
@@ -63,7 +66,7 @@
 }
 
 func (f *troubledFleet) Acquire(ctx context.Context, r ledger.Request) (*lease.Lease, error) {
-	f.leases++
+	f.asked = append(f.asked, r)
 	refuse := func(reason string) (*lease.Lease, error) {
 		return nil, &lease.RefusedError{Reply: ledger.Reply{Status: ledger.Refused, Reason: reason, RetryAfter: time.Second}}
 	}
@@ -74,6 +77,11 @@
 		return refuse(ledger.ReasonLate)
 	case f.fault(noOwner):
 		return nil, errors.New("no owner")
+	case f.fault(queued):
+		time.Sleep(min(r.RetryMaxWait, time.Until(f.soundAt)))
+		if time.Now().Before(f.soundAt) {
+			return refuse(ledger.ReasonMaxWait)
+		}
 	}
 	l, err := f.versionedFleet.Acquire(ctx, r)
 	if err == nil && l.Decode == "d1" && f.fault(engineLeft) {
@@ -114,14 +122,27 @@
 	budget int
 	// leaves is when the client leaves, zero for never.
 	leaves time.Duration
-	seed   uint64
+	// first is the time before the events of the first run, and gone tells whether all
+	// engines of the version leave in it.
+	first time.Duration
+	gone  bool
+	seed  uint64
 }
 
-func (p trouble) play(t *testing.T) (rec *httptest.ResponseRecorder, o lines.Outcome, took time.Duration, leases int) {
+func (p trouble) play(t *testing.T) (rec *httptest.ResponseRecorder, o lines.Outcome, took time.Duration, requests []ledger.Request) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &troubledFleet{versionedFleet: newVersionedFleet("v1", "v1", "v2"), rng: rand.New(rand.NewPCG(p.seed, 1)), faults: p.faults}
 		f.soundAt = time.Now().Add(p.lasts)
 		f.prefilling = func(string) {}
+		f.sending = func(string) {
+			time.Sleep(p.first)
+			for _, s := range f.table.Usable(time.Now(), "s") {
+				if s.Draining = p.gone; p.gone && s.Version == "v1" {
+					f.table.Put(s)
+				}
+			}
+			p.first = 0
+		}
 		f.origins["first"] = origin.Origin{Version: "v1"}
 		budget := quota.New(0.625, 100, func() int { return 1 })
 		for left := 60; left > p.budget; left-- {
@@ -150,11 +171,11 @@
 		}
 		rec = httptest.NewRecorder()
 		o = h.Serve(ctx, rec, req, route, service, time.Now().Add(p.deadline))
-		took, leases = time.Since(req.Received), f.leases
+		took, requests = time.Since(req.Received), f.asked
 		time.Sleep(time.Minute) // timers of the case
 		synctest.Wait()
 	})
-	return rec, o, took, leases
+	return rec, o, took, requests
 }
 
 // patience is the time for which the clients of the cases wait for an event, less that from
@@ -172,9 +193,9 @@
 	ps.Property("a stream under way is whole if the trouble ends in time, and ends with its client's patience if not", prop.ForAll(
 		func(kinds []int, ms int64, budget int, seed uint64) string {
 			lasts := time.Duration(ms) * time.Millisecond
-			rec, o, took, leases := trouble{faults: kinds, lasts: lasts, deadline: 11 * time.Second, budget: budget, seed: seed}.play(t)
-			if lasts < patience && o.Result != "ok" || o.Result != "ok" && (took < patience || o.NotMoved == "") || took > patience+time.Second || leases > 40 {
-				return fmt.Sprintf("%+v after %v and %d leases, trouble for %v: %q", o, took, leases, lasts, rec.Body)
+			rec, o, took, asked := trouble{faults: kinds, lasts: lasts, deadline: 11 * time.Second, budget: budget, seed: seed}.play(t)
+			if lasts < patience && o.Result != "ok" || o.Result != "ok" && (took < patience || o.NotMoved == "") || took > patience+100*time.Millisecond || len(asked) > 40 {
+				return fmt.Sprintf("%+v after %v and %d leases, trouble for %v: %q", o, took, len(asked), lasts, rec.Body)
 			}
 			return ""
 		}, kinds, gen.Int64Range(0, 5000), gen.IntRange(0, 3), gen.UInt64()))
@@ -187,14 +208,41 @@
 			}
 			lasts := time.Duration(ms) * time.Millisecond
 			rec, o, took, _ := trouble{faults: kinds, lasts: lasts, deadline: 11 * time.Second, takenUp: true, budget: budget, seed: seed}.play(t)
-			if lasts < patience && o.Result != "ok" || o.Result != "ok" && (took < patience || o.RetryAfter <= 0) || took > patience+time.Second {
+			if lasts < patience && o.Result != "ok" || o.Result != "ok" && (took < patience || o.RetryAfter <= 0) || took > patience+100*time.Millisecond {
 				return fmt.Sprintf("%+v after %v, trouble for %v: %q", o, took, lasts, rec.Body)
 			}
 			return ""
 		}, kinds, gen.Int64Range(0, 5000), gen.IntRange(0, 3), gen.UInt64()))
+	ps.Property("an owner queues a stream for no longer than its client waits", prop.ForAll(func(seed uint64) bool {
+		_, _, took, _ := trouble{faults: []int{noRoom, noRoom, noRoom, queued}, lasts: 8 * time.Second, deadline: 11 * time.Second, budget: 3, seed: seed}.play(t)
+		return took < patience+100*time.Millisecond
+	}, gen.UInt64()))
 	ps.TestingRun(t)
 }
 
+// Guards against a stream that ends at once because its last event came long after the
+// request, and against an owner that may queue it for less than its client waits.
+func TestPatienceBeginsAtTheLastEvent(t *testing.T) {
+	const deadline, first = 20 * time.Second, 8 * time.Second
+	_, o, _, requests := trouble{faults: []int{noRoom, noEngine}, lasts: first + 3*time.Second, deadline: deadline, budget: 3, first: first}.play(t)
+	if o.Result != "ok" {
+		t.Errorf("%+v, want a whole stream", o)
+	}
+	waits := 0
+	for _, r := range requests {
+		if r.Resumed {
+			waits++
+			// The time from a grant to the first event grew with the first run.
+			if r.RetryMaxWait < 0 || r.RetryMaxWait > patience {
+				t.Errorf("lease request may wait for %v, want what is left of the client's time", r.RetryMaxWait)
+			}
+		}
+	}
+	if first := requests[1].RetryMaxWait; waits < 2 || first < 2*time.Second {
+		t.Errorf("%d lease requests of the stream, the first may wait for %v; want the time that its client waits", waits, first)
+	}
+}
+
 // Guards against waiting where it can't help: a client that left, a time limit that is near,
 // a request that has not begun.
 func TestWaitEnds(t *testing.T) {
@@ -207,6 +255,7 @@
 		"the client leaves":   {trouble{faults: []int{noEngine}, deadline: 11 * time.Second, budget: 3, leaves: time.Second}, "gone", "", time.Second},
 		"the deadline":        {trouble{faults: []int{noEngine}, deadline: 2 * time.Second, budget: 3}, "broken", "deadline", 1700 * time.Millisecond},
 		"no engine":           {trouble{faults: []int{noEngine}, deadline: 11 * time.Second, budget: 3}, "broken", "deadline", patience},
+		"all engines leave":   {trouble{faults: []int{faults}, deadline: 11 * time.Second, budget: 3, gone: true}, "broken", "version", 0},
 		"no budget":           {trouble{faults: []int{faults}, deadline: 11 * time.Second}, "broken", "budget", patience},
 		"taken up, no engine": {trouble{faults: []int{noEngine}, deadline: 11 * time.Second, takenUp: true}, "refused", "deadline", patience},
 		"taken up, no room":   {trouble{faults: []int{noRoom}, deadline: 11 * time.Second, takenUp: true}, "refused", "", 0},
