Watch the run of a begun stream's last lease

A stream that went on at its fourth lease, after two engines had refused connections, was not watched: a silent engine held it until its deadline, although leases don't end such a stream any more. The watch now depends on leases only for a request that has not begun, and a replacement that was granted is used whatever the number of leases.

TestSilentEngineOfTheLastLease failed on the old code, broken after 11 s, and passes: whole within 1.3 s, after the silence limit of 1.2 s. It fails as well if the replacement waits for another lease (mutation).

--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -110,7 +110,7 @@
 	if !j.findOrigin(ctx) {
 		return
 	}
-	for ; j.leases < j.maxLeases() || j.hold(ctx); j.leases++ {
+	for ; j.replacement != nil || j.leases < j.maxLeases() || j.hold(ctx); j.leases++ {
 		if j.refuseStop(ctx) || !j.payRetry(ctx) || !j.mayGoOn(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
 			return
 		}
--- a/internal/front/stream/move_test.go
+++ b/internal/front/stream/move_test.go
@@ -243,6 +243,43 @@
 	}
 }
 
+// silentTroubled falls silent in the run of a stream's last lease.
+type silentTroubled struct {
+	*versionedFleet
+	sends int
+}
+
+func (f *silentTroubled) Send(ctx context.Context, s pool.Server, r *proxy.Request, o proxy.Options) (*proxy.Response, error) {
+	switch f.sends++; f.sends {
+	case 2, 3:
+		return nil, &proxy.SendError{Fault: event.FaultUnsent, Err: errReset}
+	case 4:
+		f.sent = append(f.sent, s.ID)
+		return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: hung{ctx}, Close: func() {}}, nil
+	}
+	return f.versionedFleet.Send(ctx, s, r, o)
+}
+
+// Guards against a stream that ends at its deadline because the engine of its fourth lease
+// is silent and not watched.
+func TestSilentEngineOfTheLastLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &silentTroubled{versionedFleet: newVersionedFleet("v1", "v1", "v1", "v1", "v1")}
+		f.breaks = []int{2}
+		route := &config.Route{Name: "r", Kind: config.Stream, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond, Resume: true, Attempts: 3, Model: true}
+		service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+		h := stream.New(f.table, f, ingress{}, f, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+		const deadline = 11 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), deadline)
+		defer cancel()
+		rec, start := httptest.NewRecorder(), time.Now()
+		o := h.Serve(ctx, rec, &proxy.Request{ID: "c", Method: http.MethodPost, Received: start, Prompt: 100, MaxOutput: 80}, route, service, start.Add(deadline))
+		if took := time.Since(start); o.Result != "ok" || took > 1300*time.Millisecond {
+			t.Errorf("%+v after %v, want a whole stream within 1.3 s", o, took)
+		}
+	})
+}
+
 // Guards against waiting where it can't help: a client that left, a time limit that is near,
 // a request that has not begun.
 func TestWaitEnds(t *testing.T) {
--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -78,9 +78,9 @@
 // watch starts to watch a run or a prefill at engine s, which is silent after limit,
 // which counts for its health as the outcome silent. stop must be called; until then the
 // caller holds the watch's lock. ctx is that of the request, cancel ends the run. It returns
-// nil if the request may use no further lease.
+// nil if the request may use no further lease. One that has begun gets more of them.
 func (j *job) watch(ctx context.Context, cancel context.CancelCauseFunc, s pool.Server, limit time.Duration, silent pool.Outcome) *watch {
-	if j.leases+1 >= j.maxLeases() {
+	if j.leases+1 >= j.maxLeases() && !j.begun() {
 		return nil
 	}
 	w := &watch{job: j, ctx: ctx, cancel: cancel, server: s, limit: limit, silent: silent, lastEvent: time.Now()}
