--- /dev/null
+++ b/internal/front/stream/process_test.go
@@ -0,0 +1,87 @@
+package stream_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/front/quota"
+	"citronrock.example/citronrock/internal/front/stream"
+	"citronrock.example/citronrock/internal/logs/lines"
+	"citronrock.example/citronrock/internal/room/lease"
+	"citronrock.example/citronrock/internal/room/ledger"
+	"citronrock.example/citronrock/internal/route/config"
+	"citronrock.example/citronrock/internal/route/pool"
+)
+
+// reporting is an engine that takes 20 ms to say which process it is.
+type reporting struct {
+	citronrock.Backends
+	questions, runs atomic.Int64
+}
+
+func (r *reporting) Usage(context.Context, pool.Server) (ledger.Usage, error) {
+	r.questions.Add(1)
+	time.Sleep(20 * time.Millisecond)
+	return ledger.Usage{}, nil
+}
+
+func (r *reporting) Acquire(context.Context, ledger.Request) (*lease.Lease, error) {
+	return lease.Unmanaged("d1"), nil
+}
+
+func (r *reporting) Send(context.Context, pool.Server, *proxy.Request, proxy.Options) (*proxy.Response, error) {
+	r.runs.Add(1)
+	time.Sleep(time.Second)
+	return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: strings.NewReader(events(4)), Close: func() {}}, nil
+}
+
+// Guards against a question to the engine for each new stream: in 30 s without trouble none
+// is asked, after a failed connection one, which all streams share, and without news of the
+// store one each 1.2 s.
+func TestQuestionsAreShared(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(*pool.Table, pool.Server)
+		most    int64
+	}{
+		"no trouble":           {func(*pool.Table, pool.Server) {}, 0},
+		"a failed connection":  {func(t *pool.Table, s pool.Server) { t.SetDown(s, true); t.SetDown(s, false) }, 1},
+		"no news of the store": {func(t *pool.Table, _ pool.Server) { t.MarkCurrent(time.Now().Add(-time.Minute)) }, 25},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				servers, engine := table(), new(reporting)
+				s, _ := servers.Entry("d1")
+				c.prepare(servers, s)
+				time.Sleep(time.Millisecond)
+				h := stream.New(servers, engine, ingress{}, engine, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+				route := &config.Route{Name: "r", Kind: config.Stream, Timeout: 10 * time.Second, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond, Attempts: 2}
+				service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+				var all sync.WaitGroup
+				for range 600 { // ten together, for 30 s
+					for range 10 {
+						all.Go(func() {
+							req := &proxy.Request{ID: "a", Method: http.MethodPost, Received: time.Now(), Prompt: 100, MaxOutput: 80}
+							h.Serve(t.Context(), httptest.NewRecorder(), req, route, service, time.Now().Add(10*time.Second))
+						})
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				all.Wait()
+				if engine.runs.Load() != 6000 || engine.questions.Load() > c.most || c.most > 0 && engine.questions.Load() == 0 {
+					t.Errorf("%d questions for %d streams, want %d at most for 6000", engine.questions.Load(), engine.runs.Load(), c.most)
+				}
+			})
+		})
+	}
+}
