Take a record back as soon as another process shows

Callers could see: an engine starts again under its ID with another version, and for up to 1.2 s its entry isn't known here. A stream that begins there in that time is recorded at the old version, also after the new entry has come; a client that leaves this daemon goes on by that record at the old version (ORDER).

Cause: the record was compared with the entry only when the run broke off here.

Change: it is compared before each event is passed on. If a process of another version has the engine's ID, and the earlier one was not heard of, nor ended, since the run began, the version is unknown from then on, at all holders.

Failed before: TestRecordIsTakenBack, "another version" (v1 recorded, none wanted). Mutations, each found: no check before events; a check that takes back what the earlier process has brought.

--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -57,6 +57,8 @@
 	late string
 	// noted is called before that, nil for nothing.
 	noted func(pool.Server)
+	// during is called after the first event of the next run, nil for nothing.
+	during func(pool.Server)
 	// replaced is the engine that started again without a new entry yet.
 	replaced string
 	// unrecorded is set when an event came before its record.
@@ -147,7 +149,21 @@
 	for i := first + 1; i <= last; i++ {
 		fmt.Fprintf(&body, "id: %d\ndata: %s\n\n", i, now.Version)
 	}
-	return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.MultiReader(strings.NewReader(body.String()), end), Close: func() {}}, nil
+	events := io.Reader(strings.NewReader(body.String()))
+	if during := f.during; during != nil {
+		f.during = nil
+		first := strings.Index(body.String(), "\n\n") + 2
+		events = io.MultiReader(strings.NewReader(body.String()[:first]), hook(func() { during(s) }), strings.NewReader(body.String()[first:]))
+	}
+	return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.MultiReader(events, end), Close: func() {}}, nil
+}
+
+// hook is an empty reader that calls a function.
+type hook func()
+
+func (h hook) Read([]byte) (int, error) {
+	h()
+	return 0, io.EOF
 }
 
 // lateEntry calls a function when a run breaks off.
--- a/internal/front/stream/process_test.go
+++ b/internal/front/stream/process_test.go
@@ -23,6 +23,38 @@
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
+// Guards against a record that stays at the version of an entry although a later process,
+// known only while the stream runs, brings its events: the client may leave this daemon at
+// any time.
+func TestRecordIsTakenBack(t *testing.T) {
+	cases := map[string]struct {
+		during func(*versionedFleet, pool.Server)
+		want   string
+	}{
+		"nothing happens":      {func(*versionedFleet, pool.Server) {}, "v1"},
+		"the entry is renewed": {func(f *versionedFleet, s pool.Server) { s.Sequence++; f.table.Put(s) }, "v1"},
+		"another version":      {func(f *versionedFleet, s pool.Server) { f.start(s.ID, 0, "v2") }, ""},
+		"the same version":     {func(f *versionedFleet, s pool.Server) { f.start(s.ID, 0, "v1") }, "v1"},
+		"another version after the end of the process": {func(f *versionedFleet, s pool.Server) {
+			time.Sleep(time.Millisecond)
+			f.table.SetDown(s, true)
+			f.start(s.ID, 0, "v2")
+		}, "v1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVersionedFleet("v1")
+				f.during = func(s pool.Server) { c.during(f, s) }
+				_, o := (&client{fleet: f}).attempt(t, "")
+				if got := f.origins["try1"]; o.Result != "ok" || got.Version != c.want {
+					t.Errorf("result %q, recorded at %q; want %q", o.Result, got.Version, c.want)
+				}
+			})
+		})
+	}
+}
+
 // reporting is an engine that takes 20 ms to say which process it is.
 type reporting struct {
 	citronrock.Backends
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -37,6 +37,7 @@
 		if !e.empty && j.runEvents == 0 && !j.fixVersion(ctx) {
 			return &proxy.SendError{Fault: event.FaultFailed, Err: errVersion}
 		}
+		j.checkRecord(ctx, s)
 		if !j.streaming {
 			if !j.keep() {
 				return errStopped
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -294,19 +294,24 @@
 }
 
 // mayMove reports whether a run that broke off may go on at another engine than s: the
-// version of the stream is known, and another engine has it. If another process has the ID
-// of the engine that brought the first event by now, it may have brought that event, unseen,
-// unless the earlier one was heard of, or ended, after the run had begun.
+// version of the stream is known, and another engine has it.
 func (j *job) mayMove(ctx context.Context, s pool.Server) bool {
-	v := &j.version
-	if !v.fixed {
+	if !j.version.fixed {
 		return true
 	}
+	j.checkRecord(ctx, s)
+	return j.hasOther(s)
+}
+
+// checkRecord takes the recorded version back if another process has the ID of the engine
+// that brought the first event by now: it may have brought that event, unseen, unless the
+// earlier one was heard of, or ended, after the run had begun.
+func (j *job) checkRecord(ctx context.Context, s pool.Server) {
+	v := &j.version
 	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" && !j.isSame(s) {
 		v.name = ""
 		j.record(ctx)
 	}
-	return j.hasOther(s)
 }
 
 // hasOther reports whether an engine other than s has the version of the stream.
