Share no answer from before a doubt about an engine

A stream that joined another one's question about the process of an engine took the answer, although a connection had failed after the question was asked, so that the process might have ended since.

The answer to an earlier question counts only if nothing has raised a doubt since; else the engine is asked again. A panic in the question ends the stream's try, not the process.

--- a/internal/front/stream/process_test.go
+++ b/internal/front/stream/process_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"citronrock.example/citronrock"
+	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/stream"
@@ -59,11 +60,18 @@
 type reporting struct {
 	citronrock.Backends
 	questions, runs atomic.Int64
+	// replaced is set once another process has the engine's ID, late counts the runs there.
+	replaced atomic.Bool
+	late     atomic.Int64
 }
 
 func (r *reporting) Usage(context.Context, pool.Server) (ledger.Usage, error) {
 	r.questions.Add(1)
+	replaced := r.replaced.Load()
 	time.Sleep(20 * time.Millisecond)
+	if replaced {
+		return ledger.Usage{}, &proxy.SendError{Fault: event.FaultRefused, Misdirected: true, Err: errReset}
+	}
 	return ledger.Usage{}, nil
 }
 
@@ -73,10 +81,47 @@
 
 func (r *reporting) Send(context.Context, pool.Server, *proxy.Request, proxy.Options) (*proxy.Response, error) {
 	r.runs.Add(1)
+	if r.replaced.Load() {
+		r.late.Add(1)
+	}
 	time.Sleep(time.Second)
 	return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: strings.NewReader(events(4)), Close: func() {}}, nil
 }
 
+// handler returns a function that serves one new stream at the engine.
+func (r *reporting) handler(t *testing.T, servers *pool.Table) func() {
+	h := stream.New(servers, r, ingress{}, r, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
+	route := &config.Route{Name: "r", Kind: config.Stream, Timeout: 10 * time.Second, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond, Attempts: 2}
+	service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+	return func() {
+		req := &proxy.Request{ID: "a", Method: http.MethodPost, Received: time.Now(), Prompt: 100, MaxOutput: 80}
+		h.Serve(t.Context(), httptest.NewRecorder(), req, route, service, time.Now().Add(10*time.Second))
+	}
+}
+
+// Guards against a stream that relies on an answer from before the engine was replaced.
+func TestOldAnswerDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers, engine := table(), new(reporting)
+		s, _ := servers.Entry("d1")
+		servers.SetDown(s, true)
+		time.Sleep(time.Millisecond)
+		begin := engine.handler(t, servers)
+		var all sync.WaitGroup
+		all.Go(begin)
+		time.Sleep(10 * time.Millisecond)
+		engine.replaced.Store(true)
+		servers.Begin("d1")(time.Now(), pool.Broken, 0)
+		time.Sleep(time.Millisecond)
+		all.Go(begin)
+		all.Wait()
+		// The first stream is sent before its question shows the doubt, and is not recorded.
+		if engine.late.Load() > 1 || engine.questions.Load() < 2 {
+			t.Errorf("%d runs at the other process after %d questions", engine.late.Load(), engine.questions.Load())
+		}
+	})
+}
+
 // Guards against a question to the engine for each new stream: in 30 s without trouble none
 // is asked, after a failed connection one, which all streams share, and without news of the
 // store one each 1.2 s.
@@ -96,16 +141,11 @@
 				s, _ := servers.Entry("d1")
 				c.prepare(servers, s)
 				time.Sleep(time.Millisecond)
-				h := stream.New(servers, engine, ingress{}, engine, quota.New(0.2, 100, func() int { return 1 }), lines.New(io.Discard, "test"))
-				route := &config.Route{Name: "r", Kind: config.Stream, Timeout: 10 * time.Second, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond, Attempts: 2}
-				service := config.Service{Name: "s", Engine: &config.Engine{Slots: 8, Tokens: 1000, Stride: 10, Handle: 500 * time.Millisecond}}
+				begin := engine.handler(t, servers)
 				var all sync.WaitGroup
 				for range 600 { // ten together, for 30 s
 					for range 10 {
-						all.Go(func() {
-							req := &proxy.Request{ID: "a", Method: http.MethodPost, Received: time.Now(), Prompt: 100, MaxOutput: 80}
-							h.Serve(t.Context(), httptest.NewRecorder(), req, route, service, time.Now().Add(10*time.Second))
-						})
+						all.Go(begin)
 					}
 					time.Sleep(50 * time.Millisecond)
 				}
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -8,11 +8,13 @@
 	"strconv"
 	"time"
 
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -41,6 +43,9 @@
 	reasonVersion = "version"
 )
 
+// errUnasked means that an engine was not asked for its process.
+var errUnasked = errors.New("the engine was not asked for its process")
+
 // errVersion ends a run whose engine was replaced around the time of its start.
 var errVersion = errors.New("the engine's entry changed before the first event")
 
@@ -187,33 +192,47 @@
 	return j.confirm(ctx, s)
 }
 
-// confirm asks an engine which process it is. Streams that ask at the same time share the
-// question.
+// confirm asks an engine which process it is. An answer to a question that was asked earlier
+// counts if nothing has raised a doubt since.
 func (j *job) confirm(ctx context.Context, s pool.Server) bool {
+	for called := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return false
+		case a := <-j.ask(ctx, s):
+			asked, ok := a.Val.(time.Time)
+			if !ok {
+				a.Err = errUnasked // after a panic
+			}
+			if a.Err != nil {
+				j.log.Info("process of an engine not confirmed", "request", j.req.ID, "server", s.ID, "error", a.Err.Error())
+				if asSendError(a.Err).Misdirected {
+					j.table.MarkMisdirected(time.Now(), s)
+				}
+				return false
+			}
+			if !asked.Before(called) || j.table.IsConfirmed(time.Now(), s) {
+				return true
+			}
+		}
+	}
+}
+
+// ask asks an engine which process it is and returns when it was asked. Streams that ask at
+// the same time share the question.
+func (j *job) ask(ctx context.Context, s pool.Server) <-chan singleflight.Result {
 	p := s.Process()
-	answer := j.checks.DoChan(fmt.Sprint(p.StartedAt, " ", p.ID), func() (any, error) {
+	return j.checks.DoChan(fmt.Sprint(p.StartedAt, " ", p.ID), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 		defer cancel()
+		defer panics.Recover(j.log, "question to an engine")
 		asked := time.Now()
 		_, err := j.backends.Usage(ctx, s)
 		if err == nil {
 			j.table.ConfirmProcess(asked, s)
 		}
-		return nil, err
+		return asked, err
 	})
-	select {
-	case <-ctx.Done():
-		return false
-	case a := <-answer:
-		if a.Err == nil {
-			return true
-		}
-		j.log.Info("process of an engine not confirmed", "request", j.req.ID, "server", s.ID, "error", a.Err.Error())
-		if asSendError(a.Err).Misdirected {
-			j.table.MarkMisdirected(time.Now(), s)
-		}
-		return false
-	}
 }
 
 // strayed prepares another lease without the engines of other versions.
