--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -8,11 +8,13 @@
 	"strconv"
 	"time"
 
+	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
 	"citronrock.example/citronrock/internal/route/config"
 	"citronrock.example/citronrock/internal/route/origin"
 	"citronrock.example/citronrock/internal/route/pool"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -41,6 +43,9 @@
 	reasonVersion = "version"
 )
 
+// errUnasked means that an engine was not asked for its process.
+var errUnasked = errors.New("the engine was not asked for its process")
+
 // errVersion ends a run whose engine was replaced around the time of its start.
 var errVersion = errors.New("the engine's entry changed before the first event")
 
@@ -189,33 +194,47 @@
 	return j.confirm(ctx, s)
 }
 
-// confirm asks an engine which process it is. Streams that ask at the same time share the
-// question.
+// confirm asks an engine which process it is. An answer to a question that was asked earlier
+// counts if nothing has raised a doubt since.
 func (j *job) confirm(ctx context.Context, s pool.Server) bool {
+	for called := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return false
+		case a := <-j.ask(ctx, s):
+			asked, ok := a.Val.(time.Time)
+			if !ok {
+				a.Err = errUnasked // after a panic
+			}
+			if a.Err != nil {
+				j.log.Info("process of an engine not confirmed", "request", j.req.ID, "server", s.ID, "error", a.Err.Error())
+				if asSendError(a.Err).Misdirected {
+					j.table.MarkMisdirected(time.Now(), s)
+				}
+				return false
+			}
+			if !asked.Before(called) || j.table.IsConfirmed(time.Now(), s) {
+				return true
+			}
+		}
+	}
+}
+
+// ask asks an engine which process it is and returns when it was asked. Streams that ask at
+// the same time share the question.
+func (j *job) ask(ctx context.Context, s pool.Server) <-chan singleflight.Result {
 	p := s.Process()
-	answer := j.checks.DoChan(fmt.Sprint(p.StartedAt, " ", p.ID), func() (any, error) {
+	return j.checks.DoChan(fmt.Sprint(p.StartedAt, " ", p.ID), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 		defer cancel()
+		defer panics.Recover(j.log, "question to an engine")
 		asked := time.Now()
 		_, err := j.backends.Usage(ctx, s)
 		if err == nil {
 			j.table.ConfirmProcess(asked, s)
 		}
-		return nil, err
+		return asked, err
 	})
-	select {
-	case <-ctx.Done():
-		return false
-	case a := <-answer:
-		if a.Err == nil {
-			return true
-		}
-		j.log.Info("process of an engine not confirmed", "request", j.req.ID, "server", s.ID, "error", a.Err.Error())
-		if asSendError(a.Err).Misdirected {
-			j.table.MarkMisdirected(time.Now(), s)
-		}
-		return false
-	}
 }
 
 // strayed prepares another lease without the engines of other versions.
@@ -296,19 +315,24 @@
 }
 
 // mayMove reports whether a run that broke off may go on at another engine than s: the
-// version of the stream is known, and another engine has it. If another process has the ID
-// of the engine that brought the first event by now, it may have brought that event, unseen,
-// unless the earlier one was heard of, or ended, after the run had begun.
+// version of the stream is known, and another engine has it or may have it again.
 func (j *job) mayMove(ctx context.Context, s pool.Server) bool {
-	v := &j.version
-	if !v.fixed {
+	if !j.version.fixed {
 		return true
 	}
+	j.checkRecord(ctx, s)
+	return j.hasOther(s) || j.begun() && j.mayReturn()
+}
+
+// checkRecord takes the recorded version back if another process has the ID of the engine
+// that brought the first event by now: it may have brought that event, unseen, unless the
+// earlier one was heard of, or ended, after the run had begun.
+func (j *job) checkRecord(ctx context.Context, s pool.Server) {
+	v := &j.version
 	if now, ok := j.table.Entry(s.ID); ok && now.Version != v.name && v.run == j.runs && v.name != "" && !j.isSame(s) {
 		v.name = ""
 		j.record(ctx)
 	}
-	return j.hasOther(s) || j.begun() && j.mayReturn()
 }
 
 // mayReturn reports whether an engine of the stream's version is there or may be again: one
