Keep idle connections for the longest timeout clients use

A request crossed the close of an idle connection beside a change of idle_timeout: the connection had been accepted under a shorter timeout and kept it, while its client went by the longer one in force. A request of which fewer than four bytes had arrived was cut as well, as net/http ends the idle time only then.

The server now counts the idle time itself: a connection is closed idleMargin after the longest timeout that was in force since 5 s before it became idle, clients may go by any of these. Nothing is closed while unread bytes are there, and the first byte of a request starts the time for its header.

TestIdleEndsAfterTheLongestTimeout shows the bound over drawn orders of changes, on injected time.

Mutations, each found by a test: only the current timeout, no look at unread bytes, no time for the header at the first byte.

--- a/internal/front/serve/conn.go
+++ b/internal/front/serve/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -39,26 +41,31 @@
 // request, between the arrival of the request and the call of its handler.
 type conn struct {
 	*net.TCPConn
-	opened  time.Time
-	onClose func(*conn)
+	opened time.Time
+	server *Server
 
 	mu    sync.Mutex
 	phase phase
+	// since is when the connection became idle.
+	since time.Time
 	// closed is set when no more requests are served, refused when they are answered
 	// beforehand.
 	closed, refused bool
 }
 
-func newConn(c *net.TCPConn, onClose func(*conn)) *conn {
-	return &conn{TCPConn: c, opened: time.Now(), onClose: onClose}
+func newConn(c *net.TCPConn, s *Server) *conn {
+	return &conn{TCPConn: c, opened: time.Now(), server: s}
 }
 
 // Read reads a part of a request. What is read after the connection was closed is
 // dropped. The rest of a refused request is read, as unread bytes would reset the
 // connection before the client has read the answer.
 func (c *conn) Read(p []byte) (int, error) {
-	for {
+	for c.awaits(); ; {
 		n, err := c.TCPConn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.awaits() {
+			continue
+		}
 		if n == 0 || c.claim() {
 			return n, err
 		}
@@ -73,7 +80,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	c.onClose(c)
+	c.server.remove(c)
 	return c.TCPConn.Close()
 }
 
@@ -82,6 +89,9 @@
 func (c *conn) claim() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == idle {
+		c.setHeaderDeadline()
+	}
 	if c.phase < reading {
 		c.phase = reading
 	}
@@ -106,7 +116,38 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = idle
+	c.phase, c.since = idle, time.Now()
+}
+
+// awaits sets the deadline for the next request of an idle connection. It returns false
+// if the connection isn't idle, or is closed as that deadline has passed and no part of a
+// request has arrived.
+func (c *conn) awaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != idle || c.closed {
+		return false
+	}
+	end := c.server.idle.end(c.since)
+	_ = c.SetReadDeadline(end) // an error shows in the read
+	switch {
+	case time.Now().Before(end):
+	case c.hasUnread():
+		c.setHeaderDeadline()
+	default:
+		c.closed = true
+	}
+	return !c.closed
+}
+
+// setHeaderDeadline gives a request whose first byte has arrived the time for its header.
+// net/http does so only after four bytes.
+func (c *conn) setHeaderDeadline() {
+	var end time.Time
+	if wait := c.server.headerWait(); wait > 0 {
+		end = time.Now().Add(wait)
+	}
+	_ = c.SetReadDeadline(end) // an error shows in the read
 }
 
 // closeWaiting closes the connection if it waits for another request, and refuses the
@@ -118,7 +159,7 @@
 	case c.closed || c.hasUnread():
 	case c.phase == idle:
 		c.closed = true
-		c.onClose(c)
+		c.server.remove(c)
 		_ = c.TCPConn.Close() // the client has to go elsewhere in any case
 	case c.phase == unused && time.Since(c.opened) > newConnTime:
 		c.refuse()
@@ -174,14 +215,24 @@
 
 // track adds a connection to those that a stop closes.
 func (s *Server) track(tcp *net.TCPConn) *conn {
-	c := newConn(tcp, func(c *conn) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.conns, c)
-	})
+	c := newConn(tcp, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	s.accepted = c.opened
 	return c
 }
+
+// remove removes a closed connection.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// headerWait returns the time for a request's header, zero for any.
+func (s *Server) headerWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.HeaderWait
+}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -46,7 +46,9 @@
 )
 
 // Server serves clients at one address. Limits apply to connections that are
-// accepted after they were set.
+// accepted after they were set, except the idle timeout: an idle connection is closed
+// after the longest one that its client may go by, and idleMargin. A request is lost only
+// if it crosses that close.
 type Server struct {
 	listener *net.TCPListener
 	handler  http.Handler
@@ -56,6 +58,7 @@
 
 	mu      sync.Mutex
 	limits  config.Limits
+	idle    idleTimes
 	queue   *connQueue
 	servers []*http.Server
 	conns   map[*conn]struct{}
@@ -164,9 +167,10 @@
 		return
 	}
 	s.limits = l
+	s.idle.set(time.Now(), l.Idle)
 	q := &connQueue{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.listener.Addr()}
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: l.Header,
-		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: l.Idle + idleMargin, WriteTimeout: writeTimeout,
+		ReadHeaderTimeout: l.HeaderWait, IdleTimeout: -1, WriteTimeout: writeTimeout,
 		ConnState: onState, ConnContext: withConn, ErrorLog: s.log.StandardLogger(nil)}
 	if s.queue != nil {
 		s.queue.close()
