Ask an engine whose connections fail after its header

What callers could see: a stream recorded at the version of an entry, and going on there, though another process brought its first event. Cause: a connection that failed after the header counted as the end of the entry's process, and so as proof that it had sent that header; it may be the later process's, or a late reset (found by the review of the fix). Change: while the entry is the same, only a report of the process itself, or no doubt at all, counts; otherwise the engine is asked once.

--- a/internal/front/stream/fleet_test.go
+++ b/internal/front/stream/fleet_test.go
@@ -57,6 +57,9 @@
 	late string
 	// noted is called before that, nil for nothing.
 	noted func(pool.Server)
+	// opening is called before the first event of the next run, after its header; nil for
+	// nothing.
+	opening func(pool.Server)
 	// during is called after the first event of the next run, nil for nothing.
 	during func(pool.Server)
 	// replaced is the engine that started again without a new entry yet.
@@ -150,6 +153,10 @@
 		fmt.Fprintf(&body, "id: %d\ndata: %s\n\n", i, now.Version)
 	}
 	events := io.Reader(strings.NewReader(body.String()))
+	if opening := f.opening; opening != nil {
+		f.opening = nil
+		events = io.MultiReader(hook(func() { opening(s) }), events)
+	}
 	if during := f.during; during != nil {
 		f.during = nil
 		first := strings.Index(body.String(), "\n\n") + 2
--- a/internal/front/stream/process_test.go
+++ b/internal/front/stream/process_test.go
@@ -24,6 +24,37 @@
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
+// Guards against a stream that is recorded at the version of an entry because a connection
+// of its engine fails after the header: that says nothing of the process that sent it.
+func TestDoubtAfterTheHeader(t *testing.T) {
+	cases := map[string]struct {
+		replaced string
+		doubt    func(*pool.Table, pool.Server)
+		want     string
+	}{
+		"a connection fails, it is the same":     {"", func(t *pool.Table, s pool.Server) { t.SetDown(s, true) }, "v1"},
+		"a connection fails, it was replaced":    {"d1", func(t *pool.Table, s pool.Server) { t.SetDown(s, true) }, ""},
+		"a run breaks off, it was replaced":      {"d1", func(t *pool.Table, s pool.Server) { t.Begin(s.ID)(time.Now(), pool.Broken, 0) }, ""},
+		"it reported its start after the header": {"d1", func(t *pool.Table, s pool.Server) { t.ConfirmProcess(time.Now(), s) }, "v1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVersionedFleet("v1")
+				f.opening = func(s pool.Server) {
+					time.Sleep(time.Millisecond)
+					f.replaced = c.replaced
+					c.doubt(f.table, s)
+				}
+				(&client{fleet: f}).attempt(t, "")
+				if got := f.origins["try1"].Version; got != c.want {
+					t.Errorf("recorded at %q, want %q", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a record that stays at the version of an entry although a later process,
 // known only while the stream runs, brings its events: the client may leave this daemon at
 // any time.
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -290,10 +290,13 @@
 }
 
 // hasAnswered reports whether the process of an entry that was not replaced has answered. It
-// is asked if its end seemed possible since the request was sent.
+// is asked if its end seemed possible since the request was sent: a connection that fails
+// after the header may be another process's.
 func (j *job) hasAnswered(ctx context.Context, s pool.Server) bool {
-	now := time.Now()
-	return j.service.Engine == nil || j.table.IsConfirmed(now, s) || j.table.HasServed(s, j.answeredAt) || j.confirm(ctx, s)
+	if now, ok := j.table.Entry(s.ID); ok && now.Process() != s.Process() {
+		return true
+	}
+	return j.service.Engine == nil || j.table.IsConfirmed(time.Now(), s) || j.confirm(ctx, s)
 }
 
 // record records the version for the attempt that brought the first event.
