Doubt the first state of a daemon that has started

What callers could see: streams recorded at the version of an entry whose engine had started again, at a daemon that starts while the store is down and takes another daemon's state of any age (found by the review). Cause: the first state counted as the newest. Change: it is like the state after a gap: for 2.5 s, and until there is news of the store, engines are asked for their start before streams begin there, once for all streams. Measured: TestFirstStateIsDoubted failed before, passes now; TestEvidenceOfProcess and TestQuestionsAreShared pass unchanged.

--- a/internal/route/pool/process.go
+++ b/internal/route/pool/process.go
@@ -24,11 +24,12 @@
 }
 
 // MarkCurrent records that the entries were the newest ones of the store at a time. After a
-// gap servers may not have been able to write theirs.
+// gap servers may not have been able to write theirs, and the first entries after a start may
+// be those of another daemon that could not read the store.
 func (t *Table) MarkCurrent(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.currentAt.IsZero() && now.Sub(t.currentAt) > currentTime {
+	if now.Sub(t.currentAt) > currentTime {
 		t.unsettled = now.Add(outageWindow)
 	}
 	t.currentAt = now
--- a/internal/route/pool/process_test.go
+++ b/internal/route/pool/process_test.go
@@ -183,3 +183,26 @@
 		})
 	}
 }
+
+// Guards against streams that begin unasked at engines of a daemon that has just started: its
+// first state may be another daemon's, of any age, while the store is down.
+func TestFirstStateIsDoubted(t *testing.T) {
+	now := time.UnixMilli(1e12)
+	table, s := pool.New(), pool.Server{ID: "e", Service: "s", Sequence: 1}
+	table.Put(s)
+	confirmed := func(after time.Duration) bool { return table.IsConfirmed(now.Add(after), s) }
+	table.MarkCurrent(now)
+	if confirmed(0) {
+		t.Error("confirmed by the first state")
+	}
+	table.ConfirmProcess(now, s)
+	if !confirmed(time.Second) {
+		t.Error("not confirmed by its own report")
+	}
+	for after := time.Second; after <= 4*time.Second; after += time.Second {
+		table.MarkCurrent(now.Add(after))
+	}
+	if !confirmed(4 * time.Second) {
+		t.Error("not confirmed by news over four seconds")
+	}
+}
