Take an update that is older than the state as no news

What callers could see: streams recorded at the version of an entry whose engine had started again, while a daemon's entries seemed current by updates of a sender that had not read the store since (found by the review). Cause: each update of the same era renewed the time at which the state was the newest. Measured: TestOlderUpdateIsNoNews failed before, passes now; route/follow, route/builds and front/router pass.

--- a/internal/route/follow/restore_test.go
+++ b/internal/route/follow/restore_test.go
@@ -170,6 +170,33 @@
 	}
 }
 
+// Guards against entries that count as the newest because of updates that are older than them:
+// their sender has not read the store since.
+func TestOlderUpdateIsNoNews(t *testing.T) {
+	for name, c := range map[string]struct {
+		older   uint64
+		current bool
+	}{"the same revision": {0, true}, "an older one": {1, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := backupStore()
+				p := &peers{}
+				f := follow.Start(s, pool.New(), p, hclog.NewNullLogger())
+				defer f.Close()
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				before, at := f.Age()
+				time.Sleep(time.Millisecond)
+				p.deliver(netip.AddrPort{}, fanout.Update{Era: at.Era, Revision: at.Number - c.older, Version: 1})
+				synctest.Wait()
+				if after, _ := f.Age(); (after <= before) != c.current {
+					t.Errorf("age %v after the update, %v before", after, before)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a daemon that does not get a configuration which the others have
 // in force, because the store lacks it until the operator writes it again, and
 // against one that reads the store for it at each update.
--- a/internal/route/follow/update.go
+++ b/internal/route/follow/update.go
@@ -84,7 +84,9 @@
 		return errGap
 	}
 	f.confirm(now)
-	f.markCurrent(f.revision)
+	if u.Revision == f.revision.Number { // the sender of an older one has not read the store since
+		f.markCurrent(f.revision)
+	}
 	return nil
 }
 
