Answer a request that crosses the close of an idle connection

TestRequestCrossesTheClose has no counterpart on the old code. TestStopClosesKeptConnections wanted the end of the connection and nothing before it: it now wants exactly the 408 that closes it, then the end, within the same time.

--- a/internal/front/serve/conn.go
+++ b/internal/front/serve/conn.go
@@ -21,10 +21,18 @@
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
-// refusal answers a request that has not been read completely when the server stops. It
-// is written without knowing the request.
-var refusal = fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: %g\r\n\r\n",
-	http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), grace.RetryAfter.Seconds())
+// Answers that are written without knowing the request: stopped to one that has not been
+// read completely when the server stops, timedOut to one that may be on its way when an idle
+// connection is closed. Clients without a request discard it (RFC 9110, 15.5.9).
+var (
+	stopped  = refusal(http.StatusServiceUnavailable)
+	timedOut = refusal(http.StatusRequestTimeout)
+)
+
+func refusal(status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: %g\r\n\r\n",
+		status, http.StatusText(status), grace.RetryAfter.Seconds())
+}
 
 // phase is what a connection carries.
 type phase int
@@ -89,7 +97,7 @@
 func (c *conn) claim() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == idle {
+	if c.phase == idle && !c.closed {
 		c.setHeaderDeadline()
 	}
 	if c.phase < reading {
@@ -119,9 +127,9 @@
 	c.phase, c.since = idle, time.Now()
 }
 
-// awaits sets the deadline for the next request of an idle connection. It returns false
-// if the connection isn't idle, or is closed as that deadline has passed and no part of a
-// request has arrived.
+// awaits sets the deadline for the next request of an idle connection, and refuses it once
+// that has passed and no part of it has arrived. It returns false if the connection isn't
+// idle, or was refused before.
 func (c *conn) awaits() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,9 +143,9 @@
 	case c.hasUnread():
 		c.setHeaderDeadline()
 	default:
-		c.closed = true
+		c.refuse(timedOut)
 	}
-	return !c.closed
+	return true
 }
 
 // setHeaderDeadline gives a request whose first byte has arrived the time for its header.
@@ -150,19 +158,17 @@
 	_ = c.SetReadDeadline(end) // an error shows in the read
 }
 
-// closeWaiting closes the connection if it waits for another request, and refuses the
-// first one if it does not come in newConnTime.
+// closeWaiting refuses the next request if the connection waits for one, and the first one
+// if it does not come in newConnTime.
 func (c *conn) closeWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.closed || c.hasUnread():
 	case c.phase == idle:
-		c.closed = true
-		c.server.remove(c)
-		_ = c.TCPConn.Close() // the client has to go elsewhere in any case
+		c.refuse(timedOut)
 	case c.phase == unused && time.Since(c.opened) > newConnTime:
-		c.refuse()
+		c.refuse(stopped)
 	}
 }
 
@@ -180,16 +186,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed && c.phase != serving {
-		c.refuse()
+		c.refuse(stopped)
 	}
 }
 
 // refuse answers the next request and closes the connection for writing. It is closed
-// when the client has closed it, too.
-func (c *conn) refuse() {
+// when the client has closed it, too, or lingerTime later: until then a request that crosses
+// the answer is read, as unread bytes would reset the connection.
+func (c *conn) refuse(answer string) {
 	c.closed, c.refused = true, true
-	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // an error shows in the write
-	if _, err := io.WriteString(c.TCPConn, refusal); err != nil || c.CloseWrite() != nil {
+	_ = c.SetDeadline(time.Now().Add(lingerTime)) // an error shows in the write
+	if _, err := io.WriteString(c.TCPConn, answer); err != nil || c.CloseWrite() != nil {
 		_ = c.TCPConn.Close() // the client has left
 	}
 }
--- a/internal/front/serve/serve_test.go
+++ b/internal/front/serve/serve_test.go
@@ -109,9 +109,12 @@
 	if got, err := late.get(); err != nil || !got.last {
 		t.Errorf("request within the notice period: %v; want an answer that closes the connection", err)
 	}
-	_ = kept.conn.SetReadDeadline(time.Now().Add(notice + work/2))
-	if _, err := kept.r.ReadByte(); err != io.EOF {
-		t.Errorf("idle connection after the notice period: %v, want it closed while another request is in flight", err)
+	begun := time.Now()
+	if got, err := kept.get(); err != nil || got.status != http.StatusRequestTimeout || !got.last {
+		t.Errorf("idle connection after the notice period: %+v, %v; want an answer that closes it", got, err)
+	}
+	if _, err := kept.r.ReadByte(); err != io.EOF || time.Since(begun) > notice+work/2 {
+		t.Errorf("idle connection after the notice period: %v after %v, want it closed while another request is in flight", err, time.Since(begun))
 	}
 	if got, err := slow.get(); err != nil || got.status != http.StatusOK {
 		t.Errorf("request in flight: %v, want its answer", err)
--- a/internal/front/serve/stop.go
+++ b/internal/front/serve/stop.go
@@ -10,10 +10,10 @@
 // returns when all requests are answered and no client opens connections, or ctx ends.
 // Requests that are still open then are aborted.
 //
-// Each request on a connection that a client has established gets an answer, except one
-// that crosses the close of a kept connection, within one trip to its client, and one on
-// a new connection whose handshake takes longer than handshakeTime. Without a socket filter,
-// handshakes under way when the listener closes are cut, too.
+// Each request on a connection that a client has established gets an answer, except one that
+// reaches a kept connection later than lingerTime after its close was sent to the client, and
+// one on a new connection whose handshake takes longer than handshakeTime. Without a socket
+// filter, handshakes under way when the listener closes are cut, too.
 func (s *Server) Stop(ctx context.Context, notice time.Duration) {
 	s.stopping.Store(true)
 	select {
--- a/internal/front/serve/stop_test.go
+++ b/internal/front/serve/stop_test.go
@@ -137,6 +137,63 @@
 	client.Wait()
 }
 
+// Guards against a request without an answer that is sent on a kept connection just as the
+// server closes it, in a stop and when it has been idle for too long.
+func TestRequestCrossesTheClose(t *testing.T) {
+	cases := map[string]func(*Server, *conn){
+		"a stop": func(s *Server, _ *conn) { s.closeWaiting() },
+		"idle": func(_ *Server, c *conn) {
+			c.mu.Lock()
+			c.since = time.Now().Add(-time.Minute)
+			c.mu.Unlock()
+			_ = c.SetReadDeadline(time.Now()) // an error shows in the answer
+		},
+	}
+	for name, closes := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newIdleServer(t)
+			s.SetLimits(config.Limits{HeaderWait: time.Second, Idle: time.Second})
+			go func() {
+				defer close(s.done)
+				s.accept()
+			}()
+			defer stop(t, s)
+			client := sendRequest(t, s)
+			first, err := http.ReadResponse(bufio.NewReader(client), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first.Body.Close()
+			kept := func() (c *conn) {
+				for ; c == nil; time.Sleep(time.Millisecond) {
+					s.mu.Lock()
+					for open := range s.conns {
+						open.mu.Lock()
+						if open.phase == idle {
+							c = open
+						}
+						open.mu.Unlock()
+					}
+					s.mu.Unlock()
+				}
+				return c
+			}()
+			closes(s, kept)
+			for refused := false; !refused; time.Sleep(time.Millisecond) {
+				refused = kept.isRefused()
+			}
+			if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+			if err != nil || resp.StatusCode != http.StatusRequestTimeout || !resp.Close {
+				t.Fatalf("the request that crosses the close: %+v, %v", resp, err)
+			}
+			resp.Body.Close()
+		})
+	}
+}
+
 // Guards against a stop that closes a kept connection whose next request has arrived and
 // is not read yet.
 func TestStopKeepsUnreadRequests(t *testing.T) {
