Want an answer on each connection that a stop closes as idle

TestStopAnswersAll allowed kept connections to end without an answer once they are closed as idle. It now wants exactly that: a whole 408 that closes the connection, with a Retry-After of a second at most, for a request that was not passed on; the end of a connection without an answer is no longer allowed there.

--- a/internal/front/router/stop_test.go
+++ b/internal/front/router/stop_test.go
@@ -329,7 +329,7 @@
 			if c.limit == plainLimit && c.at > 0 && c.takes < c.limit {
 				t.Errorf("%+v got %+v although its server had time", c, a)
 			}
-		case a.status == 0 && !passed && c.kept && c.at > shutdownNotice-50*time.Millisecond:
+		case a.status == http.StatusRequestTimeout && a.complete && !passed && a.last && a.after > 0 && a.after <= 1 && c.kept && c.at > shutdownNotice-50*time.Millisecond:
 			// Idle connections are closed then, before the request is read.
 		case a.status == 0 && !passed && c.at > stopGrace-shutdownReserve-50*time.Millisecond:
 			// The daemon exits.
