--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -204,29 +203,6 @@
 	return r.listenReady()
 }
 
-// sameServer returns whether the server at an address is still the one of its entry.
-func (r *Router) sameServer(ctx context.Context, s pool.Server) (bool, error) {
-	path := ""
-	if d := r.follower.Document(); d != nil {
-		path = d.Services[s.Service].Health
-	}
-	same, err := r.backends.CheckIdentity(ctx, s, path)
-	if err != nil || !same || s.Stage == pool.Plain {
-		return same, err
-	}
-	// An engine that started again has the same ID.
-	asked := time.Now()
-	_, err = r.backends.Usage(ctx, s)
-	var sendErr *proxy.SendError
-	switch {
-	case err == nil:
-		r.table.ConfirmProcess(asked, s)
-	case errors.As(err, &sendErr) && sendErr.Misdirected:
-		return false, nil
-	}
-	return err == nil, err
-}
-
 // apply applies a configuration before it comes into force.
 func (r *Router) apply(d *config.Document) {
 	r.server.SetLimits(d.Limits)
