Log and measure what becomes of the retry budgets

The logs could not tell whether a daemon had spent its share, had a larger one, or repeated without a charge. A line 'retry budget' (once a second while retries are asked for) and gauges by service now say what was added, spent, refused and left, and how many daemons share the budget. Logic unchanged.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -39,6 +39,9 @@
 // Left reports whether Take would return true.
 func (b *Budget) Left() bool { return b.unused >= 1 }
 
+// Unused returns the number of retries that are left.
+func (b *Budget) Unused() float64 { return b.unused }
+
 // Bounds of Backoff.
 const (
 	minBackoff = 10 * time.Millisecond
--- a/internal/daemon/meter/meter.go
+++ b/internal/daemon/meter/meter.go
@@ -104,6 +104,19 @@
 	return err
 }
 
+// ServiceGauge registers a gauge with a value for each service. f passes the values on when
+// metrics are scraped. It must be safe for concurrent use.
+func (m *Meter) ServiceGauge(name, text string, f func(observe func(service string, value int64))) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(text),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			f(func(service string, value int64) {
+				o.Observe(value, metric.WithAttributes(attribute.String("service", service)))
+			})
+			return nil
+		}))
+	return err
+}
+
 // Handler returns the handler that serves the metrics in the Prometheus format.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -167,7 +167,7 @@
 			return r.origins.Found(origin.Result(result))
 		}))
 	}
-	return errors.Join(append(failed,
+	return errors.Join(append(failed, r.registerBudgetGauges(),
 		r.meter.Gauge("origins", "origins of streams that this daemon holds", r.origins.Held),
 		r.meter.Gauge("origins_unconfirmed", "origins of streams that too few daemons have confirmed in time", r.origins.Unconfirmed),
 		r.meter.Gauge("limited", "servers that name a limit on the requests of all daemons", r.backends.Limited),
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -101,6 +101,7 @@
 	unary         *unary.Handler
 	stream        *stream.Handler
 	memory        *memory.Budget
+	budget        *quota.Quota
 	stopping      atomic.Bool
 	grace         *grace.Period
 	// started is closed once all parts are initialized. The listeners open earlier, so
@@ -145,13 +146,13 @@
 	r.origins = origin.New(s.Peer, r.socket, r.gossip, p.Log, origin.WithHistory(r.versions))
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
 	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
-	budget := quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
+	r.budget = quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
 	r.memory = memory.New(memory.DefaultBytes)
 	if s.Memory > 0 {
 		r.memory = memory.New(int64(bodyMemoryShare * float64(s.Memory)))
 	}
-	r.unary = unary.New(r.table, r.backends, p.Ingress, budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory), unary.WithStop(r.grace))
-	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithStop(r.grace), stream.WithOrigins(r.origins),
+	r.unary = unary.New(r.table, r.backends, p.Ingress, r.budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory), unary.WithStop(r.grace))
+	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, r.budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithStop(r.grace), stream.WithOrigins(r.origins),
 		stream.WithWaste(func(service string, tokens int) { p.Meter.WastedTokens(service, int64(tokens)) }))
 	if r.server, err = serve.Listen(s.Front, http.HandlerFunc(r.handle), p.Log); err != nil {
 		r.closePeers()
@@ -168,6 +169,7 @@
 		return nil, err
 	}
 	close(r.started)
+	go r.logBudgets()
 	if p.DroppedLines != nil {
 		go r.logDroppedLines(p.DroppedLines)
 	}
