Run the simulated fleets of the membership tests in parallel

Each fleet is a simulation of its own, so that they can share the cores. No bound or check is changed.

--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -80,8 +80,10 @@
 // Guards against daemons that don't discover each other through one live seed
 // before the first requests come.
 func TestDaemonsFindEachOther(t *testing.T) {
+	t.Parallel()
 	for name, n := range map[string]int{"one": 1, "six": 6, "nine": 9, "hundred": 100, "planned size": 350} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(n, 0.02)
 			f.run(startTime, noCheck)
 			for i, table := range f.tables {
@@ -96,8 +98,10 @@
 // Guards against live daemons that are declared dead, which moves the ownership of
 // state: none may be lost in 30 s with one message in fifty lost.
 func TestLiveDaemonsStay(t *testing.T) {
+	t.Parallel()
 	for name, n := range map[string]int{"six": 6, "nine": 9, "hundred": 100, "planned size": 350} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(n, 0.02)
 			f.run(startTime, noCheck)
 			lost := 0
@@ -119,6 +123,7 @@
 // Guards against dead daemons that stay alive in the tables and keep their share
 // of the work.
 func TestDeadDaemonsGo(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		n      int
 		within time.Duration
@@ -128,6 +133,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(c.n, 0.02)
 			f.run(startTime, noCheck)
 			f.dead[c.n-1] = true
@@ -143,6 +149,7 @@
 
 // Guards against a fleet that stays split after a network partition has healed.
 func TestHalvesMeetAgain(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		n              int
 		cut, recovered time.Duration
@@ -153,6 +160,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(c.n, 0)
 			f.run(startTime, noCheck)
 			f.loss = 1
@@ -171,8 +179,10 @@
 // Guards against a wide fleet in which most of the daemons die at once and stay
 // alive in the tables of the rest, whose neighbours are all dead.
 func TestMassFailureIsDetected(t *testing.T) {
+	t.Parallel()
 	for name, left := range map[string]int{"two in five": 40, "one": 1} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			const n = 100
 			f := newFleet(n, 0.02)
 			f.run(startTime, noCheck)
@@ -193,9 +203,11 @@
 // a daemon may use for control traffic, membership gets a fifth, in both
 // directions. A member takes about 25 bytes and the header of a datagram 30.
 func TestLoadStaysFlat(t *testing.T) {
+	t.Parallel()
 	const budget = 15_000 / 5
 	for name, n := range map[string]int{"nine": 9, "hundred": 100, "planned size": 350} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(n, 0.02)
 			f.run(startTime, noCheck)
 			f.sent, f.members = 0, 0
