Earn the retry budget instead of starting with it full

Cause: a bound on the whole fleet lived in each process. It started full, so that every start added a share; it was divided by a count that each daemon makes for itself, with one retry at least, so that parts that are cut off and large fleets held more than there is; and decisions were charged, not arrivals.

Now half of the ratio is earned by each request of the daemon itself and lapses within a window, and a share of half of the burst is earned over a window, while a daemon sees most of its seeds. What is spent in a window is paid by requests of it and the one before, and by shares that are held as it begins or earned in it; restarts, cuts and the number of daemons add nothing. A charge is made where a request is sent, by the arrivals that the contract counts: a stream that goes on elsewhere and is prefilled anew takes two. With one retry left its decode engine prefills the prompt itself (Alone in lease requests), so that streams in large fleets don't end for lack of a second one. What did not arrive is given back.

TestRetriesAreLeftWhenTheyHelp holds the other side.

Tests: charges are expected by arrivals, where runs alone were counted; attempts that did not reach a server cost nothing, where one retry was expected. The case 'prefill refused, then no budget' needs a refused run as well to use up two.

--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -39,9 +39,10 @@
 	// TerminationGrace is the time between SIGTERM and SIGKILL.
 	TerminationGrace time.Duration
 	// RetryRatio is the retry budget of all daemons together as a share of requests,
-	// and RetryBurst the number of retries allowed in addition.
-	RetryRatio float64
-	RetryBurst int
+	// and RetryBurst the number of retries allowed in addition, both in any RetryWindow.
+	RetryRatio  float64
+	RetryBurst  int
+	RetryWindow time.Duration
 }
 
 // Defaults of the bounds, for settings without them.
@@ -49,4 +50,5 @@
 	DefaultTerminationGrace = 8 * time.Second
 	DefaultRetryRatio       = 0.1
 	DefaultRetryBurst       = 10
+	DefaultRetryWindow      = 10 * time.Second
 )
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -19,29 +19,18 @@
 	return &Budget{share: share, limit: limit, unused: limit}
 }
 
-// SetLimit changes the largest number of unused retries.
-func (b *Budget) SetLimit(limit float64) {
-	b.limit, b.unused = limit, min(b.unused, limit)
-}
-
 // Sent counts a first attempt.
 func (b *Budget) Sent() { b.unused = min(b.limit, b.unused+b.share) }
 
 // Take consumes one retry, or returns false when the budget is used up.
 func (b *Budget) Take() bool {
-	if !b.Left() {
+	if b.unused < 1 {
 		return false
 	}
 	b.unused--
 	return true
 }
 
-// Left reports whether Take would return true.
-func (b *Budget) Left() bool { return b.unused >= 1 }
-
-// Unused returns the number of retries that are left.
-func (b *Budget) Unused() float64 { return b.unused }
-
 // Bounds of Backoff.
 const (
 	minBackoff = 10 * time.Millisecond
--- a/internal/front/router/budget.go
+++ b/internal/front/router/budget.go
@@ -7,25 +7,41 @@
 	"citronrock.example/citronrock/internal/front/quota"
 )
 
-// budgetInterval is the time between two log lines about the retry budget of a service.
-const budgetInterval = time.Second
+// budgetInterval is the time between two updates of the retry budgets, and between two log
+// lines about that of one service.
+const budgetInterval = 500 * time.Millisecond
 
-// logBudgets regularly logs what became of the retry budgets in use, until the router
-// stops.
-func (r *Router) logBudgets() {
+// fleet returns this daemon's view of the fleet.
+func (r *Router) fleet() quota.Fleet {
+	f := quota.Fleet{Seeds: *r.seeds.Load()}
+	for _, m := range r.gossip.Alive() {
+		f.Alive = append(f.Alive, m.Addr)
+	}
+	return f
+}
+
+// updateBudget regularly updates the retry budgets, and logs what became of those in use,
+// until the router has stopped.
+func (r *Router) updateBudget() {
 	logged := map[string]quota.Usage{}
-	for range time.Tick(budgetInterval) {
-		if r.stopping.Load() {
+	ticker := time.NewTicker(budgetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.stopped:
 			return
+		case <-ticker.C:
 		}
-		for _, u := range r.budget.Usages() {
+		now := time.Now()
+		r.budget.Update(now)
+		for _, u := range r.budget.Usages(now) {
 			was := logged[u.Service]
 			if u.Spent == was.Spent && u.Refused == was.Refused {
 				continue
 			}
 			logged[u.Service] = u
 			r.log.Info("retry budget", "service", u.Service, "requests", u.Requests, "spent", u.Spent, "refused", u.Refused,
-				"left", u.Left, "most", u.Limit, "daemons", u.Daemons)
+				"left", u.Left, "share", u.Share, "daemons", u.Daemons, "cut", u.Cut)
 		}
 	}
 }
@@ -44,7 +60,7 @@
 		"retry_daemons":  {"daemons that share the retry budget of a service, as far as known", func(u quota.Usage) int64 { return int64(u.Daemons) }},
 	} {
 		failed = append(failed, r.meter.ServiceGauge(name, g.text, func(observe func(service string, value int64)) {
-			for _, u := range r.budget.Usages() {
+			for _, u := range r.budget.Usages(time.Now()) {
 				observe(u.Service, g.of(u))
 			}
 		}))
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -102,11 +102,14 @@
 	stream        *stream.Handler
 	memory        *memory.Budget
 	budget        *quota.Quota
+	seeds         atomic.Pointer[[]netip.AddrPort]
 	stopping      atomic.Bool
 	grace         *grace.Period
 	// started is closed once all parts are initialized. The listeners open earlier, so
 	// that requests may arrive before.
 	started chan struct{}
+	// stopped is closed at the end of Stop.
+	stopped chan struct{}
 }
 
 // Deps are the dependencies of a router, among them the platform's adapter.
@@ -125,9 +128,10 @@
 // be used. Stop stops it.
 func Start(s *site.Settings, p Deps) (*Router, error) {
 	r := &Router{settings: s, ingress: p.Ingress, log: p.Log, meter: p.Meter, startedAt: time.Now(),
-		grace: grace.New(), started: make(chan struct{})}
+		grace: grace.New(), started: make(chan struct{}), stopped: make(chan struct{})}
 	p.Log.Info("start", "domain", s.Domain, "front", s.Front.String(), "peer", s.Peer.String(),
 		"seeds", len(s.Seeds), "store", s.Store.String(), "pid", os.Getpid())
+	r.seeds.Store(&s.Seeds)
 	var err error
 	if r.socket, err = dgram.Listen(s.Peer, p.Log); err != nil {
 		return nil, err
@@ -146,7 +150,7 @@
 	r.origins = origin.New(s.Peer, r.socket, r.gossip, p.Log, origin.WithHistory(r.versions))
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
 	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
-	r.budget = quota.New(s.Bounds.RetryRatio, s.Bounds.RetryBurst, func() int { return len(r.gossip.Alive()) })
+	r.budget = quota.New(time.Now(), s.Peer, quota.Contract{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow}, r.fleet)
 	r.memory = memory.New(memory.DefaultBytes)
 	if s.Memory > 0 {
 		r.memory = memory.New(int64(bodyMemoryShare * float64(s.Memory)))
@@ -169,7 +173,7 @@
 		return nil, err
 	}
 	close(r.started)
-	go r.logBudgets()
+	go r.updateBudget()
 	if p.DroppedLines != nil {
 		go r.logDroppedLines(p.DroppedLines)
 	}
@@ -356,7 +360,10 @@
 }
 
 // SetSeeds replaces the seeds after the settings were reloaded.
-func (r *Router) SetSeeds(seeds []netip.AddrPort) { r.gossip.SetSeeds(seeds) }
+func (r *Router) SetSeeds(seeds []netip.AddrPort) {
+	r.gossip.SetSeeds(seeds)
+	r.seeds.Store(&seeds)
+}
 
 // Stop shuts the router down within the grace period. It serves the requests in
 // flight and those that still arrive.
@@ -379,6 +386,7 @@
 	for _, s := range r.admin {
 		s.Close()
 	}
+	close(r.stopped)
 	r.log.Info("stopped", "open", r.server.InFlight(), "took", lines.Ms(time.Since(r.startedAt)))
 }
 
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -9,6 +9,7 @@
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
@@ -60,7 +61,9 @@
 	// version is where the response goes on.
 	version version
 
-	lease *lease.Lease
+	// charge counts what reached an engine.
+	charge *quota.Charge
+	lease  *lease.Lease
 	// replacement is the lease in favour of which a silent run was given up. The retry
 	// budget has been charged for it.
 	replacement *lease.Lease
@@ -244,14 +247,6 @@
 	return false
 }
 
-// countSend counts an attempt. The first one adds to the retry budget.
-func (j *job) countSend() {
-	if j.sends == 0 {
-		j.quota.Sent(j.service.Name)
-	}
-	j.sends++
-}
-
 // exclude excludes an engine from further leases.
 func (j *job) exclude(id string) { j.excluded = append(j.excluded, id) }
 
@@ -266,7 +261,7 @@
 func (j *job) decode(ctx context.Context) step {
 	s, ok := j.table.Available(time.Now(), j.lease.Decode)
 	if !ok {
-		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
+		return j.retryElsewhere(j.lease.Decode, "")
 	}
 	if !j.suits(s) {
 		return j.strayed(ctx, s)
@@ -275,9 +270,12 @@
 		return finish
 	}
 	if !j.isProcess(ctx, s) {
-		return j.retryElsewhere(ctx, s.ID, "", true)
+		return j.retryElsewhere(s.ID, "")
 	}
 	start := time.Now()
+	if !j.charge.Send(start, quota.Run) {
+		return j.retryElsewhere("", "")
+	}
 	j.server, j.runEvents, j.goneOn = s, 0, false
 	report := j.table.Begin(s.ID)
 	runCtx, cancel := context.WithCancelCause(ctx)
@@ -285,10 +283,11 @@
 	resp, err := j.backends.Send(runCtx, s, j.req, proxy.Options{Timeout: j.serverTime(), Cache: j.cache, LastEventID: j.lastEventID})
 	if isLimited(err) {
 		report(time.Now(), pool.Unknown, 0)
+		j.charge.NotReceived(quota.Run)
 		j.freeOldCache(ctx)
-		return j.retryUnlimited(ctx, s.ID)
+		return j.retryUnlimited(s.ID)
 	}
-	j.countSend()
+	j.sends++
 	if err != nil {
 		sendErr := asSendError(err)
 		report(time.Now(), serverOutcome(ctx, sendErr), 0)
@@ -325,21 +324,22 @@
 	}
 	switch {
 	case sendErr.Fault == event.FaultUnsent:
+		j.charge.NotReceived(quota.Run)
 		j.freeOldCache(ctx)
-		return j.retryElsewhere(ctx, s.ID, "", true)
+		return j.retryElsewhere(s.ID, "")
 	case sendErr.Fault == event.FaultRefused && j.cache != nil && j.table.IsBackingOff(time.Now(), s):
 		// The engine is backing off, so a lost KV cache is not the reason.
 		j.freeOldCache(ctx)
-		return j.retryElsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
+		return j.retryElsewhere(s.ID, s.ID)
 	case sendErr.Fault == event.FaultRefused && sendErr.Full && j.cache != nil:
 		// The ledger had room, so a lost KV cache is the more likely cause: some
 		// engines drop theirs before the retention time ends.
 		j.table.MarkUnhealthy(time.Now(), j.prefiller, cacheLossTime)
 		j.exclude(j.prefiller)
 		j.freeCache(ctx)
-		return j.retryElsewhere(ctx, "", s.ID, j.quota.Take(j.service.Name))
+		return j.retryElsewhere("", s.ID)
 	case sendErr.Fault == event.FaultRefused:
-		return j.retryElsewhere(ctx, s.ID, s.ID, j.quota.Take(j.service.Name))
+		return j.retryElsewhere(s.ID, s.ID)
 	}
 	j.cache, j.move = nil, move{} // the engine may have taken the cache over
 	j.noteRun(s)
@@ -359,7 +359,7 @@
 	case !j.mayMove(ctx, s):
 		j.outcome.NotMoved = "version"
 	default:
-		paid := j.replacement != nil || j.quota.Take(j.service.Name)
+		paid := j.replacement != nil || j.charge.Reserve(time.Now(), quota.Run)
 		if !paid && !j.begun() {
 			j.outcome.NotMoved = "budget"
 			break
--- a/internal/front/stream/move.go
+++ b/internal/front/stream/move.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
 )
@@ -80,15 +81,20 @@
 	return true
 }
 
-// payRetry charges the retry budget for a run that broke off while the budget was empty. It
-// ends the request if nothing is added in time.
+// payRetry charges the retry budget for the next run. A request for which nothing is added
+// in time ends.
 func (j *job) payRetry(ctx context.Context) bool {
-	for j.move.unpaid != "" && !j.quota.Take(j.service.Name) {
-		if !j.hold(ctx) {
+	for !j.charge.Reserve(time.Now(), quota.Run) {
+		switch {
+		case j.hold(ctx):
+			continue
+		case j.move.unpaid != "":
 			j.outcome.NotMoved = "budget"
 			j.fail(ctx, j.move.unpaid)
-			return false
+		default:
+			j.fail(ctx, "budget")
 		}
+		return false
 	}
 	j.move.unpaid = ""
 	return true
--- a/internal/front/stream/prefill.go
+++ b/internal/front/stream/prefill.go
@@ -6,6 +6,7 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/route/pool"
 )
 
@@ -18,24 +19,30 @@
 	}
 	if j.table.IsUnhealthy(time.Now(), j.lease.Decode) {
 		// The result of the prefill could not be used.
-		return j.retryElsewhere(ctx, j.lease.Decode, "", true)
+		return j.retryElsewhere(j.lease.Decode, "")
 	}
 	s, ok := j.table.Available(time.Now(), j.lease.Prefill)
 	if !ok {
-		return j.retryElsewhere(ctx, j.lease.Prefill, "", true)
+		return j.retryElsewhere(j.lease.Prefill, "")
 	}
 	if j.refusePart(ctx) {
 		return finish
 	}
 	start := time.Now()
+	// Without a retry for the run, the prompt would be prefilled for nothing.
+	if !j.charge.Reserve(start, quota.Prefill, quota.Run) || !j.charge.Send(start, quota.Prefill) {
+		return j.retryElsewhere("", "")
+	}
 	report := j.table.Begin(s.ID)
 	cache, err := j.prefillAt(ctx, s)
 	if isLimited(err) {
 		report(time.Now(), pool.Unknown, 0)
-		return j.retryUnlimited(ctx, s.ID)
+		j.charge.NotReceived(quota.Prefill)
+		return j.retryUnlimited(s.ID)
 	}
-	j.countSend()
+	j.sends++
 	if err == nil {
+		j.charge.Accepted()
 		report(time.Now(), pool.OK, time.Since(start))
 		j.cache, j.prefiller = cache, s.ID
 		took := time.Since(start)
@@ -48,8 +55,11 @@
 	sendErr := asSendError(err)
 	report(time.Now(), serverOutcome(ctx, sendErr), 0)
 	j.logAttempt("prefill", s, start, sendErr)
+	if sendErr.Fault == event.FaultUnsent {
+		j.charge.NotReceived(quota.Prefill)
+	}
 	if j.replacement != nil {
-		return j.retryElsewhere(ctx, s.ID, "", true)
+		return j.retryElsewhere(s.ID, "")
 	}
 	full := ""
 	if sendErr.Fault == event.FaultRefused {
@@ -58,7 +68,7 @@
 	if sendErr.Misdirected {
 		j.verify(s)
 	}
-	return j.retryElsewhere(ctx, s.ID, full, sendErr.Fault == event.FaultUnsent || j.quota.Take(j.service.Name))
+	return j.retryElsewhere(s.ID, full)
 }
 
 // prefillAt has the prompt prefilled at an engine. A silent one is given up as a silent run
@@ -86,17 +96,9 @@
 }
 
 // retryElsewhere releases the lease and prepares another one without the engine id.
-// full is the engine that refused the request for lack of room. allowed tells
-// whether the retry budget permits it.
-func (j *job) retryElsewhere(ctx context.Context, id, full string, allowed bool) step {
+// full is the engine that refused the request for lack of room.
+func (j *job) retryElsewhere(id, full string) step {
 	j.closeLease(full)
-	for !allowed && j.hold(ctx) {
-		allowed = j.quota.Take(j.service.Name)
-	}
-	if !allowed {
-		j.fail(ctx, "budget")
-		return finish
-	}
 	if id != "" {
 		j.exclude(id)
 	}
@@ -105,7 +107,7 @@
 
 // retryUnlimited prepares another lease without an engine whose limit leaves no room. It
 // does not count as one of the maxLeases.
-func (j *job) retryUnlimited(ctx context.Context, id string) step {
+func (j *job) retryUnlimited(id string) step {
 	j.limited++
-	return j.retryElsewhere(ctx, id, "", true)
+	return j.retryElsewhere(id, "")
 }
--- a/internal/front/stream/stall.go
+++ b/internal/front/stream/stall.go
@@ -9,6 +9,7 @@
 
 	"citronrock.example/citronrock/internal/core/event"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/room/lease"
 	"citronrock.example/citronrock/internal/room/ledger"
@@ -207,7 +208,7 @@
 		w.giveUp(event.FaultBroken, errLost)
 		return nil, ledger.Request{}
 	}
-	if now.Before(w.searchAt) || !w.admitted() || !w.quota.Left(w.service.Name) || !w.hasOther(w.server) {
+	if now.Before(w.searchAt) || !w.admitted() || !w.charge.CanReserve(now, quota.Run) || !w.hasOther(w.server) {
 		w.arm(checkInterval)
 		return nil, ledger.Request{}
 	}
@@ -246,7 +247,7 @@
 	silent := search.Err() == nil
 	w.endSearch()
 	switch {
-	case silent && found != nil && w.admitted() && w.usable(found) && w.quota.Take(w.service.Name):
+	case silent && found != nil && w.admitted() && w.usable(found) && w.charge.Reserve(time.Now(), kinds(found)...):
 		w.replacement = found
 		w.giveUp(event.FaultStalled, errStall)
 		return
@@ -261,6 +262,14 @@
 	}
 }
 
+// kinds returns the requests to engines that follow a lease.
+func kinds(l *lease.Lease) []quota.Kind {
+	if l.Prefill != "" {
+		return []quota.Kind{quota.Prefill, quota.Run}
+	}
+	return []quota.Kind{quota.Run}
+}
+
 // usable reports whether requests may be sent to the engines of a lease now.
 func (w *watch) usable(l *lease.Lease) bool {
 	for _, id := range []string{l.Decode, l.Prefill} {
--- a/internal/front/stream/stream.go
+++ b/internal/front/stream/stream.go
@@ -200,6 +200,8 @@
 	ctx, keep, release := h.stop.Bind(ctx)
 	defer release()
 	j.keep = keep
+	j.charge = h.quota.Open(req.Received, s.Name)
+	defer func() { j.charge.Close(time.Now()) }()
 	func() {
 		defer j.release(ctx) // also after a panic: the capacity must be freed
 		j.run(ctx)
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -247,7 +247,7 @@
 			others++
 		}
 	}
-	return j.retryElsewhere(ctx, s.ID, "", true)
+	return j.retryElsewhere(s.ID, "")
 }
 
 // fixVersion fixes the version of the response before the first event of a run is sent to
--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -11,6 +11,7 @@
 	"citronrock.example/citronrock/internal/core/retry"
 	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/front/proxy"
+	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/lines"
 	"citronrock.example/citronrock/internal/logs/panics"
 	"citronrock.example/citronrock/internal/route/config"
@@ -38,10 +39,8 @@
 	sends, unreceived int
 	open              []*attempt
 	ended             chan *attempt
-	// counted is set once the request has added to the retry budget.
-	counted bool
-	// paid is set while the retry budget was charged for an attempt that was not sent.
-	paid bool
+	// charge counts the attempts that reached a server.
+	charge *quota.Charge
 	// slowAt is when another server is tried, the zero time for never.
 	slowAt time.Time
 }
@@ -53,8 +52,6 @@
 	cancel context.CancelCauseFunc
 	report func(time.Time, pool.Outcome, time.Duration)
 	number int
-	// paid is set if the retry budget was charged for it while another one was open.
-	paid bool
 	// slow is set once the lack of a response was recorded.
 	slow bool
 
@@ -71,7 +68,7 @@
 	return errors.As(a.err, &sendErr) && sendErr.Limited
 }
 
-// start begins an attempt at a server.
+// start begins an attempt at a server that the retry budget was charged for.
 func (j *job) start(ctx context.Context, s pool.Server) *attempt {
 	j.sends++
 	a := &attempt{server: s, start: time.Now(), report: j.table.Begin(s.ID), number: j.sends}
@@ -135,11 +132,10 @@
 	if !ok || j.table.IsUnhealthy(now, s.ID) || j.guard.BlockedPart(j.req, j.service) != "" {
 		return false
 	}
-	if !j.paid && !j.quota.Take(j.service) {
+	if !j.charge.Send(now, quota.Run) {
 		return false
 	}
-	j.paid = false
-	j.start(ctx, s).paid = true
+	j.start(ctx, s)
 	return true
 }
 
@@ -154,12 +150,11 @@
 	if a.isLimited() {
 		a.report(time.Now(), pool.Unknown, 0)
 		j.sends--
-		j.paid = j.paid || a.paid
+		j.charge.NotReceived(quota.Run)
 		return
 	}
-	if !j.counted {
-		j.counted = true
-		j.quota.Sent(j.service)
+	if a.fault == event.FaultUnsent {
+		j.charge.NotReceived(quota.Run)
 	}
 	if !retry.MaybeReceived(a.fault) && a.fault != event.FaultNone {
 		j.unreceived++
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -98,6 +98,8 @@
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, req *proxy.Request, r *config.Route, service string, deadline time.Time) lines.Outcome {
 	j := &job{Handler: h, req: req, route: r, service: service, deadline: deadline}
 	j.ended = make(chan *attempt, r.Attempts+extraSends+1)
+	j.charge = h.quota.Open(req.Received, service)
+	defer func() { j.charge.Close(time.Now()) }()
 	proxy.LimitWrites(w, deadline)
 	ctx, _, release := h.stop.Bind(ctx)
 	defer release()
@@ -152,6 +154,9 @@
 				v.Reason, v.RetryAfter = grace.Reason, grace.RetryAfter
 				return j.failure, v
 			}
+			if !j.charge.Send(time.Now(), quota.Run) {
+				return j.failure, j.decide(event.FaultRefused, nil)
+			}
 			j.start(ctx, server)
 		}
 		a := j.next(ctx)
@@ -201,8 +206,7 @@
 }
 
 // retryPermit returns a function that asks for the permission to make one more
-// attempt after a fault, nil when the limit is reached. Only attempts that may have
-// reached a server count against the service's retry budget.
+// attempt after a fault, nil when the limit is reached.
 func (j *job) retryPermit(f event.Fault) func() bool {
 	limit := j.route.Attempts
 	if !retry.MaybeReceived(f) {
@@ -211,14 +215,7 @@
 	if j.sends >= limit {
 		return nil
 	}
-	if f == event.FaultUnsent {
-		return func() bool { return true }
-	}
-	return func() bool {
-		paid := j.paid || j.quota.Take(j.service)
-		j.paid = false
-		return paid
-	}
+	return func() bool { return j.charge.Reserve(time.Now(), quota.Run) }
 }
 
 func (j *job) decide(f event.Fault, budget func() bool) retry.Decision {
--- a/internal/room/ledger/place.go
+++ b/internal/room/ledger/place.go
@@ -169,6 +169,12 @@
 	if req.Prefilled {
 		return best.ID, "", placed
 	}
+	if req.Alone {
+		if best, ok := l.bestDecode(now, req, l.selfPrefillers(now, req)); ok {
+			return best.ID, "", placed
+		}
+		return "", "", noPrefillEngine
+	}
 	if l.lacksPrefill(now, req) {
 		if best, ok := l.bestDecode(now, req, l.selfPrefillers(now, req)); ok {
 			return best.ID, "", placed
--- a/internal/room/ledger/types.go
+++ b/internal/room/ledger/types.go
@@ -99,6 +99,9 @@
 	// Prefilled is set when the KV cache of the prompt exists, so that no prefill
 	// engine is needed.
 	Prefilled bool `cbor:"10,keyasint,omitempty"`
+	// Alone is set when the decode engine has to prefill the prompt itself, as the retry
+	// budget of the edge daemon allows one request to an engine, not two.
+	Alone bool `cbor:"19,keyasint,omitempty"`
 	// Resumed is set when the client has already received a part of the response.
 	Resumed bool `cbor:"11,keyasint,omitempty"`
 	// Excluded are engines that must not be chosen, such as those that failed this
