Keep one server's responses from using up the memory for bodies

Bodies of all callers and servers share one budget, a quarter of the memory. A server whose plain responses grow slowly could hold all of it for as long as their requests' time lasts; responses of other servers then counted as broken although they had run. Events of up to 64 KB were not charged at all.

What the responses of one server hold is now bounded by three times what is free at that moment (memory.Share), so that it leaves a quarter of that to others, and the next such server a quarter of what is left. Events are charged from 4 KB on, by what their buffer takes, where 1 MB was reserved beyond 64 KB. A single response of 12 MB is still read (TestLargeResponse).

--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -9,6 +9,12 @@
 	"sync/atomic"
 )
 
+// holder is what bodies reserve their memory of.
+type holder interface {
+	Reserve(n int64) bool
+	Release(n int64)
+}
+
 const (
 	// DefaultBytes is the budget in bytes of a daemon whose memory limit is not known.
 	DefaultBytes = 64 << 20
@@ -28,6 +34,7 @@
 // use. A nil budget is unlimited.
 type Budget struct {
 	available atomic.Int64
+	shares    shares
 }
 
 // New returns a budget of the given number of bytes.
@@ -63,7 +70,7 @@
 // Body is a body that was read completely. Its memory stays reserved until Release.
 type Body struct {
 	Bytes    []byte
-	budget   *Budget
+	holder   holder
 	reserved int64
 }
 
@@ -71,15 +78,17 @@
 // afterwards. A nil body and repeated calls are allowed.
 func (b *Body) Release() {
 	if b != nil {
-		b.budget.Release(b.reserved)
+		b.holder.Release(b.reserved)
 		b.reserved = 0
 	}
 }
 
 // Read reads a body of up to limit bytes. The error is ErrTooLarge, ErrExhausted or
 // that of r; after an error nothing stays reserved.
-func (b *Budget) Read(r io.Reader, limit int64) (*Body, error) {
-	out := &Body{budget: b}
+func (b *Budget) Read(r io.Reader, limit int64) (*Body, error) { return read(b, r, limit) }
+
+func read(h holder, r io.Reader, limit int64) (*Body, error) {
+	out := &Body{holder: h}
 	for size := min(firstBuffer, limit+1); ; size = min(2*size, limit+1) {
 		if !out.grow(size) {
 			out.Release()
@@ -102,13 +111,13 @@
 // grow moves the body to a buffer of size bytes. The budget must cover both buffers
 // during the copy.
 func (b *Body) grow(size int64) bool {
-	if !b.budget.Reserve(size) {
+	if !b.holder.Reserve(size) {
 		return false
 	}
 	buffer := make([]byte, len(b.Bytes), size)
 	copy(buffer, b.Bytes)
 	b.Bytes = buffer
-	b.budget.Release(b.reserved)
+	b.holder.Release(b.reserved)
 	b.reserved = size
 	return true
 }
--- a/internal/front/stream/events.go
+++ b/internal/front/stream/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 
 	"citronrock.example/citronrock/internal/front/memory"
 )
@@ -13,8 +14,9 @@
 const eventLimit = 1 << 20
 
 // smallEvent is the size in bytes up to which an event is not charged to the memory
-// budget.
-const smallEvent = 64 << 10
+// budget. Most events are much smaller, while a server may send one at each of its
+// connections.
+const smallEvent = 4 << 10
 
 var (
 	errTruncated = errors.New("stream ended within an event")
@@ -40,15 +42,15 @@
 type eventReader struct {
 	in     *bufio.Reader
 	event  []byte
-	memory *memory.Budget
+	memory memory.Share
 	// reserved is the memory reserved for a large event.
 	reserved int64
 }
 
-// newEventReader returns a reader that charges large events to a budget. close must
+// newEventReader returns a reader that charges large events to a server's share. close must
 // be called.
-func newEventReader(in io.Reader, b *memory.Budget) *eventReader {
-	return &eventReader{in: bufio.NewReader(in), memory: b}
+func newEventReader(in io.Reader, s memory.Share) *eventReader {
+	return &eventReader{in: bufio.NewReader(in), memory: s}
 }
 
 // close releases the memory of a large event.
@@ -56,16 +58,19 @@
 
 // buffer appends a part of an event.
 func (r *eventReader) buffer(part []byte) error {
-	r.event = append(r.event, part...)
-	if len(r.event) > eventLimit {
+	size := len(r.event) + len(part)
+	if size > eventLimit {
 		return memory.ErrTooLarge
 	}
-	if len(r.event) > smallEvent && r.reserved == 0 {
-		if !r.memory.Reserve(eventLimit) {
+	if size > smallEvent && int64(size) > r.reserved {
+		larger := min(max(2*r.reserved, 2*smallEvent), eventLimit)
+		if !r.memory.Reserve(larger - r.reserved) {
 			return memory.ErrExhausted
 		}
-		r.reserved = eventLimit
+		r.reserved = larger
+		r.event = slices.Grow(r.event, int(larger)-len(r.event))
 	}
+	r.event = append(r.event, part...)
 	return nil
 }
 
--- a/internal/front/stream/fuzz_test.go
+++ b/internal/front/stream/fuzz_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"testing"
+
+	"citronrock.example/citronrock/internal/front/memory"
 )
 
 // Guards against streams whose events are changed, lost or joined, and against
@@ -14,7 +16,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, in []byte) {
-		r := newEventReader(bytes.NewReader(in), nil)
+		r := newEventReader(bytes.NewReader(in), memory.Share{})
 		defer r.close()
 		var out []byte
 		for {
