--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -119,7 +119,7 @@
 		if j.refuseStop(ctx) || !j.payRetry(ctx) || !j.mayGoOn(ctx) || !j.acquire(ctx) || j.refuseStop(ctx) {
 			return
 		}
-		next := j.checkGrant(ctx)
+		next := j.checkGrant()
 		if next == finish {
 			next = j.prefill(ctx)
 		}
@@ -264,7 +264,7 @@
 		return j.retryElsewhere(j.lease.Decode, "")
 	}
 	if !j.suits(s) {
-		return j.strayed(ctx, s)
+		return j.strayed(s)
 	}
 	if j.refusePart(ctx) {
 		return finish
--- a/internal/front/stream/version.go
+++ b/internal/front/stream/version.go
@@ -176,9 +176,9 @@
 
 // checkGrant gives back a lease on an engine of another version before its prompt is
 // prefilled. The owner may not know the version, or have an older entry.
-func (j *job) checkGrant(ctx context.Context) step {
+func (j *job) checkGrant() step {
 	if s, ok := j.table.Available(time.Now(), j.lease.Decode); ok && !j.suits(s) {
-		return j.strayed(ctx, s)
+		return j.strayed(s)
 	}
 	return finish
 }
@@ -238,7 +238,7 @@
 }
 
 // strayed prepares another lease without the engines of other versions.
-func (j *job) strayed(ctx context.Context, s pool.Server) step {
+func (j *job) strayed(s pool.Server) step {
 	j.strays++
 	others := 0
 	for _, other := range j.table.Usable(time.Now(), j.service.Name) {
--- a/internal/front/unary/attempt.go
+++ b/internal/front/unary/attempt.go
@@ -69,7 +69,7 @@
 }
 
 // start begins an attempt at a server that the retry budget was charged for.
-func (j *job) start(ctx context.Context, s pool.Server) *attempt {
+func (j *job) start(ctx context.Context, s pool.Server) {
 	j.sends++
 	a := &attempt{server: s, start: time.Now(), report: j.table.Begin(s.ID), number: j.sends}
 	ctx, a.cancel = context.WithCancelCause(ctx)
@@ -86,13 +86,12 @@
 	}
 	if j.route.Kind != config.Idempotent {
 		send()
-		return a
+		return
 	}
 	if slowAt := a.start.Add(time.Duration(slowShare * float64(j.route.Target))); j.route.Target > 0 && slowAt.Before(j.deadline) {
 		j.slowAt = slowAt
 	}
 	go send()
-	return a
 }
 
 // next returns the next attempt that ends. While there is none for too long, it begins
