--- a/internal/room/permit/owner.go
+++ b/internal/room/permit/owner.go
@@ -8,17 +8,20 @@
 )
 
 // Owner returns the daemon that owns the limit of a server, the zero value if there is
-// none. Daemons with less than half the CPU of the strongest don't own limits, and
-// neither do those that have just started or are leaving.
+// none. Daemons that have just started or are leaving don't own limits, and neither do
+// those with less than half the CPU of the strongest that may.
 func Owner(server string, alive []gossip.LiveMember) netip.AddrPort {
+	mayOwn := func(m gossip.LiveMember) bool { return m.Mature && !m.Leaving }
 	strongest := uint32(0)
 	for _, m := range alive {
-		strongest = max(strongest, m.CPUShare)
+		if mayOwn(m) {
+			strongest = max(strongest, m.CPUShare)
+		}
 	}
 	var best netip.AddrPort
 	var high uint64
 	for _, m := range alive {
-		if !m.Mature || m.Leaving || 2*m.CPUShare < strongest {
+		if !mayOwn(m) || 2*m.CPUShare < strongest {
 			continue
 		}
 		score := owner.Score(server, m.Addr.String())
--- a/internal/room/permit/permit_test.go
+++ b/internal/room/permit/permit_test.go
@@ -196,6 +196,22 @@
 	}
 }
 
+// Guards against a limit without an owner, whose server then gets nothing, while the only
+// strong daemons are leaving or have just started.
+func TestOwnerBesideStrongDaemonsThatMayNotOwn(t *testing.T) {
+	weak := gossip.LiveMember{Member: gossip.Member{Addr: netip.MustParseAddrPort("10.0.0.1:7000"), CPUShare: 40}, Mature: true}
+	for name, strong := range map[string]gossip.LiveMember{
+		"leaving":      {Member: gossip.Member{Addr: netip.MustParseAddrPort("10.0.0.2:7000"), CPUShare: 100, Leaving: true}, Mature: true},
+		"just started": {Member: gossip.Member{Addr: netip.MustParseAddrPort("10.0.0.2:7000"), CPUShare: 100}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if o := permit.Owner("x", []gossip.LiveMember{weak, strong}); o != weak.Addr {
+				t.Errorf("owner %v, want %v", o, weak.Addr)
+			}
+		})
+	}
+}
+
 // Guards against a limit that is so high that the number of saved permits is no int: all
 // requests were denied.
 func TestHugeLimit(t *testing.T) {
