Test that the parts of a cut fleet hold one burst

A mutation of front/quota that lets parts without most of the seeds keep their share survived the 60 random plays of TestBudgetHoldsOverAllProcesses.

--- a/internal/front/quota/quota_test.go
+++ b/internal/front/quota/quota_test.go
@@ -232,6 +232,37 @@
 	ps.TestingRun(t)
 }
 
+// Guards against parts of a fleet that each hold the whole burst, as their daemons divide it
+// by those that they see: after a long cut, and if they were started within it.
+func TestPartsHoldOneBurst(t *testing.T) {
+	cases := map[string]struct {
+		daemons, parts int
+		started        bool
+	}{
+		"halves":                      {7, 2, false},
+		"halves, started in the cut":  {7, 2, true},
+		"each alone":                  {7, 7, false},
+		"each alone, started there":   {7, 7, true},
+		"a large fleet":               {72, 6, false},
+		"a large fleet started there": {72, 6, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(trouble{daemons: c.daemons, burst: 54, ratio: 0.2, rate: 5, fails: 90 * time.Second, length: 110 * time.Second, seed: 1})
+			for i := range f.part {
+				f.part[i] = i % c.parts
+			}
+			f.cutAt = 0
+			if c.started {
+				f.before = f.part
+			}
+			if broken := f.play(); broken != "" {
+				t.Error(broken)
+			}
+		})
+	}
+}
+
 // Guards against a budget that is never exceeded because nothing is repeated.
 func TestRetriesAreLeftWhenTheyHelp(t *testing.T) {
 	cases := map[string]struct {
