Fill the retry budgets of tests with fewer requests

Each retry in a budget of newBudget was paid by 64 requests, which the tests of front/stream make thousands of times under the race detector; 16 do as well.

--- a/internal/front/stream/budget_test.go
+++ b/internal/front/stream/budget_test.go
@@ -8,7 +8,7 @@
 )
 
 // perRetry is the number of requests that pay for one retry in a budget of newBudget.
-const perRetry = 64
+const perRetry = 16
 
 // newBudget returns a budget with a number of retries that last for as long as any test. The
 // requests of a test add next to nothing.
