--- a/internal/front/quota/quota_test.go
+++ b/internal/front/quota/quota_test.go
@@ -340,3 +340,17 @@
 		})
 	}
 }
+
+// BenchmarkUpdate measures one update of a daemon's budgets in a fleet of the planned size.
+func BenchmarkUpdate(b *testing.B) {
+	f := newFleet(trouble{daemons: 350, burst: 54, ratio: 0.2})
+	f.now = time.Minute
+	view := quota.Fleet{Alive: f.view(0), Seeds: f.seeds}
+	q := quota.New(f.epoch, f.daemons[0].addr, quota.Contract{Ratio: 0.2, Burst: 54, Window: window}, func() quota.Fleet { return view })
+	for i := range 10 {
+		q.Open(f.epoch, fmt.Sprint("s", i)).Close(f.epoch)
+	}
+	for b.Loop() {
+		q.Update(f.epoch)
+	}
+}
