Fill the retry budgets of tests from the burst

Under the race detector the 16 requests that paid for one retry still were most of the work of the tests of front/stream. Updates a second apart earn it now, and the requests of a test add nothing.

This showed that a view without daemons, which the router never has, divided nothing: the count of views starts at one.

--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -78,8 +78,8 @@
 
 	mu       sync.Mutex
 	services map[string]*service
-	// alive are the daemons of the last update, and names their addresses. view counts how
-	// often they changed. Without most of the seeds, cut is set.
+	// alive are the daemons of the last update, and names their addresses. view counts
+	// from 1 how often they changed. Without most of the seeds, cut is set.
 	alive     []netip.AddrPort
 	names     []string
 	view      int
@@ -114,7 +114,7 @@
 // New returns the quota of the daemon at an address, which starts empty. Update must be
 // called several times a window.
 func New(now time.Time, self netip.AddrPort, c Contract, fleet func() Fleet) *Quota {
-	q := &Quota{self: self.String(), contract: c, fleet: fleet, start: now, services: map[string]*service{}}
+	q := &Quota{self: self.String(), contract: c, fleet: fleet, start: now, view: 1, services: map[string]*service{}}
 	q.Update(now)
 	return q
 }
--- a/internal/front/unary/budget_test.go
+++ b/internal/front/unary/budget_test.go
@@ -2,26 +2,32 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"citronrock.example/citronrock/internal/front/quota"
 )
 
-// perRetry is the number of requests that pay for one retry in a budget of newBudget.
-const perRetry = 16
+// updates counts the seconds of a clock by which budgets of newBudget earn their retries.
+var updates atomic.Int64
 
-// newBudget returns a budget with a number of retries that last for as long as any test. The
-// requests of a test add next to nothing.
+func updateTime() time.Time { return time.Unix(updates.Add(1), 0) }
+
+// newBudget returns a budget with a number of retries that last for as long as any test.
+// Requests add nothing to it.
 func newBudget(retries int) *quota.Quota {
-	q := quota.New(time.Now(), netip.AddrPort{}, quota.Contract{Ratio: 2.0 / perRetry, Window: time.Hour}, func() quota.Fleet { return quota.Fleet{} })
+	// A thousand retries are earned in a thousand seconds, one in each update.
+	contract := quota.Contract{Burst: 2201, Window: 1000 * time.Second}
+	q := quota.New(updateTime(), netip.AddrPort{}, contract, func() quota.Fleet { return quota.Fleet{} })
+	q.Open(time.Now(), "s").Close(time.Now())
 	refill(q, retries)
 	return q
 }
 
 // refill adds retries to a budget of newBudget.
 func refill(q *quota.Quota, retries int) {
-	for range retries * perRetry {
-		q.Open(time.Now(), "s")
+	for range retries {
+		q.Update(updateTime())
 	}
 }
 
