--- a/internal/front/router/budget.go
+++ b/internal/front/router/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"time"
 
 	"citronrock.example/citronrock/internal/front/quota"
@@ -20,6 +21,12 @@
 	return f
 }
 
+// SetSeeds replaces the seeds after the settings were reloaded.
+func (r *Router) SetSeeds(seeds []netip.AddrPort) {
+	r.gossip.SetSeeds(seeds)
+	r.seeds.Store(&seeds)
+}
+
 // updateBudget regularly updates the retry budgets, and logs what became of those in use,
 // until the router has stopped.
 func (r *Router) updateBudget() {
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -359,12 +359,6 @@
 	return out
 }
 
-// SetSeeds replaces the seeds after the settings were reloaded.
-func (r *Router) SetSeeds(seeds []netip.AddrPort) {
-	r.gossip.SetSeeds(seeds)
-	r.seeds.Store(&seeds)
-}
-
 // Stop shuts the router down within the grace period. It serves the requests in
 // flight and those that still arrive.
 func (r *Router) Stop() {
--- a/internal/room/ledger/prefill_test.go
+++ b/internal/room/ledger/prefill_test.go
@@ -136,3 +136,36 @@
 		})
 	}
 }
+
+// Guards against streams that go on with one retry left and are sent to a prefill engine
+// first, which takes two, and against others that wait because such a one finds no room.
+func TestAlone(t *testing.T) {
+	cases := map[string]struct {
+		prompt  int
+		granted bool
+	}{
+		"a decode engine prefills it itself":  {5000, true},
+		"the prompt would pause for too long": {8000, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, engines(4, 64, 200_000))
+			l.ApplyReport(t0, edge1, ledger.Report{Service: "s", Incarnation: 1, Sequence: 1, PrefillRate: 50_000})
+			first, second := request(1), request(2)
+			first.Prompt, first.Alone, first.Resumed, second.Prompt = c.prompt, true, true, 5000
+			granted := map[uint64]ledger.Reply{}
+			for _, r := range append(l.Submit(t0, edge1, first), l.Submit(t0, edge1, second)...) {
+				if r.Status == ledger.Granted {
+					granted[r.ID] = r
+				}
+			}
+			if r, ok := granted[1]; ok != c.granted || r.Prefill != "" {
+				t.Errorf("granted %t with prefill engine %q; want %t without one", ok, r.Prefill, c.granted)
+			}
+			if r := granted[2]; r.Prefill == "" {
+				t.Errorf("another request got %+v, want engines of both stages", r)
+			}
+		})
+	}
+}
