Let streams with one retry left ask the owner again within a second

Found in the read-through: a stream that goes on with one retry left asks for a decode engine that prefills its prompt itself (Alone). Where the prompt is too long for that the owner queued it until its client leaves, although the budget may allow a prefill engine a moment later.

Such a lease request now waits a second at most, as the pause between two requests does, where the stream asks again after a refusal.

--- a/internal/front/stream/ask.go
+++ b/internal/front/stream/ask.go
@@ -25,6 +25,10 @@
 	if j.begun() && !j.move.silent {
 		req.RetryMaxWait = max(time.Until(j.holdEnd()), 0)
 	}
+	if req.Alone && (j.streaming || j.mayHaveRun) {
+		// The owner is asked again then, for a prefill engine too if the budget has been earned.
+		req.RetryMaxWait = min(req.RetryMaxWait, maxHoldPause)
+	}
 	return req
 }
 
--- a/internal/front/stream/move_test.go
+++ b/internal/front/stream/move_test.go
@@ -304,3 +304,21 @@
 		})
 	}
 }
+
+// Guards against streams that wait at the owner for a decode engine that prefills a long prompt
+// itself, until their client leaves, while the budget allows a prefill engine again.
+func TestAloneAsksAgain(t *testing.T) {
+	alone := 0
+	_, _, _, asked := trouble{faults: []int{noRoom}, lasts: time.Second, deadline: 11 * time.Second, budget: 1, seed: 1}.play(t)
+	for _, r := range asked {
+		if !r.Alone {
+			continue
+		}
+		if alone++; r.RetryMaxWait > time.Second {
+			t.Errorf("a lease request with one retry left may wait %v, want a second at most", r.RetryMaxWait)
+		}
+	}
+	if alone == 0 {
+		t.Errorf("no lease request with one retry left in %+v", asked)
+	}
+}
