Read bodies of just their limit without a last copy

A body of exactly its limit was copied once more, to a buffer one byte larger, so that both took 32 MB of a budget of 33 MB. With the share of one server (memory.Share) a response of exactly 16 MB was then refused, which it was not before; TestLargeResponse had been written with 12 MB for that reason.

A buffer that would hold the limit now has room for the byte beyond it. TestLargeResponse reads 16 MB; it fails without the change (budget exhausted).

--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -89,7 +89,7 @@
 
 func read(h holder, r io.Reader, limit int64) (*Body, error) {
 	out := &Body{holder: h}
-	for size := min(firstBuffer, limit+1); ; size = min(2*size, limit+1) {
+	for size := min(firstBuffer, limit+1); ; size = nextSize(size, limit) {
 		if !out.grow(size) {
 			out.Release()
 			return nil, ErrExhausted
@@ -108,6 +108,15 @@
 	}
 }
 
+// nextSize returns the size of the buffer after one of size bytes. One that holds limit bytes
+// has room for the byte that exceeds it, so that no body is copied once more for that.
+func nextSize(size, limit int64) int64 {
+	if size *= 2; size < limit {
+		return size
+	}
+	return limit + 1
+}
+
 // grow moves the body to a buffer of size bytes. The budget must cover both buffers
 // during the copy.
 func (b *Body) grow(size int64) bool {
--- a/internal/front/memory/share_test.go
+++ b/internal/front/memory/share_test.go
@@ -42,7 +42,7 @@
 // Guards against a large response that is refused although the memory is free.
 func TestLargeResponse(t *testing.T) {
 	b := memory.New(33 << 20)
-	body, err := b.Share("a").Read(strings.NewReader(strings.Repeat("x", 12<<20)), 16<<20)
+	body, err := b.Share("a").Read(strings.NewReader(strings.Repeat("x", 16<<20)), 16<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
