Reserve the ports of test fleets across fleets and processes

Cause: up to three fleets of bench/proof start at the same time in one process (fleetSlots). Each kept its own map of assigned ports and took a port for free while nobody listened on it, but daemons listen up to a second after their addresses are assigned. Ruled out: outgoing connections (the port is below the ephemeral range) and processes left by an earlier test (the port was found free when it was assigned).

Change: one reservation for all fleets of a process, which takes blocks of ports by listening on the first port of each, so that other processes take other blocks; Close returns a fleet's ports.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -88,7 +88,7 @@
 	}
 	f := &Fleet{
 		set: set, doc: set.Plan.Document, procs: map[string]*proc{}, killedCounts: map[string]engine.Stats{},
-		ports: ports{assigned: map[uint16]bool{}}, states: map[string]string{},
+		states: map[string]string{},
 		client: &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
 	}
 	f.relay = newRelay(f.Pids)
--- a/internal/bench/fleet/ops.go
+++ b/internal/bench/fleet/ops.go
@@ -347,5 +347,6 @@
 	}
 	f.client.CloseIdleConnections()
 	f.relay.close()
+	f.ports.release()
 	return errors.Join(errs...)
 }
--- a/internal/bench/fleet/plan.go
+++ b/internal/bench/fleet/plan.go
@@ -2,13 +2,8 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"citronrock.example/citronrock/internal/conf/policy"
 )
 
@@ -93,36 +88,3 @@
 		})
 	}
 }
-
-// Range of the ports that fleets listen on.
-const (
-	lowPort  = 10_000
-	highPort = 32_000
-)
-
-// ports assigns loopback addresses that are free for TCP and UDP. They lie below the
-// kernel's ephemeral port range, since with some hundred processes outgoing
-// connections took assigned ports before a process could listen on them. Another
-// fleet may still take one; the start fails then.
-type ports struct{ assigned map[uint16]bool }
-
-func (p *ports) next() (netip.AddrPort, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort)))
-		if err != nil {
-			continue
-		}
-		a := l.Addr().(*net.TCPAddr).AddrPort()
-		u, err := net.ListenPacket("udp", a.String())
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		if !p.assigned[a.Port()] {
-			p.assigned[a.Port()] = true
-			return a, nil
-		}
-	}
-	return netip.AddrPort{}, eris.New("no port is free for both TCP and UDP")
-}
