Move the memory budget to core/memory

The HTTP client of backend servers has to charge headers and replies to the same budget, and can't import a package of the front. No behaviour changes: go vet of all packages and the tests of core/memory and front pass.

--- a/internal/front/memory/memory_test.go
+++ b/internal/core/memory/memory_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"testing/iotest"
 
-	"citronrock.example/citronrock/internal/front/memory"
+	"citronrock.example/citronrock/internal/core/memory"
 )
 
 // endless is an endless body.
--- a/internal/front/memory/share_test.go
+++ b/internal/core/memory/share_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"citronrock.example/citronrock/internal/front/memory"
+	"citronrock.example/citronrock/internal/core/memory"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
--- a/internal/front/router/body.go
+++ b/internal/front/router/body.go
@@ -6,8 +6,8 @@
 	"os"
 	"time"
 
+	"citronrock.example/citronrock/internal/core/memory"
 	"citronrock.example/citronrock/internal/front/grace"
-	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/route/config"
 )
 
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -14,9 +14,9 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/conf/site"
+	"citronrock.example/citronrock/internal/core/memory"
 	"citronrock.example/citronrock/internal/daemon/meter"
 	"citronrock.example/citronrock/internal/front/grace"
-	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/front/serve"
--- a/internal/front/stream/events.go
+++ b/internal/front/stream/events.go
@@ -7,7 +7,7 @@
 	"io"
 	"slices"
 
-	"citronrock.example/citronrock/internal/front/memory"
+	"citronrock.example/citronrock/internal/core/memory"
 )
 
 // eventLimit is the maximum size of one event in bytes.
--- a/internal/front/stream/fuzz_test.go
+++ b/internal/front/stream/fuzz_test.go
@@ -6,7 +6,7 @@
 	"io"
 	"testing"
 
-	"citronrock.example/citronrock/internal/front/memory"
+	"citronrock.example/citronrock/internal/core/memory"
 )
 
 // Guards against streams whose events are changed, lost or joined, and against
--- a/internal/front/stream/slow_test.go
+++ b/internal/front/stream/slow_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"citronrock.example/citronrock/internal/front/memory"
+	"citronrock.example/citronrock/internal/core/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/stream"
 	"citronrock.example/citronrock/internal/logs/lines"
--- a/internal/front/unary/slow_test.go
+++ b/internal/front/unary/slow_test.go
@@ -16,7 +16,7 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
-	"citronrock.example/citronrock/internal/front/memory"
+	"citronrock.example/citronrock/internal/core/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/unary"
 	"citronrock.example/citronrock/internal/logs/lines"
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -10,9 +10,9 @@
 
 	"citronrock.example/citronrock"
 	"citronrock.example/citronrock/internal/core/event"
+	"citronrock.example/citronrock/internal/core/memory"
 	"citronrock.example/citronrock/internal/core/retry"
 	"citronrock.example/citronrock/internal/front/grace"
-	"citronrock.example/citronrock/internal/front/memory"
 	"citronrock.example/citronrock/internal/front/proxy"
 	"citronrock.example/citronrock/internal/front/quota"
 	"citronrock.example/citronrock/internal/logs/lines"
