Give up a response of the server that holds most when memory is short

Other operators saw a faulty server take a machine's memory by bytes without end, so that the requests of other clients ended. Here each server left a quarter of the memory that it found free, which is nothing after a few of them, and large heads, prefill replies and usage reports were not part of any budget.

Cause: a bound for each call or server, none for all of them together.

Change: one budget for bodies, large heads (over 4 KB or 64 lines) and replies. When it is short, the server whose responses hold most loses one that it still sends, if it holds more than the one that needs memory. Of n servers, one that holds at most 1/n of what requests and complete responses leave finds room. Requests count together as one server and are never given up, nor are complete responses. New gauges memory_free and memory_given_up.

--- a/cmd/citronrock-front/main.go
+++ b/cmd/citronrock-front/main.go
@@ -90,12 +90,14 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	bodies := router.NewMemory(settings)
 	r, err := router.Start(settings, router.Deps{
 		Store:        platform.NewStore(settings.Store, log, platform.WithOnCall(func() { storeCalls.Add(1) })),
-		Backends:     platform.NewBackends(http1.New(http1.WithOpened(func() { serverConns.Add(1) })), log),
+		Backends:     platform.NewBackends(http1.New(http1.WithOpened(func() { serverConns.Add(1) }), http1.WithMemory(bodies)), log),
 		Ingress:      platform.Ingress{},
 		Log:          log,
 		Meter:        m,
+		Memory:       bodies,
 		DroppedLines: func() (int64, int64) { return suppressed.Load(), int64(out.Dropped()) },
 	})
 	if err != nil {
--- a/internal/back/http1/http1.go
+++ b/internal/back/http1/http1.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"citronrock.example/citronrock/internal/core/memory"
 	"github.com/rotisserie/eris"
 )
 
@@ -30,6 +31,11 @@
 	// interim ones before it. A field takes much more memory than a short line has bytes.
 	maxHeaderBytes = 64 << 10
 	maxHeaderLines = 256
+	// A header of more than smallHeaderBytes or smallHeaderLines is charged to the memory
+	// budget with largeHeaderMemory bytes, which is more than any may take.
+	smallHeaderBytes  = 4 << 10
+	smallHeaderLines  = 64
+	largeHeaderMemory = 256 << 10
 )
 
 var errManyLines = errors.New("header has too many lines")
@@ -51,6 +57,7 @@
 type Client struct {
 	dialer    net.Dialer
 	onConnect func()
+	memory    *memory.Budget
 }
 
 // Option changes a setting of a client.
@@ -59,6 +66,10 @@
 // WithOpened sets a function that is called after each connection is opened.
 func WithOpened(f func()) Option { return func(c *Client) { c.onConnect = f } }
 
+// WithMemory sets the budget for large headers and for replies that ReadBody reads. It is
+// unlimited by default.
+func WithMemory(b *memory.Budget) Option { return func(c *Client) { c.memory = b } }
+
 // New returns a client, which keeps no connections.
 func New(opts ...Option) *Client {
 	c := &Client{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, onConnect: func() {}}
@@ -71,12 +82,20 @@
 // Response is a response whose body may still be arriving. Close must be called.
 type Response struct {
 	*http.Response
+	server    netip.AddrPort
+	memory    *memory.Budget
 	closeConn func()
 }
 
 // Close closes the connection, which tells the server to stop work on the request.
 func (r *Response) Close() { r.closeConn() }
 
+// ReadBody reads a body of up to limit bytes. Its memory stays reserved until its Release.
+// Errors are those of memory.Hold.Read.
+func (r *Response) ReadBody(limit int64) (*memory.Body, error) {
+	return r.memory.Response(r.server, r.closeConn).Read(r.Body, limit)
+}
+
 // Do sends a request to a server and returns when the header of the response has
 // arrived. The end of ctx closes the connection, also while the body is read. The
 // target is req.RequestURI byte by byte, or that of req.URL if it is empty.
@@ -91,15 +110,17 @@
 	}
 	c.onConnect()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	hold := c.memory.Response(to, func() { conn.Close() })
 	end := sync.OnceFunc(func() {
 		stop()
 		conn.Close()
+		hold.Release()
 	})
 	if ctx.Err() != nil {
 		end()
 		return nil, &Error{Err: context.Cause(ctx)}
 	}
-	resp, err := roundTrip(conn, req, body) //nolint:bodyclose // Reply.Close ends the connection
+	resp, err := roundTrip(conn, hold, req, body) //nolint:bodyclose // Reply.Close ends the connection
 	if err != nil {
 		end()
 		if ctx.Err() != nil {
@@ -107,13 +128,13 @@
 		}
 		return nil, &Error{Sent: true, Err: err}
 	}
-	return &Response{Response: resp, closeConn: end}, nil
+	return &Response{Response: resp, server: to, memory: c.memory, closeConn: end}, nil
 }
 
 // roundTrip writes the request and reads the header of its response. A body larger
 // than maxInlineBody is written meanwhile, since a server may respond before it has
 // read it.
-func roundTrip(conn net.Conn, req *http.Request, body []byte) (*http.Response, error) {
+func roundTrip(conn net.Conn, hold *memory.Hold, req *http.Request, body []byte) (*http.Response, error) {
 	write := func() error { return writeRequest(bufio.NewWriterSize(conn, bufferSize), req, body) }
 	var writeErr error
 	if len(body) <= maxInlineBody {
@@ -122,7 +143,7 @@
 		go func() { _ = write() }() // a failed write shows in the response or its absence
 	}
 	limited := &io.LimitedReader{R: conn, N: maxHeaderBytes}
-	header := &headerReader{in: limited}
+	header := &headerReader{in: limited, hold: hold}
 	r := bufio.NewReaderSize(header, bufferSize)
 	for {
 		resp, err := http.ReadResponse(r, req)
--- a/internal/back/http1/http1_test.go
+++ b/internal/back/http1/http1_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"citronrock.example/citronrock/internal/back/http1"
+	"citronrock.example/citronrock/internal/core/memory"
 	"go.uber.org/goleak"
 )
 
@@ -205,6 +206,46 @@
 	}
 }
 
+// Guards against large headers at many connections, and replies that the daemon reads
+// itself, that are not part of the memory that servers share.
+func TestResponsesAreCharged(t *testing.T) {
+	const budget = 1 << 20
+	cases := map[string]struct {
+		header string
+		want   int64 // while the response is open
+	}{
+		"small":      {strings.Repeat("X: y\r\n", 20), 0},
+		"many lines": {strings.Repeat("X: y\r\n", 100), 256 << 10},
+		"many bytes": {"X: " + strings.Repeat("y", 8<<10) + "\r\n", 256 << 10},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := memory.New(budget)
+			to := serveOnce(t, func(conn net.Conn, r *bufio.Reader) {
+				readAll(r)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.header+"Content-Length: 5000\r\n\r\n"+strings.Repeat("z", 5000))
+			})
+			req, _ := http.NewRequest(http.MethodGet, "http://x/", nil)
+			resp, err := http1.New(http1.WithMemory(b)).Do(t.Context(), to, req, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if held := budget - b.Available(); held != c.want {
+				t.Errorf("header holds %d bytes, want %d", held, c.want)
+			}
+			body, err := resp.ReadBody(6000)
+			if held := budget - b.Available(); err != nil || len(body.Bytes) != 5000 || held != c.want+6001 {
+				t.Errorf("body %v, error %v, %d bytes held", body, err, held)
+			}
+			body.Release()
+			resp.Close()
+			if b.Available() != budget {
+				t.Errorf("%d bytes available after the end, want all", b.Available())
+			}
+		})
+	}
+}
+
 // liveHeap returns the bytes of the heap that are in use.
 func liveHeap() int {
 	runtime.GC()
--- a/internal/core/memory/memory.go
+++ b/internal/core/memory/memory.go
@@ -1,144 +1,229 @@
-// Package memory bounds the bytes of request and response bodies that a daemon holds
-// in memory. A faulty backend server may send an endless body, and many clients may
-// send large bodies at the same time.
+// Package memory bounds the bytes that a daemon holds of requests and responses. A faulty
+// backend server may send bytes without end at each of its connections, and many clients
+// may send large bodies at the same time.
+//
+// A response that is still being read can be given up. When memory is short, the server
+// whose responses hold most loses one, if they hold more than those of the server that
+// needs memory. Of n servers, one whose responses hold at most 1/n of what requests and
+// complete responses leave always finds room, whatever the others send.
 package memory
 
 import (
 	"errors"
-	"io"
-	"sync/atomic"
+	"net/netip"
+	"sync"
 )
 
-// holder is what bodies reserve their memory of.
-type holder interface {
-	Reserve(n int64) bool
-	Release(n int64)
-}
-
-const (
-	// DefaultBytes is the budget in bytes of a daemon whose memory limit is not known.
-	DefaultBytes = 64 << 20
-	// firstBuffer is the size in bytes of the first buffer of a body. Most bodies fit
-	// into it.
-	firstBuffer = 4 << 10
-)
+// DefaultBytes is the budget in bytes of a daemon whose memory limit is not known.
+const DefaultBytes = 64 << 20
 
 var (
 	// ErrTooLarge is returned for a body that exceeds its own limit.
 	ErrTooLarge = errors.New("body exceeds its size limit")
-	// ErrExhausted is returned when the bodies of other requests use up the budget.
+	// ErrExhausted is returned when others use up the budget.
 	ErrExhausted = errors.New("memory budget for bodies is exhausted")
+	// ErrGivenUp is returned for a response that was given up.
+	ErrGivenUp = errors.New("response was given up, as its server held the most memory")
 )
 
-// Budget is the number of bytes available for all bodies. It is safe for concurrent
-// use. A nil budget is unlimited.
+// Budget is the number of bytes available for all requests and responses. It is safe for
+// concurrent use. A nil budget is unlimited.
 type Budget struct {
-	available atomic.Int64
-	shares    shares
+	mu          sync.Mutex
+	total, used int64
+	// requests is what the requests of clients hold.
+	requests int64
+	// open are the responses that can be given up.
+	open    map[*Hold]struct{}
+	givenUp int64
 }
 
 // New returns a budget of the given number of bytes.
-func New(bytes int64) *Budget {
-	b := new(Budget)
-	b.available.Store(bytes)
-	return b
+func New(bytes int64) *Budget { return &Budget{total: bytes, open: map[*Hold]struct{}{}} }
+
+// Available returns the number of bytes that are not reserved. The budget must not
+// be nil.
+func (b *Budget) Available() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total - b.used
+}
+
+// GivenUp returns the number of responses that were given up. The budget must not be nil.
+func (b *Budget) GivenUp() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.givenUp
+}
+
+// Hold is what one request or response holds in memory. Its methods but Release must not
+// be called at the same time. A nil hold is unlimited.
+type Hold struct {
+	budget *Budget
+	server netip.AddrPort
+	giveUp func()
+	// size and lost are guarded by the budget's lock. lost is set once the hold was given up.
+	size int64
+	lost bool
 }
 
-// Reserve takes n bytes from the budget and returns whether they were available.
-func (b *Budget) Reserve(n int64) bool {
+// Request returns an empty hold for the request of a client.
+func (b *Budget) Request() *Hold {
 	if b == nil {
-		return true
+		return nil
 	}
-	if b.available.Add(-n) < 0 {
-		b.available.Add(n)
-		return false
-	}
-	return true
+	return &Hold{budget: b}
 }
 
-// Release returns n reserved bytes to the budget.
-func (b *Budget) Release(n int64) {
-	if b != nil {
-		b.available.Add(n)
+// Response returns an empty hold for the response of a server. Until Keep or Release it may
+// be given up: giveUp is called then, once, and has to end the reading soon.
+func (b *Budget) Response(server netip.AddrPort, giveUp func()) *Hold {
+	if b == nil {
+		return nil
 	}
+	h := &Hold{budget: b, server: server, giveUp: giveUp}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open[h] = struct{}{}
+	return h
 }
 
-// Available returns the number of bytes that are not reserved. The budget must not
-// be nil.
-func (b *Budget) Available() int64 { return b.available.Load() }
+// Resize changes the number of bytes of the hold. The error is ErrExhausted or ErrGivenUp,
+// which changes nothing.
+func (h *Hold) Resize(bytes int64) error {
+	if h == nil {
+		return nil
+	}
+	victims, err := h.resize(bytes)
+	for _, v := range victims {
+		v.giveUp()
+	}
+	return err
+}
 
-// Body is a body that was read completely. Its memory stays reserved until Release.
-type Body struct {
-	Bytes    []byte
-	holder   holder
-	reserved int64
+func (h *Hold) resize(bytes int64) (victims []*Hold, err error) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.lost {
+		return nil, ErrGivenUp
+	}
+	more := bytes - h.size
+	if more > b.total-b.used {
+		if victims = b.victims(h, more); victims == nil {
+			return nil, ErrExhausted
+		}
+	}
+	for _, v := range victims {
+		// Its reader drops the buffer once giveUp has ended the reading. Waiting for that
+		// would let a response that is sound miss its time.
+		v.remove()
+		v.lost = true
+		b.givenUp++
+	}
+	h.add(more)
+	return victims, nil
 }
 
-// Release returns the memory of the body to the budget. The body must not be used
-// afterwards. A nil body and repeated calls are allowed.
-func (b *Body) Release() {
-	if b != nil {
-		b.holder.Release(b.reserved)
-		b.reserved = 0
+// add adds to the size of the hold. The budget's lock must be held.
+func (h *Hold) add(bytes int64) {
+	h.size += bytes
+	h.budget.used += bytes
+	if h.giveUp == nil {
+		h.budget.requests += bytes
 	}
 }
 
-// Read reads a body of up to limit bytes. The error is ErrTooLarge, ErrExhausted or
-// that of r; after an error nothing stays reserved.
-func (b *Budget) Read(r io.Reader, limit int64) (*Body, error) { return read(b, r, limit) }
+// remove removes the hold from the budget, whose lock must be held.
+func (h *Hold) remove() {
+	h.add(-h.size)
+	delete(h.budget.open, h)
+}
 
-func read(h holder, r io.Reader, limit int64) (*Body, error) {
-	out := &Body{holder: h}
-	for size := min(firstBuffer, limit+1); ; size = nextSize(size, limit) {
-		if !out.grow(size) {
-			out.Release()
-			return nil, ErrExhausted
+// victims returns the responses to give up so that h gets more bytes, nil if that is not
+// allowed. b.mu must be held.
+func (b *Budget) victims(h *Hold, more int64) (chosen []*Hold) {
+	servers := map[netip.AddrPort]*heldBy{}
+	for o := range b.open {
+		s := servers[o.server]
+		if s == nil {
+			s = new(heldBy)
+			servers[o.server] = s
 		}
-		err := out.fill(r)
-		if int64(len(out.Bytes)) > limit {
-			err = ErrTooLarge
+		s.add(o)
+	}
+	own := b.requests + more // all requests count as those of one server
+	if h.giveUp != nil {
+		own = more
+		if s := servers[h.server]; s != nil {
+			own += s.bytes
+		}
+		delete(servers, h.server)
+	}
+	for free := b.total - b.used; free < more; {
+		var most *heldBy
+		for _, s := range servers {
+			if most == nil || s.bytes > most.bytes {
+				most = s
+			}
 		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return out, nil
-		case err != nil:
-			out.Release()
-			return nil, err
+		if most == nil || most.bytes <= own {
+			return nil
 		}
+		v := most.takeLargest()
+		free += v.size
+		chosen = append(chosen, v)
 	}
+	return chosen
 }
 
-// nextSize returns the size of the buffer after one of size bytes. One that holds limit bytes
-// has room for the byte that exceeds it, so that no body is copied once more for that.
-func nextSize(size, limit int64) int64 {
-	if size *= 2; size < limit {
-		return size
-	}
-	return limit + 1
+// heldBy is what the open responses of one server hold.
+type heldBy struct {
+	bytes     int64
+	responses []*Hold
 }
 
-// grow moves the body to a buffer of size bytes. The budget must cover both buffers
-// during the copy.
-func (b *Body) grow(size int64) bool {
-	if !b.holder.Reserve(size) {
-		return false
-	}
-	buffer := make([]byte, len(b.Bytes), size)
-	copy(buffer, b.Bytes)
-	b.Bytes = buffer
-	b.holder.Release(b.reserved)
-	b.reserved = size
-	return true
+func (s *heldBy) add(h *Hold) {
+	s.bytes += h.size
+	s.responses = append(s.responses, h)
 }
 
-// fill reads until the buffer is full or r ends.
-func (b *Body) fill(r io.Reader) error {
-	for len(b.Bytes) < cap(b.Bytes) {
-		n, err := r.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
-		b.Bytes = b.Bytes[:len(b.Bytes)+n]
-		if err != nil {
-			return err
+// takeLargest removes the response that holds most.
+func (s *heldBy) takeLargest() *Hold {
+	largest := 0
+	for i, h := range s.responses {
+		if h.size > s.responses[largest].size {
+			largest = i
 		}
 	}
+	h, last := s.responses[largest], len(s.responses)-1
+	s.responses[largest], s.responses = s.responses[last], s.responses[:last]
+	s.bytes -= h.size
+	return h
+}
+
+// Keep keeps a response from being given up, as it is complete. The error is ErrGivenUp.
+func (h *Hold) Keep() error {
+	if h == nil {
+		return nil
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.lost {
+		return ErrGivenUp
+	}
+	delete(h.budget.open, h)
 	return nil
 }
+
+// Release returns what is held to the budget. Repeated calls are allowed.
+func (h *Hold) Release() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if !h.lost {
+		h.remove()
+	}
+}
--- a/internal/core/memory/memory_test.go
+++ b/internal/core/memory/memory_test.go
@@ -44,7 +44,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := memory.New(c.budget)
-			body, err := b.Read(c.body, c.limit)
+			body, err := b.Request().Read(c.body, c.limit)
 			if !errors.Is(err, c.err) || err == nil && len(body.Bytes) != c.want {
 				t.Fatalf("body %v, error %v; want %d bytes, error %v", body, err, c.want, c.err)
 			}
--- a/internal/front/router/admin.go
+++ b/internal/front/router/admin.go
@@ -174,6 +174,8 @@
 		r.meter.Gauge("permits", "permits for requests to limited servers that this daemon got", r.backends.Granted),
 		r.meter.Gauge("permits_denied", "requests to limited servers that got no permit", r.backends.Denied),
 		r.meter.Gauge("permits_silent", "asks for permits that their owner did not answer", r.backends.Unanswered),
+		r.meter.Gauge("memory_free", "bytes that are left for requests and responses", r.memory.Available),
+		r.meter.Gauge("memory_given_up", "responses that were given up, as their server held the most memory", r.memory.GivenUp),
 		r.meter.Gauge("panics", "panics recovered since the start; the affected work was abandoned", panics.Count),
 		r.meter.Gauge("broken_runs", "runs that crashes of their servers have broken off", r.guard.Broken),
 		r.meter.Gauge("open", "requests in flight", func() int64 { return int64(r.server.InFlight()) }),
--- a/internal/front/router/body.go
+++ b/internal/front/router/body.go
@@ -38,7 +38,7 @@
 		limit = int64(l.Body)
 	}
 	inTime := r.grace.AfterAnswers(func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := r.memory.Read(httpReq.Body, limit)
+	body, err := r.memory.Request().Read(httpReq.Body, limit)
 	if !inTime() {
 		body.Release()
 		w.Header().Set("Connection", "close")
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -119,11 +119,23 @@
 	Ingress  citronrock.Ingress
 	Log      *lines.Log
 	Meter    *meter.Meter
+	// Memory is the budget for requests and responses, to which Backends charge what they
+	// read themselves; NewMemory by default.
+	Memory *memory.Budget
 	// DroppedLines returns the numbers of log lines that were dropped by rate limits
 	// (left) and by a slow output (lost). It may be nil.
 	DroppedLines func() (left, lost int64)
 }
 
+// NewMemory returns the budget for requests and responses of a router with the given
+// settings.
+func NewMemory(s *site.Settings) *memory.Budget {
+	if s.Memory > 0 {
+		return memory.New(int64(bodyMemoryShare * float64(s.Memory)))
+	}
+	return memory.New(memory.DefaultBytes)
+}
+
 // Start starts a router with the given settings. The error tells which address can't
 // be used. Stop stops it.
 func Start(s *site.Settings, p Deps) (*Router, error) {
@@ -151,9 +163,8 @@
 	r.prober = probe.New(r.table, r.sameServer, p.Log, probe.WithDown(r.guard.RecordServerDown))
 	r.leases = lease.Start(self, s.Domain, r.socket, r.gossip, r.table, r.backends, p.Log)
 	r.budget = quota.New(time.Now(), s.Peer, quota.Contract{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow}, r.fleet)
-	r.memory = memory.New(memory.DefaultBytes)
-	if s.Memory > 0 {
-		r.memory = memory.New(int64(bodyMemoryShare * float64(s.Memory)))
+	if r.memory = p.Memory; r.memory == nil {
+		r.memory = NewMemory(s)
 	}
 	r.unary = unary.New(r.table, r.backends, p.Ingress, r.budget, p.Log, unary.WithDomain(s.Domain), unary.WithGuard(r.guard), unary.WithMemory(r.memory), unary.WithStop(r.grace))
 	r.stream = stream.New(r.table, r.backends, p.Ingress, r.leases, r.budget, p.Log, stream.WithDomain(s.Domain), stream.WithGuard(r.guard), stream.WithMemory(r.memory), stream.WithVerify(r.prober.VerifyIdentity), stream.WithStop(r.grace), stream.WithOrigins(r.origins),
--- a/internal/front/stream/events.go
+++ b/internal/front/stream/events.go
@@ -40,21 +40,21 @@
 
 // eventReader splits a stream into complete events.
 type eventReader struct {
-	in     *bufio.Reader
-	event  []byte
-	memory memory.Share
-	// reserved is the memory reserved for a large event.
+	in    *bufio.Reader
+	event []byte
+	hold  *memory.Hold
+	// reserved is the size in bytes of the hold for a large event.
 	reserved int64
 }
 
-// newEventReader returns a reader that charges large events to a server's share. close must
-// be called.
-func newEventReader(in io.Reader, s memory.Share) *eventReader {
-	return &eventReader{in: bufio.NewReader(in), memory: s}
+// newEventReader returns a reader that charges large events to an empty hold. close must be
+// called.
+func newEventReader(in io.Reader, h *memory.Hold) *eventReader {
+	return &eventReader{in: bufio.NewReader(in), hold: h}
 }
 
 // close releases the memory of a large event.
-func (r *eventReader) close() { r.memory.Release(r.reserved) }
+func (r *eventReader) close() { r.hold.Release() }
 
 // buffer appends a part of an event.
 func (r *eventReader) buffer(part []byte) error {
@@ -64,8 +64,8 @@
 	}
 	if size > smallEvent && int64(size) > r.reserved {
 		larger := min(max(2*r.reserved, 2*smallEvent), eventLimit)
-		if !r.memory.Reserve(larger - r.reserved) {
-			return memory.ErrExhausted
+		if err := r.hold.Resize(larger); err != nil {
+			return err
 		}
 		r.reserved = larger
 		r.event = slices.Grow(r.event, int(larger)-len(r.event))
--- a/internal/front/stream/fuzz_test.go
+++ b/internal/front/stream/fuzz_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"testing"
-
-	"citronrock.example/citronrock/internal/core/memory"
 )
 
 // Guards against streams whose events are changed, lost or joined, and against
@@ -16,7 +14,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, in []byte) {
-		r := newEventReader(bytes.NewReader(in), memory.Share{})
+		r := newEventReader(bytes.NewReader(in), nil)
 		defer r.close()
 		var out []byte
 		for {
--- a/internal/front/stream/job.go
+++ b/internal/front/stream/job.go
@@ -381,7 +381,7 @@
 
 // passResponse passes on a response that is not a stream.
 func (j *job) passResponse(ctx context.Context, s pool.Server, resp *proxy.Response) step {
-	body, err := j.memory.Share(s.ID).Read(resp.Body, responseLimit)
+	body, err := j.memory.Response(s.Addr, resp.Close).Read(resp.Body, responseLimit)
 	defer body.Release()
 	if err != nil || proxy.MeansNotRun(resp.Status) || j.streaming {
 		return j.runFailed(ctx, s, &proxy.SendError{Fault: event.FaultFailed, Err: errors.New("engine responded with " + http.StatusText(resp.Status))})
--- a/internal/front/stream/relay.go
+++ b/internal/front/stream/relay.go
@@ -15,7 +15,7 @@
 // relay passes each event of a run at engine s to the client as it arrives. It returns
 // nil after the last one.
 func (j *job) relay(ctx context.Context, cancel context.CancelCauseFunc, s pool.Server, resp *proxy.Response) *proxy.SendError {
-	events := newEventReader(resp.Body, j.memory.Share(s.ID))
+	events := newEventReader(resp.Body, j.memory.Response(s.Addr, resp.Close))
 	defer events.close()
 	var stall *watch
 	if j.route.Resume && j.runs < j.route.Attempts {
--- a/internal/front/unary/unary.go
+++ b/internal/front/unary/unary.go
@@ -242,7 +242,7 @@
 		return nil, f.Fault, err
 	}
 	defer upstream.Close()
-	body, err := j.memory.Share(s.ID).Read(upstream.Body, responseLimit)
+	body, err := j.memory.Response(s.Addr, upstream.Close).Read(upstream.Body, responseLimit)
 	if err != nil {
 		return nil, event.FaultBroken, err
 	}
