Count lost daemons for an hour when a limit is shared

Class: a bound on the fleet that is divided by a count that each daemon makes for itself. A server's limit is shared by the parts of a divided fleet, each by how many daemons it has lost sight of, but these were forgotten after a minute. After a longer cut each part took the whole limit: with halves, twice as much as the server wants, where the contract allows one and a half times.

Change: daemons that were dropped from the table and have not said that they leave count as lost for an hour, or until they come back. They are not contacted for longer than before. After more than a third of the fleet has gone for good without a word, the rest uses its share of limits for that hour.

TestLostDaemonsCount fails without the change in two of six cases (gone for 3 and for 59 minutes) and passes with it, also with the race detector.

--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -62,6 +62,9 @@
 	seedSenders = 8
 	// deadRetention is how long a dead daemon is kept and now and then contacted.
 	deadRetention = time.Minute
+	// lostRetention is how long a dead daemon counts as lost. A cut may last much longer
+	// than daemons are contacted, and each part may use its share of a limit only.
+	lostRetention = time.Hour
 	// matureAge is the age from which a daemon may own state: by then the others have
 	// sent their load reports to it.
 	matureAge = time.Second
@@ -119,6 +122,8 @@
 	self    Member
 	seeds   []netip.AddrPort
 	entries map[netip.AddrPort]*entry
+	// dropped holds when daemons were dropped that had not said that they leave.
+	dropped map[netip.AddrPort]time.Time
 	// pending holds for each changed member in how many more messages it is sent.
 	pending map[netip.AddrPort]int
 	// probeReach is the number of neighbours considered for pings.
@@ -132,7 +137,7 @@
 // New returns the table of a daemon. The seeds are addresses of daemons to join
 // by.
 func New(self Member, seeds []netip.AddrPort, seed uint64) *Table {
-	return &Table{self: self, seeds: seeds, entries: map[netip.AddrPort]*entry{}, pending: map[netip.AddrPort]int{},
+	return &Table{self: self, seeds: seeds, entries: map[netip.AddrPort]*entry{}, dropped: map[netip.AddrPort]time.Time{}, pending: map[netip.AddrPort]int{},
 		probeReach: probeTargets, rng: rand.New(rand.NewPCG(seed, uint64(self.Incarnation)))}
 }
 
@@ -214,6 +219,14 @@
 		default:
 			delete(t.entries, addr)
 			delete(t.pending, addr)
+			if !e.Leaving {
+				t.dropped[addr] = now
+			}
+		}
+	}
+	for addr, at := range t.dropped {
+		if now.Sub(at) > lostRetention-deadRetention {
+			delete(t.dropped, addr)
 		}
 	}
 	sortAddrs(live)
@@ -314,6 +327,7 @@
 	}
 	e := t.entries[m.Addr]
 	if e == nil || m.Incarnation > e.Incarnation {
+		delete(t.dropped, m.Addr)
 		t.entries[m.Addr] = &entry{Member: m, firstSeen: now, lastReceived: now, diedAt: now}
 		if enqueue {
 			t.enqueue(m.Addr)
@@ -381,11 +395,10 @@
 	return out
 }
 
-// Lost returns the number of daemons that were alive within the last minute, are not
-// now, and have not said that they leave. They may be alive in another part of a divided
-// fleet.
+// Lost returns the number of daemons that were alive within the last hour, are not now,
+// and have not said that they leave. They may be alive in another part of a divided fleet.
 func (t *Table) Lost(now time.Time) int {
-	lost := 0
+	lost := len(t.dropped)
 	for _, e := range t.entries {
 		if !t.isAlive(now, e) && !e.Leaving {
 			lost++
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -238,3 +238,41 @@
 		}
 	}
 }
+
+// Guards against a part of a divided fleet that forgets the rest of it after a minute, and
+// then takes the whole of a limit that the parts share.
+func TestLostDaemonsCount(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		leaves, returns bool
+		gone            time.Duration
+		want            int
+	}{
+		"a moment":                {gone: 3 * time.Second, want: 1},
+		"longer than contacted":   {gone: 3 * time.Minute, want: 1},
+		"nearly an hour":          {gone: 59 * time.Minute, want: 1},
+		"over an hour":            {gone: 62 * time.Minute, want: 0},
+		"has said that it leaves": {leaves: true, gone: 3 * time.Minute, want: 0},
+		"has returned":            {returns: true, gone: 3 * time.Minute, want: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(3, 0)
+			f.run(startTime, noCheck)
+			if c.leaves {
+				f.tables[2].Leave()
+				f.run(time.Second, noCheck)
+			}
+			f.dead[2] = true
+			f.run(c.gone, noCheck)
+			if c.returns {
+				f.dead[2] = false
+				f.run(startTime, noCheck)
+			}
+			if got := f.tables[0].Lost(f.now); got != c.want {
+				t.Errorf("%d daemons are lost, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/peer/gossip/node.go
+++ b/internal/peer/gossip/node.go
@@ -154,7 +154,7 @@
 	return n.table.Known()
 }
 
-// Lost returns the number of daemons that were alive within the last minute and are
+// Lost returns the number of daemons that were alive within the last hour and are
 // not now, without those that left.
 func (n *Node) Lost() int {
 	n.mu.Lock()
