Switch a prefill engine for streams whose decode engines have crashed

Change: after a stream has waited for a second with all decode engines of its version reported as unhealthy, a prefill engine of the version is switched, as where none is listed. The last prefill engine of the service stays one, and a crash that is over within the second costs no switch.

TestCrashedDecodeEngineIsReplaced fails without the change (crashed for long: no order) and passes with it; the packages room/ledger and room/lease pass.

--- a/internal/room/ledger/return_test.go
+++ b/internal/room/ledger/return_test.go
@@ -330,6 +330,42 @@
 	ps.TestingRun(t)
 }
 
+// Guards against a stream that ends although a prefill engine of its version is sound, as
+// the decode engines that are still listed have crashed, and against a switch for a crash
+// that is over soon.
+func TestCrashedDecodeEngineIsReplaced(t *testing.T) {
+	cases := map[string]struct {
+		down   []string
+		waited time.Duration
+		want   bool
+	}{
+		"crashed for long":     {[]string{"d1"}, 1100 * time.Millisecond, true},
+		"crashed a moment ago": {[]string{"d1"}, 500 * time.Millisecond, false},
+		"back":                 {nil, 1100 * time.Millisecond, false},
+		"all have crashed":     {[]string{"d1", "p1"}, 1100 * time.Millisecond, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := ledger.New("s")
+			l.SetEngines(t0, []ledger.Engine{
+				{ID: "d1", Stage: pool.Decode, Slots: 8, Tokens: 60_000, Version: "v1"}, {ID: "d2", Stage: pool.Decode, Slots: 8, Tokens: 60_000, Version: "v2"},
+				{ID: "p1", Stage: pool.Prefill, Slots: 8, Tokens: 60_000, Version: "v1"}, {ID: "p2", Stage: pool.Prefill, Slots: 8, Tokens: 60_000, Version: "v2"}})
+			unhealthy(l, t0, 0, "d1")
+			req := request(1)
+			req.Resumed, req.Version, req.RetryMaxWait = true, "v1", 10*time.Second
+			if got := replyTo(t, l.Submit(t0, edge1, req), 1); got.Status != ledger.Queued {
+				t.Fatalf("reply %+v, want the stream queued", got)
+			}
+			now := t0.Add(c.waited)
+			unhealthy(l, now, 1, c.down...)
+			change, ok := l.Rebalance(now, 300*time.Millisecond, func(ids []string) string { return ids[0] })
+			if ok != c.want || ok && change != (ledger.StageChange{Engine: "p1", Stage: pool.Decode}) {
+				t.Errorf("order %+v, %v; want one to p1: %v", change, ok, c.want)
+			}
+		})
+	}
+}
+
 // Guards against queued streams that are refused because a longer wait than their time is
 // predicted, while an engine of their version is about to be free.
 func TestQueuedStreamIsNotRefusedByPrediction(t *testing.T) {
--- a/internal/room/ledger/version.go
+++ b/internal/room/ledger/version.go
@@ -15,6 +15,9 @@
 	// the searches.
 	maxReserved  = 32
 	keepInterval = 200 * time.Millisecond
+	// crashDelay is how long a stream waits for the crashed decode engines of its version
+	// before a prefill engine is switched, which takes about as long.
+	crashDelay = time.Second
 )
 
 // group is a stage and a version of engines. The empty version stands for all.
@@ -208,14 +211,15 @@
 }
 
 // missedDecode returns the prefill engines that may be switched for a waiting stream whose
-// version has no decode engine. The last prefill engine of the service stays one.
+// version has no decode engine, or none but crashed ones for longer than most restarts
+// take. The last prefill engine of the service stays one.
 func (l *Ledger) missedDecode(now time.Time, prefill []string) []string {
 	if len(prefill) < 2 {
 		return nil
 	}
 	unhealthy := l.unhealthy()
 	for _, q := range l.queue {
-		if !q.Resumed || q.Version == "" || len(l.groups()[group{pool.Decode, q.Version}]) > 0 {
+		if !q.Resumed || q.Version == "" || l.mayDecode(now, q, unhealthy) {
 			continue
 		}
 		ids := slices.DeleteFunc(slices.Clone(l.groups()[group{pool.Prefill, q.Version}]), func(id string) bool {
@@ -227,3 +231,11 @@
 	}
 	return nil
 }
+
+// mayDecode reports whether a decode engine of a queued stream's version is sound, or may
+// be again soon.
+func (l *Ledger) mayDecode(now time.Time, q *queuedRequest, unhealthy map[string]bool) bool {
+	ids := l.groups()[group{pool.Decode, q.Version}]
+	crashed := !slices.ContainsFunc(ids, func(id string) bool { return !unhealthy[id] })
+	return !crashed || len(ids) > 0 && now.Sub(q.queuedAt) < crashDelay
+}
