Bound the lines of headers that citronrockd reads

Change: back/plain counts lines as back/http1 does, by the same code, which now tells interim responses by their status line and so counts them in the middle of a read, too. back/engine and back/cfgsvc limit headers to 16 KB; HTTP/2 counts 32 bytes for each field.

TestHeaderOfManyLines: three of five cases fail with the check taken out of conn.Read, and pass with it. go test -race ./internal/back/... passes.

--- a/internal/back/cfgsvc/cfgsvc.go
+++ b/internal/back/cfgsvc/cfgsvc.go
@@ -26,6 +26,9 @@
 // instances, takes some 200 KB.
 const maxReplyBytes = 4 << 20
 
+// maxHeaderBytes bounds the header of a reply.
+const maxHeaderBytes = 16 << 10
+
 // Client implements citronrock.Platform. A call fails when the platform hasn't
 // replied within the sum of its wait and the timeout. It then closes its
 // connection, so that a stalled connection is not used again.
@@ -55,6 +58,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	c.rpc = platfm.NewPlatformClient(&http.Client{Transport: c.transport},
 		"http://"+addr.String(), connect.WithReadMaxBytes(maxReplyBytes))
--- a/internal/back/engine/engine.go
+++ b/internal/back/engine/engine.go
@@ -30,6 +30,8 @@
 	minRenewInterval = 100 * time.Millisecond
 	// maxMessageBytes is the largest message accepted from an engine.
 	maxMessageBytes = 4 << 20
+	// maxHeaderBytes bounds the header of a response, with 32 bytes for each field.
+	maxHeaderBytes = 16 << 10
 )
 
 // Client is the client of one engine. It is safe for concurrent use.
@@ -93,6 +95,8 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		IdleConnTimeout: time.Minute,
 		DialContext:     dialer.DialContext,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	c.rpcClient = wire.NewEngineClient(&http.Client{Transport: c.transport}, c.url, connect.WithReadMaxBytes(maxMessageBytes))
 }
--- a/internal/back/http1/http1.go
+++ b/internal/back/http1/http1.go
@@ -27,10 +27,9 @@
 	// window of a new connection, so that it is written before the response is read.
 	maxInlineBody = 4 << 10
 	bufferSize    = 4 << 10
-	// maxHeaderBytes and maxHeaderLines bound the header of a response, with those of the
-	// interim ones before it. A field takes much more memory than a short line has bytes.
+	// maxHeaderBytes bounds the header of a response, with those of the interim ones before
+	// it.
 	maxHeaderBytes = 64 << 10
-	maxHeaderLines = 256
 	// A header of more than smallHeaderBytes or smallHeaderLines is charged to the memory
 	// budget with largeHeaderMemory bytes, which is more than any may take.
 	smallHeaderBytes  = 4 << 10
@@ -38,8 +37,6 @@
 	largeHeaderMemory = 256 << 10
 )
 
-var errManyLines = errors.New("header has too many lines")
-
 // Error is the failure of a request without a usable response.
 type Error struct {
 	// Sent is true when part of the request may have reached the server.
@@ -151,9 +148,8 @@
 			return nil, errors.Join(eris.Wrap(err, "no valid response header"), writeErr)
 		}
 		if resp.StatusCode >= 200 {
-			limited.N, header.ended = 1<<62, true
+			limited.N, header.lines.ended = 1<<62, true
 			return resp, nil
 		}
-		header.ended = false // another one follows
 	}
 }
--- a/internal/back/plain/conn.go
+++ b/internal/back/plain/conn.go
@@ -7,16 +7,38 @@
 	"sync"
 	"time"
 
+	"citronrock.example/citronrock/internal/back/http1"
 	"citronrock.example/citronrock/internal/core/event"
 )
 
-// conn counts the writes to a connection. The hooks of httptrace report buffered
-// writes, which may not have reached the socket.
+// conn counts the writes to a connection, and the lines of the header of its current
+// response. The hooks of httptrace report buffered writes, which may not have reached the
+// socket.
 type conn struct {
 	net.Conn
 	mu     sync.Mutex
 	writes int
 	sealed bool
+	header http1.HeaderLines
+}
+
+// Read fails within a header of too many lines.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, tooLong := c.header.Count(b[:n]); tooLong != nil {
+		return 0, tooLong
+	}
+	return n, err
+}
+
+// begin starts another request on the connection and returns the number of writes so far.
+func (c *conn) begin() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.header = http1.HeaderLines{}
+	return c.writes
 }
 
 // Write counts before it writes, since a write that fails may have sent some bytes.
@@ -31,12 +53,6 @@
 	return c.Conn.Write(b)
 }
 
-func (c *conn) writeCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writes
-}
-
 // seal makes further writes fail and returns the number of writes so far. When a
 // cancelled attempt returns, the transport's goroutine may still be about to write.
 func (c *conn) seal() int {
@@ -72,7 +88,7 @@
 	defer t.mu.Unlock()
 	t.conn, _ = info.Conn.(*conn)
 	if t.conn != nil {
-		t.writesBefore = t.conn.writeCount()
+		t.writesBefore = t.conn.begin()
 	}
 	if t.timer != nil {
 		t.timer.Stop()
--- a/internal/back/plain/plain_test.go
+++ b/internal/back/plain/plain_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -299,3 +300,43 @@
 		})
 	}
 }
+
+// Guards against a server that takes a daemon's memory by headers of many short fields,
+// each of which holds far more memory than it has bytes.
+func TestHeaderOfManyLines(t *testing.T) {
+	fields := func(n int) string { return strings.Repeat("X: y\r\n", n) }
+	answer := func(n int) string {
+		return "HTTP/1.1 200 OK\r\n" + fields(n) + "Content-Length: 600\r\n\r\n" + strings.Repeat("\n", 600)
+	}
+	cases := map[string]struct {
+		answers []string // one after the other, on one connection if possible
+		want    event.Fault
+	}{
+		"two of many lines":     {[]string{answer(200), answer(200)}, event.FaultNone},
+		"after interim ones":    {[]string{strings.Repeat("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", 3) + answer(200)}, event.FaultNone},
+		"too many":              {[]string{answer(300)}, event.FaultBroken},
+		"too many in the next":  {[]string{answer(200), answer(300)}, event.FaultBroken},
+		"too many with interim": {[]string{"HTTP/1.1 103 Early Hints\r\n" + fields(100) + "\r\n" + answer(200)}, event.FaultBroken},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := serve(t, func(conn net.Conn, _ int32) {
+				r := bufio.NewReader(conn)
+				for _, text := range c.answers {
+					if !respond(conn, r, text) {
+						return
+					}
+				}
+			})
+			s := plain.New(b.address)
+			defer s.Close()
+			var reply citronrock.PlainReply
+			for range c.answers {
+				reply = send(t, s, false)
+			}
+			if reply.Fault != c.want || reply.Fault == event.FaultNone && len(reply.Body) != 600 {
+				t.Errorf("fault %v, %d bytes; want %v", reply.Fault, len(reply.Body), c.want)
+			}
+		})
+	}
+}
