--- a/internal/room/ledger/queue.go
+++ b/internal/room/ledger/queue.go
@@ -56,9 +56,13 @@
 // admissible decides whether a request with a predicted wait joins the queue. A
 // request that would miss its latency target is refused at once with a Retry-After
 // delay, so that it doesn't take memory from requests that can meet theirs. Retries
-// and resumed or prefilled requests may wait until their longest queueing time.
+// and prefilled requests may wait until their longest queueing time. A stream that goes on
+// has no other place, and runs end sooner or later than predicted.
 func (l *Ledger) admissible(now time.Time, q *queuedRequest, wait time.Duration) bool {
-	if q.retried || q.Resumed || q.Prefilled {
+	switch {
+	case q.Resumed:
+		return true
+	case q.retried || q.Prefilled:
 		return now.Add(wait).Before(q.refuseAt)
 	}
 	return now.Add(wait).Before(q.lateAt)
--- a/internal/room/ledger/return_test.go
+++ b/internal/room/ledger/return_test.go
@@ -396,3 +396,19 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on and is refused as it comes, because a longer wait
+// than its time is predicted, and against one that waits for longer than its time.
+func TestComingStreamIsNotRefusedByPrediction(t *testing.T) {
+	l := ledger.New("s")
+	l.SetEngines(t0, engines(1, 1, 40_000))
+	replyTo(t, l.Submit(t0, edge1, request(1)), 1)
+	req := request(2)
+	req.Resumed, req.RetryMaxWait = true, 10*time.Millisecond
+	if got := replyTo(t, l.Submit(t0, edge1, req), 2); got.Status != ledger.Queued || got.Wait < req.RetryMaxWait {
+		t.Fatalf("reply %+v, want the stream queued with a longer wait than its time", got)
+	}
+	if got := replyTo(t, l.Tick(t0.Add(200*time.Millisecond)), 2); got.Status != ledger.Refused {
+		t.Errorf("reply %+v after its time, want a refusal", got)
+	}
+}
