Take signals from the first moment of a start

The process had been restarted, and was told to read its settings again before it had said that it takes SIGHUP.

Cause: signal.Notify came after the settings were read and the meter was made; until then SIGHUP ends a process. Change: it comes first. What is left is the time from the start of the process to main.

--- a/cmd/citronrock-front/main.go
+++ b/cmd/citronrock-front/main.go
@@ -45,6 +45,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// First of all: until then a SIGHUP that comes with the start ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	var metrics int
 	set := flags.New(usage, help)
 	set.Int(&metrics, "metrics", "PORT", "additional port for metrics and status, besides the control address")
@@ -88,8 +91,6 @@
 		log.Error("cannot start the router", "error", err.Error())
 		return deps.ExitFailed
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	bodies := router.NewMemory(settings)
 	r, err := router.Start(settings, router.Deps{
 		Store:        platform.NewStore(settings.Store, log, platform.WithOnCall(func() { storeCalls.Add(1) })),
