--- a/internal/front/router/body.go
+++ b/internal/front/router/body.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"citronrock.example/citronrock/internal/conf/site"
 	"citronrock.example/citronrock/internal/core/memory"
 	"citronrock.example/citronrock/internal/front/grace"
 	"citronrock.example/citronrock/internal/route/config"
@@ -14,6 +15,19 @@
 // reasonBody is the reason of requests whose body is not as it has to be.
 const reasonBody = "body"
 
+// bodyMemoryShare is the share of the process's memory for bodies. The garbage collector lets
+// garbage grow to the same size again.
+const bodyMemoryShare = 0.25
+
+// NewMemory returns the budget for requests and responses of a router with the given
+// settings.
+func NewMemory(s *site.Settings) *memory.Budget {
+	if s.Memory > 0 {
+		return memory.New(int64(bodyMemoryShare * float64(s.Memory)))
+	}
+	return memory.New(memory.DefaultBytes)
+}
+
 // refusal says why a body was not read.
 type refusal struct {
 	status     int
--- a/internal/front/router/router.go
+++ b/internal/front/router/router.go
@@ -58,9 +58,6 @@
 	shutdownNotice = 2500 * time.Millisecond
 	// droppedLinesInterval is the time between log lines about dropped log lines.
 	droppedLinesInterval = 10 * time.Second
-	// bodyMemoryShare is the share of the process's memory for bodies. The garbage
-	// collector lets garbage grow to the same size again.
-	bodyMemoryShare = 0.25
 	// memoryRetryAfter is the Retry-After delay of a client that was refused for lack
 	// of memory.
 	memoryRetryAfter = time.Second
@@ -127,15 +124,6 @@
 	DroppedLines func() (left, lost int64)
 }
 
-// NewMemory returns the budget for requests and responses of a router with the given
-// settings.
-func NewMemory(s *site.Settings) *memory.Budget {
-	if s.Memory > 0 {
-		return memory.New(int64(bodyMemoryShare * float64(s.Memory)))
-	}
-	return memory.New(memory.DefaultBytes)
-}
-
 // Start starts a router with the given settings. The error tells which address can't
 // be used. Stop stops it.
 func Start(s *site.Settings, p Deps) (*Router, error) {
