--- a/review/fleet/client.go
+++ b/review/fleet/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,13 +15,18 @@
 type Outcome struct {
 	Attempt string
 	Status  int
+	Header  http.Header
 	Body    []byte
 	Err     error
-	Took    time.Duration
+	// At is when the answer was complete.
+	At   time.Time
+	Took time.Duration
 }
 
 // Request is one client attempt.
 type Request struct {
+	// Attempt is its ID, a new one if it is empty.
+	Attempt            string
 	Host, Method, Path string
 	Header             map[string]string
 	Body               []byte
@@ -32,7 +38,7 @@
 
 // Send sends one request on a new channel and reads the whole answer.
 func Send(ctx context.Context, rec *Record, to *Daemon, q Request) Outcome {
-	o := Outcome{Attempt: NewAttempt()}
+	o := Outcome{Attempt: cmp.Or(q.Attempt, NewAttempt())}
 	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+to.Front()+q.Path, bytes.NewReader(q.Body))
@@ -51,11 +57,11 @@
 	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := c.Do(req)
 	if err == nil {
-		o.Status = resp.StatusCode
+		o.Status, o.Header = resp.StatusCode, resp.Header
 		o.Body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 	}
-	o.Err, o.Took = err, time.Since(start)
+	o.Err, o.Took, o.At = err, time.Since(start), time.Now()
 	rec.Line("client got for %s: status %d, %d bytes, error %v, after %d ms", o.Attempt, o.Status, len(o.Body), err, o.Took.Milliseconds())
 	return o
 }
--- a/review/fleet/engine.go
+++ b/review/fleet/engine.go
@@ -349,7 +349,7 @@
 	})
 	e.arrive("prefill", id, true)
 	w.Header().Set("Attempt-Id", id)
-	writeJSON(w, http.StatusOK, map[string]any{"kv_handle": handle, "tokens": prompt, "version": 1})
+	writeJSON(w, map[string]any{"kv_handle": handle, "tokens": prompt, "version": 1})
 }
 
 func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request) {
--- a/review/fleet/store.go
+++ b/review/fleet/store.go
@@ -37,8 +37,8 @@
 	record *Record
 	server *http.Server
 
-	// Down makes the store answer 503.
-	Down atomic.Bool
+	// Down makes the store answer 503, Silent makes it answer nothing.
+	Down, Silent atomic.Bool
 
 	mu       sync.Mutex
 	revision uint64
@@ -107,9 +107,8 @@
 	s.changed = make(chan struct{})
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // the caller may have left
 }
 
@@ -120,6 +119,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.Silent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/kv-key":
@@ -131,7 +134,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeJSON(w, http.StatusOK, struct {
+		writeJSON(w, struct {
 			item
 			At uint64 `json:"at_revision"`
 		}{it, at})
@@ -158,7 +161,7 @@
 	s.mu.Unlock()
 	slices.SortFunc(out, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	more := len(out) > pageItems
-	writeJSON(w, http.StatusOK, map[string]any{"items": out[:min(len(out), pageItems)], "more_pages": more, "at_revision": at})
+	writeJSON(w, map[string]any{"items": out[:min(len(out), pageItems)], "more_pages": more, "at_revision": at})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
@@ -179,13 +182,13 @@
 			return
 		}
 		if len(out) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": out, "at_revision": at})
+			writeJSON(w, map[string]any{"events": out, "at_revision": at})
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []item{}, "at_revision": at})
+			writeJSON(w, map[string]any{"events": []item{}, "at_revision": at})
 			return
 		case <-r.Context().Done():
 			return
