--- a/review/fleet/client.go
+++ b/review/fleet/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 )
@@ -31,6 +32,8 @@
 	Header             map[string]string
 	Body               []byte
 	Timeout            time.Duration
+	// From is the client's own loopback address, empty for any.
+	From string
 }
 
 // NewAttempt returns a new ID of a client attempt.
@@ -54,7 +57,11 @@
 	req.Header.Set("Deadline-Milliseconds", fmt.Sprint(q.Timeout.Milliseconds()))
 	rec.Line("client sends %s %s %s to %s", o.Attempt, q.Method, q.Path, to.Name)
 	start := time.Now()
-	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	dialer := net.Dialer{}
+	if q.From != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(q.From)}
+	}
+	c := http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := c.Do(req)
 	if err == nil {
 		o.Status, o.Header = resp.StatusCode, resp.Header
--- a/review/fleet/engine.go
+++ b/review/fleet/engine.go
@@ -36,6 +36,10 @@
 	Memory int
 	// Limit is the value of Server-Limit, empty for none.
 	Limit string
+	// Crashes, if set, tells whether the server crashes as it begins to run an attempt, and
+	// Crashed is called then.
+	Crashes func(attempt string) bool
+	Crashed func(e *Engine, attempt string)
 }
 
 // OrderSeen is an order that reached a server.
@@ -143,6 +147,9 @@
 	return []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
 }
 
+// Leave removes the server's entry, as the store does after three missed heartbeats.
+func (e *Engine) Leave() { e.store.Delete("servers/" + e.ID) }
+
 func (e *Engine) writeEntry() {
 	e.mu.Lock()
 	e.beat++
@@ -295,6 +302,12 @@
 	}
 	defer e.release(0)
 	e.arrive("request", id, true)
+	if e.Crashes != nil && e.Crashes(id) {
+		e.record.Line("engine %s crashes as it begins to run %s", e.ID, id)
+		e.Crashed(e, id)
+		e.Close()
+		return
+	}
 	time.Sleep(e.Work)
 	e.seal(w, r)
 	_, _ = fmt.Fprintf(w, "answer to %s by %s\n", id, e.ID) // the caller may have left
--- a/review/fleet/store.go
+++ b/review/fleet/store.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -37,9 +36,6 @@
 	record *Record
 	server *http.Server
 
-	// Down makes the store answer 503, Silent makes it answer nothing.
-	Down, Silent atomic.Bool
-
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]item
@@ -63,17 +59,12 @@
 // Close ends the store.
 func (s *Store) Close() { s.server.Close() }
 
-// Put writes an item and returns its revision.
-func (s *Store) Put(key string, value any) uint64 {
+// Put writes an item.
+func (s *Store) Put(key string, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // values are made by this package
 	}
-	return s.PutBytes(key, body)
-}
-
-// PutBytes writes an item.
-func (s *Store) PutBytes(key string, body []byte) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -84,7 +75,6 @@
 	}
 	s.items[key] = it
 	s.add(it)
-	return s.revision
 }
 
 // Delete removes an item.
@@ -115,14 +105,6 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
-	if s.Down.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if s.Silent.Load() {
-		<-r.Context().Done()
-		return
-	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/kv-key":
