--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -35,9 +35,6 @@
 	return &Record{begin: time.Now(), out: bufio.NewWriter(f), file: f}, nil
 }
 
-// Since returns the time since the start of the record.
-func (r *Record) Since(at time.Time) time.Duration { return at.Sub(r.begin) }
-
 // Line writes one line.
 func (r *Record) Line(format string, args ...any) {
 	r.mu.Lock()
@@ -295,13 +292,3 @@
 	Broken   = 1
 	Unusable = 2
 )
-
-// PID returns the process ID of the router, 0 before its start.
-func (d *Daemon) PID() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cmd == nil {
-		return 0
-	}
-	return d.cmd.Process.Pid
-}
